--- a/crates/ladderroute/src/accept.rs
+++ b/crates/ladderroute/src/accept.rs
@@ -80,7 +80,10 @@
     }
     let job: Job = match cbor::decode(body) {
         Ok(j) => j,
-        Err(e) => return refuse(400, e.to_string()),
+        Err(e) => {
+            log::debug!("event=submission_malformed error=\"{e}\"");
+            return refuse(400, e.to_string());
+        }
     };
     if let Err(e) = job.check() {
         return refuse(400, e);
--- a/crates/ladderroute/src/api.rs
+++ b/crates/ladderroute/src/api.rs
@@ -73,12 +73,23 @@
 fn report(node: &Node, body: &[u8]) -> Response {
     let report: Report = match cbor::decode(body) {
         Ok(r) => r,
-        Err(e) => return refuse(400, e.to_string()),
+        Err(e) => {
+            log::error!("event=report_malformed error=\"{e}\"");
+            return refuse(400, e.to_string());
+        }
     };
     let now = node.now();
     let mut guard = node.lock();
     let state = &mut *guard;
     let answer = state.owner.on_report(&report, now);
+    log::debug!(
+        "event=report machine={} session={} seq={} token={} tasks={} answer={answer:?}",
+        report.machine,
+        report.session,
+        report.seq,
+        report.token,
+        report.tasks.len()
+    );
     node.pump(state);
     match answer {
         Answer::Orders(orders) => {
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -219,6 +219,7 @@
             // The answer tells the worker the token; the report that shows it will count.
             return Answer::Orders(Orders { token, orders: Vec::new() });
         }
+        m.dirty |= m.lapsed || !m.known;
         m.lapsed = false;
         m.known = true;
         (m.session, m.seq) = order;
