--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -73,7 +73,6 @@
 pub(crate) struct Job {
     pub spec: Rc<Spec>,
     pub revision: u64,
-    pub created: Secs,
     pub over: bool,
     pub finishing: bool,
     pub done: Ranges,
@@ -373,7 +372,6 @@
         });
         let job = Job {
             revision: j.revision,
-            created: now - j.age_s,
             over: false,
             finishing: false,
             durable: j.done.clone(),
--- a/crates/wire/src/users.rs
+++ b/crates/wire/src/users.rs
@@ -11,6 +11,9 @@
     /// All tasks run at the same time or none does.
     #[serde(rename = "ensemble")]
     Gang,
+    /// Independent tasks that run until their user cancels the job.
+    #[serde(rename = "service")]
+    Service,
 }
 
 /// Priority; the order of the variants is the order of the queue, most urgent first.
