--- a/crates/ladderroute/src/main.rs
+++ b/crates/ladderroute/src/main.rs
@@ -20,6 +20,9 @@
     /// The platform's settings (TOML).
     #[arg(long, value_name = "FILE")]
     config: String,
+    /// Operators' own settings (protobuf text format); all of them have defaults.
+    #[arg(long, value_name = "FILE")]
+    operator: Option<String>,
     /// Check the settings, say what is wrong, and end.
     #[arg(long)]
     check_config: bool,
@@ -28,9 +31,12 @@
 fn main() -> std::process::ExitCode {
     let args = Args::parse();
     logging::start();
-    let tuning = operator::Tuning::default();
-    let settings = match settings::Settings::load(&args.config) {
-        Ok(s) => s,
+    let loaded = settings::Settings::load(&args.config).and_then(|s| {
+        let tuning = args.operator.as_deref().map_or_else(|| Ok(operator::Tuning::default()), operator::Tuning::load)?;
+        Ok((s, tuning))
+    });
+    let (settings, tuning) = match loaded {
+        Ok(l) => l,
         Err(e) => {
             eprintln!("ladderroute: {e}");
             return std::process::ExitCode::from(2);
--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -184,7 +184,7 @@
             Some(spec) => {
                 let open = open_job(entry, spec.clone(), lead.leader_chunk());
                 let earlier = entry.version <= lead.first_version();
-                lead.leader.add_job(open, earlier, self.now());
+                lead.leader.add_job(open, earlier);
             }
             None => lead.leader.job_over(id),
         }
@@ -197,9 +197,7 @@
     for (chunk, bits) in &entry.progress {
         done.add_bits(chunk * chunk_bits, bits, spec.tasks);
     }
-    let wall_ms = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
-    let age_s = wall_ms.saturating_sub(entry.created_ms) as f64 / 1000.0;
-    sched::leader::OpenJob { spec, revision: entry.version, done, age_s }
+    sched::leader::OpenJob { spec, revision: entry.version, done }
 }
 
 impl Lead {
--- a/crates/ladderroute/src/operator.rs
+++ b/crates/ladderroute/src/operator.rs
@@ -1,4 +1,9 @@
-//! Operators' own settings; all have defaults.
+//! Operators' own settings: protobuf text format, optional, all with defaults, all checked.
+
+use crate::settings::SettingsError;
+use prost_reflect::{DescriptorPool, DynamicMessage};
+
+const DESCRIPTION: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/operator.bin"));
 
 /// Values that operators may tune.
 #[derive(Clone, Debug, PartialEq)]
@@ -18,3 +23,51 @@
         Tuning { hold_s: 10.0, leader_lease_share: 0.36, keep_boots: 2.0, warm_share: 0.0 }
     }
 }
+
+impl Tuning {
+    pub fn load(file: &str) -> Result<Tuning, SettingsError> {
+        let text = std::fs::read_to_string(file).map_err(|cause| SettingsError::Read { file: file.into(), cause })?;
+        Tuning::parse(&text, file)
+    }
+
+    pub fn parse(text: &str, file: &str) -> Result<Tuning, SettingsError> {
+        let fail = |cause: String| SettingsError::Parse { file: file.into(), cause };
+        let pool = DescriptorPool::decode(DESCRIPTION).map_err(|e| fail(e.to_string()))?;
+        let kind = pool.get_message_by_name("ladderroute.Operator").ok_or_else(|| fail("no description of the settings".into()))?;
+        let message = DynamicMessage::parse_text_format(kind, text).map_err(|e| fail(e.to_string()))?;
+        let mut t = Tuning::default();
+        for (name, value, low, high) in [
+            ("hold_s", &mut t.hold_s, 0.5, 600.0),
+            ("leader_lease_share", &mut t.leader_lease_share, 0.05, 0.8),
+            ("keep_boots", &mut t.keep_boots, 0.0, 1000.0),
+            ("warm_share", &mut t.warm_share, 0.0, 2.0),
+        ] {
+            if !message.has_field_by_name(name) {
+                continue;
+            }
+            let given = message.get_field_by_name(name).and_then(|v| v.as_f64()).unwrap_or(f64::NAN);
+            if !(low..=high).contains(&given) {
+                return Err(SettingsError::Field { field: name.into(), cause: format!("must lie between {low} and {high}") });
+            }
+            *value = given;
+        }
+        Ok(t)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_given_replaces_the_defaults_and_is_checked() {
+        assert_eq!(Tuning::parse("", "f").unwrap(), Tuning::default());
+        let t = Tuning::parse("# comment\nhold_s: 4.5\nkeep_boots: 3", "f").unwrap();
+        assert_eq!((t.hold_s, t.keep_boots), (4.5, 3.0));
+        assert_eq!(t.warm_share, Tuning::default().warm_share);
+        let error = |text: &str| Tuning::parse(text, "f").unwrap_err().to_string();
+        assert!(error("hold_s: 0").starts_with("hold_s: must lie between"));
+        assert!(error("hold: 3").contains("hold"), "{}", error("hold: 3"));
+        assert!(error("hold_s: \"x\"").contains("f:"));
+    }
+}
--- /dev/null
+++ b/crates/model/src/plain.rs
@@ -0,0 +1,166 @@
+//! The slow plain model of the one pass: what is placed where, written for reading.
+
+use std::collections::BTreeMap;
+use wire::users::{Job, Shape};
+
+/// A machine of the plain model.
+#[derive(Clone, Debug)]
+pub struct Plain {
+    pub name: String,
+    pub cpus: f64,
+    pub memory_gb: f64,
+    pub image: Option<String>,
+}
+
+/// Places the jobs in the order given: how many tasks of each get a machine. A gang gets all
+/// or nothing, and nothing waits for what does not fit. `limit` is what the team may use.
+pub fn place(machines: &mut [Plain], jobs: &[Job], mut limit: f64) -> BTreeMap<String, u32> {
+    let mut out = BTreeMap::new();
+    for job in jobs {
+        let before: Vec<Plain> = machines.to_vec();
+        let mut placed = 0;
+        for _ in 0..job.tasks {
+            if job.cpus > limit - f64::from(placed) * job.cpus + 1e-6 {
+                break;
+            }
+            let fits = |m: &&mut Plain| m.cpus + 1e-6 >= job.cpus && m.memory_gb + 1e-6 >= job.memory_gb;
+            let best = machines.iter_mut().filter(fits).min_by(|a, b| {
+                let key = |m: &Plain| (m.image.as_deref() != Some(job.image.as_str()), ((m.cpus - job.cpus).max(0.0) * 1000.0) as u64);
+                key(a).cmp(&key(b)).then(a.name.cmp(&b.name))
+            });
+            let Some(m) = best else { break };
+            m.cpus -= job.cpus;
+            m.memory_gb -= job.memory_gb;
+            m.image = Some(job.image.clone());
+            placed += 1;
+        }
+        if job.shape == Shape::Gang && placed < job.tasks {
+            machines.clone_from_slice(&before);
+            placed = 0;
+        }
+        limit -= f64::from(placed) * job.cpus;
+        if placed > 0 {
+            out.insert(job.id.clone(), placed);
+        }
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::world::{job, machine_type, setup};
+    use sched::leader::{Deed, Leader, OpenJob};
+    use sched::ranges::Ranges;
+    use std::rc::Rc;
+    use wire::peers::{MachineView, ToLeader, ToOwner};
+
+    /// A leader that is its only owner, with empty machines that are known and rostered.
+    fn leader(machines: &[(&str, &str)], limit: f64) -> Leader {
+        let mut s = setup();
+        s.teams.get_mut("red").unwrap().cpus_max = limit;
+        let mut l = Leader::new("rung-0", s, 1, 1, 4.0, Vec::new(), &BTreeMap::new(), 0.0);
+        l.catalog(vec![machine_type("small", 4.0, 16.0, 0.3), machine_type("large", 16.0, 64.0, 1.1)]);
+        l.tick(5.0, 0);
+        l.drain();
+        for (name, kind) in machines {
+            let v = MachineView {
+                token: 1,
+                name: (*name).into(),
+                kind: (*kind).into(),
+                zone: "a".into(),
+                spot: false,
+                session: 1,
+                lapsed: false,
+                notice_s: None,
+                tasks: Vec::new(),
+                pending: Vec::new(),
+                usable: false,
+            };
+            l.on_owner("rung-0", ToLeader::Machine(v), 5.0);
+            l.roster_result(name, true, true);
+        }
+        l.drain();
+        l
+    }
+
+    fn placed(deeds: &[Deed]) -> BTreeMap<String, u32> {
+        let mut out: BTreeMap<String, u32> = BTreeMap::new();
+        for d in deeds {
+            match d {
+                Deed::Send(_, ToOwner::Give { job, tasks, .. }) => {
+                    *out.entry(job.clone()).or_default() += tasks.iter().map(|(_, n)| n).sum::<u32>()
+                }
+                Deed::Send(_, ToOwner::Hold { job, places, .. }) => {
+                    *out.entry(job.clone()).or_default() += places.iter().map(|(_, _, n)| n).sum::<u32>()
+                }
+                _ => {}
+            }
+        }
+        out
+    }
+
+    #[test]
+    fn the_one_pass_agrees_with_the_plain_model() {
+        let mut rng = fastrand::Rng::with_seed(3);
+        let names = ["host-1", "host-2", "host-3", "host-4", "host-5"];
+        let mut gangs = 0;
+        for round in 0..400 {
+            let n = rng.usize(1..=names.len());
+            let machines: Vec<(&str, &str)> = names[..n].iter().map(|m| (*m, if rng.bool() { "small" } else { "large" })).collect();
+            let limit = f64::from(rng.u32(8..40));
+            let mut jobs: Vec<Job> = (0..rng.u32(1..7))
+                .map(|i| {
+                    // Single-task gangs: for larger ones the pass may choose machines in bulk.
+                    let gang = rng.bool();
+                    let mut j = job(
+                        i,
+                        "red",
+                        if gang { Shape::Gang } else { Shape::Array },
+                        if gang { 1 } else { rng.u32(1..6) },
+                        f64::from(rng.u32(1..7)),
+                    );
+                    j.memory_gb = f64::from(rng.u32(1..10));
+                    j.image = format!("img-{i}");
+                    j
+                })
+                .filter(|j| f64::from(j.tasks) * j.cpus <= limit)
+                .collect();
+            jobs.sort_by(|a, b| a.id.cmp(&b.id));
+            let mut l = leader(&machines, limit);
+            for (i, j) in jobs.iter().enumerate() {
+                l.add_job(OpenJob { spec: Rc::new(j.clone()), revision: i as u64 + 1, done: Ranges::default() }, false);
+            }
+            l.tick(5.1, 0);
+            let mut order: Vec<Job> = Vec::new();
+            // Within the guarantee first, each in order of creation.
+            let (mut sum, mut rest) = (0.0, Vec::new());
+            for j in &jobs {
+                sum += f64::from(j.tasks) * j.cpus;
+                if sum <= 8.0 {
+                    order.push(j.clone());
+                } else {
+                    rest.push(j.clone());
+                }
+            }
+            order.extend(rest);
+            let mut plain: Vec<Plain> = machines
+                .iter()
+                .map(|(name, kind)| {
+                    let t = if *kind == "small" { (4.0, 16.0) } else { (16.0, 64.0) };
+                    Plain { name: (*name).into(), cpus: t.0, memory_gb: t.1, image: None }
+                })
+                .collect();
+            let small_only = |j: &Job| j.cpus > 4.0;
+            // A class with a task that fits only the large type keeps that type for itself.
+            if jobs.iter().any(small_only) {
+                continue;
+            }
+            let want = place(&mut plain, &order, limit);
+            let got = placed(&l.drain());
+            gangs += jobs.iter().filter(|j| j.shape == Shape::Gang && got.contains_key(&j.id)).count();
+            assert_eq!(got, want, "round {round}: {machines:?} {jobs:?}");
+        }
+        assert!(gangs > 50);
+    }
+}
--- /dev/null
+++ b/crates/model/src/world.rs
@@ -0,0 +1,1006 @@
+//! A simulated world around the real decisions of `sched`.
+
+use sched::leader::{chunk_bits, Deed, Leader, OpenJob};
+use sched::owner::{Answer, Jobs, Owner};
+use sched::place::Room;
+use sched::ranges::Ranges;
+use sched::setup::{Setup, Team};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::rc::Rc;
+use wire::cloud::{Hire, MachineType};
+use wire::peers::{ToLeader, ToOwner};
+use wire::store::RosterRecord;
+use wire::users::{Job, Priority, Shape};
+use wire::workers::{Order, Orders, Report, TaskReport, TaskState, Why};
+
+/// Deliberate defects, to show that the checkers notice them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Defect {
+    None,
+    /// Every report counts, also those held up from before a change of owners.
+    TrustAnyReport,
+    /// A new leader does not wait until the rostered machines are accounted for.
+    ForgetRoster,
+    /// The leader believes in twice the teams' limits.
+    DoubleLimit,
+    /// The leader does not learn what types jobs allow.
+    IgnoreTypes,
+    /// The leader does not learn of cancellations.
+    IgnoreCancel,
+    /// A job is called done when half of its tasks are.
+    HalfDone,
+}
+
+const STEP: f64 = 0.1;
+
+#[derive(Clone, Debug)]
+struct SimTask {
+    state: TaskState,
+    why: Option<Why>,
+    began: f64,
+}
+
+type Key = (String, u32, u64);
+
+struct InFlight {
+    sent: f64,
+    session: u64,
+    seq: u64,
+}
+
+struct Worker {
+    kind: String,
+    zone: String,
+    spot: bool,
+    up_at: f64,
+    gone: bool,
+    hung_until: f64,
+    session: u64,
+    seq: u64,
+    token: u64,
+    lease_from: f64,
+    tasks: BTreeMap<Key, SimTask>,
+    target: usize,
+    next: f64,
+    flight: Option<InFlight>,
+}
+
+enum Message {
+    Report { to: usize, report: Box<Report> },
+    Answer { worker: String, session: u64, seq: u64, answer: Answer },
+}
+
+struct Controller {
+    owner: Owner,
+    down_until: f64,
+    /// When the stream to the leader works again; it works if this is past.
+    link_at: f64,
+    joined: bool,
+    to_owner: VecDeque<(f64, ToOwner)>,
+    to_leader: VecDeque<(f64, ToLeader)>,
+    pings: VecDeque<(f64, f64)>,
+    regime: bool,
+}
+
+struct JobState {
+    spec: Rc<Job>,
+    revision: u64,
+    done: Ranges,
+    over: Option<f64>,
+    cancelled: bool,
+}
+
+struct Book<'a>(&'a BTreeMap<String, JobState>);
+
+impl Jobs for Book<'_> {
+    fn room(&self, job: &str) -> Option<Room> {
+        let s = &self.0.get(job)?.spec;
+        Some(Room { cpus: s.cpus, gpus: s.gpus, memory_gb: s.memory_gb })
+    }
+    fn image(&self, job: &str) -> Option<String> {
+        Some(self.0.get(job)?.spec.image.clone())
+    }
+}
+
+pub struct World {
+    pub now: f64,
+    rng: fastrand::Rng,
+    defect: Defect,
+    setup: Setup,
+    types: Vec<MachineType>,
+    workers: BTreeMap<String, Worker>,
+    controllers: Vec<Controller>,
+    leader: Option<(usize, Leader, u64)>,
+    leader_until: f64,
+    /// No new leader before this: the old one's lease in the store still runs.
+    free_at: f64,
+    term: u64,
+    revision: u64,
+    roster: BTreeMap<String, RosterRecord>,
+    jobs: BTreeMap<String, JobState>,
+    messages: Vec<(f64, Message)>,
+    writes: Vec<(f64, u64, Deed)>,
+    hosts: u64,
+    store_down_until: f64,
+    /// Messages in a hundred that are held up for long.
+    pub held_up: u32,
+    completed: BTreeSet<(String, u32)>,
+    pub broken: BTreeSet<String>,
+    pub starts: u64,
+    pub done: u64,
+    pub leaders: u64,
+}
+
+const TTL: f64 = 2.0;
+
+pub fn machine_type(name: &str, cpus: f64, memory_gb: f64, price: f64) -> MachineType {
+    MachineType {
+        name: name.into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price,
+        spot_price: price / 3.0,
+        boot_s: 3.0,
+        zones: vec!["a".into(), "b".into()],
+    }
+}
+
+pub fn setup() -> Setup {
+    let team = |cpus: f64, cpus_max: f64| Team { cpus, cpus_max, gpus: 0.0, gpus_max: 0.0 };
+    Setup {
+        teams: BTreeMap::from([("red".into(), team(8.0, 24.0)), ("blue".into(), team(12.0, 32.0))]),
+        report_s: 1.0,
+        lease_s: 8.0,
+        gang_wait_s: 20.0,
+        gang_peer_s: 3.0,
+        cancel_s: 25.0,
+        list_lag_s: 4.0,
+        hold_s: 5.0,
+        guarantee_s: 5.0,
+        keep_boots: 2.0,
+        warm_share: 0.0,
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, defect: Defect) -> World {
+        let setup = setup();
+        let mut believed = setup.clone();
+        if defect == Defect::DoubleLimit {
+            believed.teams.values_mut().for_each(|t| t.cpus_max *= 2.0);
+        }
+        let controllers = (0..3).map(|i| new_controller(i, &believed)).collect();
+        World {
+            now: 0.0,
+            rng: fastrand::Rng::with_seed(seed),
+            defect,
+            setup: believed,
+            types: vec![machine_type("small", 4.0, 16.0, 0.3), machine_type("large", 16.0, 64.0, 1.1)],
+            workers: BTreeMap::new(),
+            controllers,
+            leader: None,
+            leader_until: 0.0,
+            free_at: 0.0,
+            term: 0,
+            revision: 0,
+            roster: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            messages: Vec::new(),
+            writes: Vec::new(),
+            hosts: 0,
+            store_down_until: 0.0,
+            held_up: 3,
+            completed: BTreeSet::new(),
+            broken: BTreeSet::new(),
+            starts: 0,
+            done: 0,
+            leaders: 0,
+        }
+    }
+
+    fn break_rule(&mut self, rule: &str) {
+        self.broken.insert(rule.to_string());
+    }
+
+    pub fn submit(&mut self, mut spec: Job) {
+        self.revision += 1;
+        let id = spec.id.clone();
+        let told = {
+            let real = Rc::new(spec.clone());
+            self.jobs.insert(
+                id.clone(),
+                JobState { spec: real, revision: self.revision, done: Ranges::default(), over: None, cancelled: false },
+            );
+            if self.defect == Defect::IgnoreTypes {
+                spec.types = None;
+                spec.zone = None;
+            }
+            Rc::new(spec)
+        };
+        let revision = self.revision;
+        if let Some((_, leader, _)) = &mut self.leader {
+            leader.add_job(OpenJob { spec: told, revision, done: Ranges::default() }, false);
+        }
+    }
+
+    pub fn cancel(&mut self, id: &str) {
+        let now = self.now;
+        let Some(j) = self.jobs.get_mut(id).filter(|j| j.over.is_none()) else { return };
+        j.over = Some(now);
+        j.cancelled = true;
+        if self.defect != Defect::IgnoreCancel {
+            if let Some((_, leader, _)) = &mut self.leader {
+                leader.job_over(id);
+            }
+        }
+    }
+
+    /// Random jobs, cancellations and troubles for `seconds`, then quiet for `calm`.
+    pub fn live(&mut self, seconds: f64, calm: f64) {
+        let mut n = 0;
+        let end = self.now + seconds;
+        while self.now < end {
+            if self.rng.f64() < 0.04 {
+                n += 1;
+                let spec = random_job(&mut self.rng, n);
+                self.submit(spec);
+            }
+            if self.rng.f64() < 0.004 && n > 0 {
+                let id = format!("wk-{:06}", self.rng.u32(1..=n));
+                self.cancel(&id);
+            }
+            self.trouble();
+            self.step();
+        }
+        let end = self.now + calm;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    fn trouble(&mut self) {
+        let now = self.now;
+        match self.rng.u32(0..3000) {
+            0..=9 => {
+                let i = self.rng.usize(0..self.controllers.len());
+                self.crash(i);
+            }
+            10..=14 => {
+                if let Some(i) = self.leader.as_ref().map(|(i, _, _)| *i) {
+                    self.crash(i);
+                }
+            }
+            15..=24 => {
+                let i = self.rng.usize(0..self.controllers.len());
+                self.cut_link(i, 0.3);
+            }
+            25..=39 => {
+                let hang = now + self.rng.f64() * 14.0;
+                let at = self.rng.usize(0..self.workers.len().max(1));
+                if let Some(w) = self.workers.values_mut().nth(at) {
+                    w.hung_until = hang;
+                }
+            }
+            40..=44 => self.store_down_until = now + self.rng.f64() * 6.0,
+            45..=49 => {
+                let at = self.rng.usize(0..self.workers.len().max(1));
+                if let Some(w) = self.workers.values_mut().nth(at) {
+                    w.gone = true;
+                    w.tasks.clear();
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn crash(&mut self, i: usize) {
+        let back = self.now + if self.rng.bool() { 0.4 } else { 4.0 };
+        let leading = self.leader.as_ref().is_some_and(|(l, _, _)| *l == i);
+        self.controllers[i] = new_controller(i, &self.setup);
+        self.controllers[i].down_until = back;
+        if leading {
+            self.end_leader();
+        } else if let Some((_, leader, _)) = &mut self.leader {
+            leader.owner_lost(&name(i));
+        }
+    }
+
+    fn end_leader(&mut self) {
+        self.leader = None;
+        // The store keeps the key until the lease has run out.
+        self.free_at = self.free_at.max(self.leader_until + 0.1);
+        for c in &mut self.controllers {
+            disconnect(c, self.now + 0.2);
+        }
+    }
+
+    fn cut_link(&mut self, i: usize, for_s: f64) {
+        disconnect(&mut self.controllers[i], self.now + for_s);
+        if let Some((_, leader, _)) = &mut self.leader {
+            leader.owner_lost(&name(i));
+        }
+    }
+
+    fn delay(&mut self) -> Option<f64> {
+        match self.rng.u32(0..100) {
+            0..=2 => None,
+            // Held up in the network, also past the sender's patience.
+            n if n < 3 + self.held_up => Some(2.0 + self.rng.f64() * 25.0),
+            _ => Some(0.01 + self.rng.f64() * 0.2),
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.run_workers();
+        self.deliver();
+        self.run_controllers();
+        self.run_leader();
+        self.run_writes();
+        self.check();
+    }
+
+    // ---- workers ----
+
+    fn run_workers(&mut self) {
+        let (now, lease_s, report_s) = (self.now, self.setup.lease_s, self.setup.report_s);
+        let whole = self.whole_gangs();
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for machine in names {
+            let Some(w) = self.workers.get_mut(&machine) else { continue };
+            if w.gone || now < w.up_at {
+                continue;
+            }
+            if now - w.lease_from > lease_s {
+                // Kills and forgets all tasks, also while it hangs: nothing of it runs on.
+                w.tasks.clear();
+                w.session += 1;
+                w.lease_from = now;
+                w.flight = None;
+            }
+            if now < w.hung_until {
+                continue;
+            }
+            for ((job, index, attempt), t) in w.tasks.iter_mut() {
+                let Some(spec) = self.jobs.get(job).map(|j| &j.spec) else { continue };
+                let together = spec.shape != Shape::Gang || whole.contains(&(job.clone(), *attempt));
+                match t.state {
+                    TaskState::Fetching if now - t.began > 0.5 => t.state = TaskState::Waiting,
+                    TaskState::Waiting if together => {
+                        t.state = TaskState::Running;
+                        t.began = now;
+                    }
+                    TaskState::Running if !together => {
+                        t.state = TaskState::Exited;
+                        t.why = Some(Why::Peers);
+                    }
+                    TaskState::Running if now - t.began > spec.estimate_s => {
+                        t.state = TaskState::Exited;
+                        t.why = Some(Why::Done);
+                        self.completed.insert((job.clone(), *index));
+                    }
+                    _ => {}
+                }
+            }
+            if w.flight.as_ref().is_some_and(|f| now - f.sent > 4.0) {
+                w.flight = None;
+                w.target = (w.target + 1) % 3;
+                w.next = now + 1.0;
+            }
+            if w.flight.is_none() && now >= w.next {
+                w.seq += 1;
+                w.flight = Some(InFlight { sent: now, session: w.session, seq: w.seq });
+                w.next = now + report_s;
+                let report = report_of(&machine, w);
+                let to = w.target;
+                let again = self.rng.u32(0..100) < 2;
+                for _ in 0..=u32::from(again) {
+                    if let Some(d) = self.delay() {
+                        self.messages.push((now + d, Message::Report { to, report: Box::new(report.clone()) }));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Gangs of which every task is on some machine under one attempt.
+    fn whole_gangs(&self) -> BTreeSet<(String, u64)> {
+        let mut counts: BTreeMap<(String, u64), u32> = BTreeMap::new();
+        for w in self.workers.values() {
+            for ((job, _, attempt), t) in &w.tasks {
+                let here = matches!(t.state, TaskState::Waiting | TaskState::Running) || t.why == Some(Why::Done);
+                if here {
+                    *counts.entry((job.clone(), *attempt)).or_default() += 1;
+                }
+            }
+        }
+        counts.into_iter().filter(|((j, _), n)| self.jobs.get(j).is_some_and(|s| s.spec.tasks == *n)).map(|(k, _)| k).collect()
+    }
+
+    fn take_answer(&mut self, machine: &str, session: u64, seq: u64, answer: Answer) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(machine) else { return };
+        if w.gone || now < w.hung_until || w.flight.as_ref().is_none_or(|f| f.seq != seq || f.session != session) || w.session != session {
+            return;
+        }
+        let Some(sent) = w.flight.take().map(|f| f.sent) else { return };
+        match answer {
+            Answer::Orders(Orders { token, orders }) => {
+                if token < w.token {
+                    return;
+                }
+                if token > w.token {
+                    w.next = w.next.min(now + 0.5);
+                }
+                w.token = token;
+                w.lease_from = w.lease_from.max(sent);
+                for order in orders {
+                    self.execute(machine, order);
+                }
+            }
+            Answer::Elsewhere(member) => {
+                w.target = (0..3).find(|i| name(*i) == member).unwrap_or(0);
+                w.next = now + 0.1;
+            }
+            Answer::NotNow => {
+                w.target = (w.target + 1) % 3;
+                w.next = now + 1.0;
+            }
+        }
+    }
+
+    fn execute(&mut self, machine: &str, order: Order) {
+        let now = self.now;
+        let split = |task: &str| wire::split_task(task).map(|(j, i)| (j.to_string(), i));
+        match order {
+            Order::Start { task, attempt } => {
+                let Some((job, index)) = split(&task) else { return };
+                let key = (job.clone(), index, attempt);
+                if self.workers.get(machine).is_some_and(|w| w.tasks.contains_key(&key)) {
+                    return;
+                }
+                self.starts += 1;
+                self.check_start(machine, &job, index);
+                if let Some(w) = self.workers.get_mut(machine) {
+                    w.tasks.insert(key, SimTask { state: TaskState::Fetching, why: None, began: now });
+                }
+            }
+            Order::Stop { task, attempt, .. } => {
+                let Some((job, index)) = split(&task) else { return };
+                if let Some(t) = self.workers.get_mut(machine).and_then(|w| w.tasks.get_mut(&(job, index, attempt))) {
+                    if t.state != TaskState::Exited {
+                        t.state = TaskState::Exited;
+                        t.why = Some(Why::Stopped);
+                    }
+                }
+            }
+            Order::Clear { task, attempt } => {
+                let Some((job, index)) = split(&task) else { return };
+                if let Some(w) = self.workers.get_mut(machine) {
+                    w.tasks.remove(&(job, index, attempt));
+                }
+            }
+        }
+    }
+
+    // ---- rules ----
+
+    fn live_on(w: &Worker) -> impl Iterator<Item = &Key> {
+        w.tasks.iter().filter(|(_, t)| t.state != TaskState::Exited).map(|(k, _)| k)
+    }
+
+    fn check_start(&mut self, machine: &str, job: &str, index: u32) {
+        let mut broken = Vec::new();
+        if self.workers.values().any(|w| Self::live_on(w).any(|(j, i, _)| j == job && *i == index)) {
+            broken.push("ran_twice");
+        }
+        if let (Some(j), Some(w)) = (self.jobs.get(job), self.workers.get(machine)) {
+            let s = &j.spec;
+            let bad_type = s.types.as_ref().is_some_and(|l| !l.contains(&w.kind));
+            let bad_zone = s.zone.as_ref().is_some_and(|z| *z != w.zone);
+            let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+            for o in self.workers.values() {
+                for _ in Self::live_on(o).filter(|(j, _, _)| j == job) {
+                    *zones.entry(o.zone.as_str()).or_default() += 1;
+                }
+            }
+            let elsewhere = s.one_zone && zones.keys().any(|z| *z != w.zone);
+            let crowded = s.spread && zones.get(w.zone.as_str()).copied().unwrap_or(0) + 1 > s.tasks.div_ceil(2);
+            if bad_type || bad_zone || (w.spot && !s.spot) || elsewhere || crowded {
+                broken.push("wrong_place");
+            }
+        }
+        broken.into_iter().for_each(|r| self.break_rule(r));
+    }
+
+    fn check(&mut self) {
+        let limits = setup().teams;
+        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut broken = Vec::new();
+        for w in self.workers.values() {
+            for (job, _, _) in Self::live_on(w) {
+                let Some(j) = self.jobs.get(job) else { continue };
+                *used.entry(j.spec.team.as_str()).or_default() += j.spec.cpus;
+                if j.cancelled && j.over.is_some_and(|at| self.now > at + self.setup.cancel_s) {
+                    broken.push("ran_cancelled");
+                }
+            }
+        }
+        if used.iter().any(|(t, cpus)| limits.get(*t).is_none_or(|l| *cpus > l.cpus_max + 1e-6)) {
+            broken.push("quota");
+        }
+        broken.into_iter().for_each(|r| self.break_rule(r));
+    }
+
+    // ---- controllers ----
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let mut due: Vec<(f64, Message)> = Vec::new();
+        let mut i = 0;
+        while i < self.messages.len() {
+            if self.messages[i].0 <= now {
+                due.push(self.messages.swap_remove(i));
+            } else {
+                i += 1;
+            }
+        }
+        due.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, m) in due {
+            match m {
+                Message::Report { to, mut report } => {
+                    if now < self.controllers[to].down_until {
+                        continue;
+                    }
+                    if self.defect == Defect::TrustAnyReport {
+                        report.token = u64::MAX;
+                    }
+                    let answer = self.controllers[to].owner.on_report(&report, now);
+                    if let Some(d) = self.delay() {
+                        let m = Message::Answer { worker: report.machine.clone(), session: report.session, seq: report.seq, answer };
+                        self.messages.push((now + d, m));
+                    }
+                }
+                Message::Answer { worker, session, seq, answer } => self.take_answer(&worker, session, seq, answer),
+            }
+        }
+    }
+
+    fn run_controllers(&mut self) {
+        let now = self.now;
+        let led = self.leader.as_ref().map(|(i, _, _)| *i);
+        for i in 0..self.controllers.len() {
+            if now < self.controllers[i].down_until {
+                continue;
+            }
+            let wait = 0.02 + self.rng.f64() * 0.15;
+            let c = &mut self.controllers[i];
+            c.owner.tick(now);
+            if led == Some(i) || led.is_none() || now < c.link_at {
+                continue;
+            }
+            if !c.joined {
+                c.joined = true;
+                c.regime = false;
+            }
+            if c.pings.back().is_none_or(|(_, sent)| now - sent > 0.35) {
+                c.pings.push_back((now + wait, now));
+            }
+            while c.to_owner.front().is_some_and(|(at, _)| *at <= now) {
+                let Some((_, message)) = c.to_owner.pop_front() else { break };
+                if matches!(message, ToOwner::Regime { .. }) && !c.regime {
+                    c.regime = true;
+                    c.owner.set_authority(f64::MIN);
+                }
+                c.owner.on_leader(message, now, &Book(&self.jobs));
+            }
+            let mut at = c.to_leader.back().map_or(0.0, |(at, _)| *at).max(now + wait);
+            for m in c.owner.drain() {
+                at += 0.001;
+                c.to_leader.push_back((at, m));
+            }
+        }
+    }
+
+    fn run_leader(&mut self) {
+        let now = self.now;
+        if self.leader.is_none() {
+            self.elect();
+        }
+        let Some((me, mut leader, id)) = self.leader.take() else { return };
+        if now >= self.store_down_until {
+            self.leader_until = now + TTL * 0.95;
+        } else if now > self.leader_until + TTL * 0.1 {
+            // Its lease is gone; it may have renewed in vain.
+            self.free_at = self.store_down_until + TTL;
+            self.end_leader();
+            return;
+        }
+        self.controllers[me].owner.set_authority(self.leader_until);
+        for i in 0..self.controllers.len() {
+            let c = &mut self.controllers[i];
+            if i == me || now < c.down_until || !c.joined {
+                continue;
+            }
+            while c.pings.front().is_some_and(|(at, _)| *at <= now) {
+                let Some((_, sent)) = c.pings.pop_front() else { break };
+                leader.owner_heard(&name(i), now);
+                let until = self.leader_until.min(now + leader.silence_s() * 1.25);
+                if let Some(valid) = leader.grant(&name(i), now, until) {
+                    if c.regime && c.owner.token() == leader.token() {
+                        c.owner.set_authority(sent + valid);
+                    }
+                }
+            }
+            while c.to_leader.front().is_some_and(|(at, _)| *at <= now) {
+                let Some((_, m)) = c.to_leader.pop_front() else { break };
+                leader.on_owner(&name(i), m, now);
+            }
+        }
+        if now < self.leader_until {
+            leader.tick(now, 2);
+        }
+        loop {
+            let mut idle = true;
+            for m in self.controllers[me].owner.drain() {
+                idle = false;
+                leader.on_owner(&name(me), m, now);
+            }
+            for deed in leader.drain() {
+                idle = false;
+                match deed {
+                    Deed::Send(to, message) => {
+                        let i = (0..3).find(|i| name(*i) == to).unwrap_or(0);
+                        if i == me {
+                            self.controllers[me].owner.on_leader(message, now, &Book(&self.jobs));
+                        } else if self.controllers[i].joined {
+                            let wait = 0.02 + self.rng.f64() * 0.15;
+                            let c = &mut self.controllers[i];
+                            let at = c.to_owner.back().map_or(0.0, |(at, _)| *at).max(now + wait);
+                            c.to_owner.push_back((at, message));
+                        }
+                    }
+                    other => {
+                        let at = now + 0.02 + self.rng.f64() * 0.3;
+                        self.writes.push((at, id, other));
+                    }
+                }
+            }
+            if idle {
+                break;
+            }
+        }
+        self.leader = Some((me, leader, id));
+    }
+
+    fn elect(&mut self) {
+        let now = self.now;
+        if now < self.free_at || now < self.store_down_until {
+            return;
+        }
+        let up: Vec<usize> = (0..3).filter(|i| now >= self.controllers[*i].down_until).collect();
+        let Some(me) = (!up.is_empty()).then(|| up[self.rng.usize(0..up.len())]) else { return };
+        self.term += 1;
+        self.revision += 1;
+        self.leaders += 1;
+        let open = |j: &JobState| {
+            let mut spec = (*j.spec).clone();
+            if self.defect == Defect::IgnoreTypes {
+                spec.types = None;
+                spec.zone = None;
+            }
+            OpenJob { spec: Rc::new(spec), revision: j.revision, done: j.done.clone() }
+        };
+        let ignore = self.defect == Defect::IgnoreCancel;
+        let jobs = self.jobs.values().filter(|j| j.over.is_none() || ignore && j.cancelled).map(open).collect();
+        let empty = BTreeMap::new();
+        let roster = if self.defect == Defect::ForgetRoster { &empty } else { &self.roster };
+        let seed = self.rng.u64(..);
+        let mut leader = Leader::new(&name(me), self.setup.clone(), seed, self.term, 4.0, jobs, roster, now);
+        leader.catalog(self.types.clone());
+        self.leader_until = now + TTL * 0.95;
+        for c in &mut self.controllers {
+            disconnect(c, now + 0.1);
+        }
+        self.leader = Some((me, leader, self.revision));
+    }
+
+    // ---- store and cloud ----
+
+    fn run_writes(&mut self) {
+        let now = self.now;
+        let mut i = 0;
+        while i < self.writes.len() {
+            if self.writes[i].0 > now {
+                i += 1;
+                continue;
+            }
+            let (_, by, deed) = self.writes.remove(i);
+            let Some((me, mut leader, id)) = self.leader.take() else { continue };
+            // A write of an earlier leader fails on its condition.
+            if id == by {
+                let ok = now >= self.store_down_until && self.rng.u32(0..100) >= 3;
+                self.carry_out(&mut leader, deed, ok);
+            }
+            self.leader = Some((me, leader, id));
+        }
+    }
+
+    fn carry_out(&mut self, leader: &mut Leader, deed: Deed, ok: bool) {
+        let now = self.now;
+        match deed {
+            Deed::NewToken => {
+                if ok {
+                    self.term += 1;
+                }
+                leader.token_result(ok.then_some(self.term), now);
+            }
+            Deed::Roster(machine, record) => {
+                let put = record.is_some();
+                if let (true, Some(r)) = (ok, record) {
+                    self.roster.insert(machine.clone(), r);
+                } else if ok {
+                    self.roster.remove(&machine);
+                }
+                leader.roster_result(&machine, put, ok);
+            }
+            Deed::Progress { job, chunk, bits, .. } => {
+                let mut written = Ranges::default();
+                let bytes: Vec<u8> = (0..bits.len() / 2).filter_map(|i| u8::from_str_radix(&bits[i * 2..i * 2 + 2], 16).ok()).collect();
+                written.add_bits(chunk * chunk_bits(4.0), &bytes, u32::MAX);
+                if ok {
+                    if let Some(j) = self.jobs.get_mut(&job) {
+                        written.iter().for_each(|i| {
+                            j.done.insert(i);
+                        });
+                    }
+                }
+                leader.progress_result(&job, chunk, ok.then_some(&written));
+            }
+            Deed::Finish { job } => {
+                let open = self.jobs.get(&job).is_some_and(|j| j.over.is_none());
+                if ok && open {
+                    self.finish(&job);
+                }
+                leader.finish_result(&job, ok && open);
+            }
+            Deed::Bind { job, attempt, .. } => leader.bind_result(&job, attempt, ok, now),
+            Deed::Hire(hire) => {
+                let names = ok.then(|| self.hire(&hire));
+                leader.hired(&hire.name, names, now);
+            }
+            Deed::Release(names) => {
+                if ok {
+                    for n in &names {
+                        self.workers.remove(n);
+                    }
+                }
+                leader.released(&names, ok);
+            }
+            Deed::Send(..) => {}
+        }
+        if self.defect == Defect::HalfDone {
+            let half: Vec<String> =
+                self.jobs.iter().filter(|(_, j)| j.over.is_none() && j.done.len() * 2 >= j.spec.tasks).map(|(id, _)| id.clone()).collect();
+            half.iter().for_each(|id| self.finish(id));
+        }
+    }
+
+    /// Records a job as done; the truth is what the workers have completed.
+    fn finish(&mut self, id: &str) {
+        let now = self.now;
+        let Some(j) = self.jobs.get_mut(id) else { return };
+        let completed = (0..j.spec.tasks).filter(|i| self.completed.contains(&(id.to_string(), *i))).count() as u32;
+        let all = completed == j.spec.tasks || j.spec.shape == Shape::Gang && completed > 0;
+        j.over = Some(now);
+        self.done += 1;
+        if !all {
+            self.break_rule("not_done");
+        }
+    }
+
+    fn hire(&mut self, hire: &Hire) -> Vec<String> {
+        let here = self.workers.values().filter(|w| !w.gone && w.kind == hire.kind && w.zone == hire.zone && w.spot == hire.spot).count();
+        let n = (hire.count as usize).min(3usize.saturating_sub(here));
+        let mut names = Vec::new();
+        for _ in 0..n {
+            self.hosts += 1;
+            let machine = format!("host-{:06}", self.hosts);
+            let up_at = self.now + 1.0 + self.rng.f64() * 3.0;
+            let w = Worker {
+                kind: hire.kind.clone(),
+                zone: hire.zone.clone(),
+                spot: hire.spot,
+                up_at,
+                gone: false,
+                hung_until: 0.0,
+                session: 1,
+                seq: 0,
+                token: 0,
+                lease_from: up_at,
+                tasks: BTreeMap::new(),
+                target: self.rng.usize(0..3),
+                next: up_at,
+                flight: None,
+            };
+            self.workers.insert(machine.clone(), w);
+            names.push(machine);
+        }
+        names
+    }
+
+    /// Jobs that are neither done nor cancelled.
+    pub fn open_jobs(&self) -> Vec<String> {
+        self.jobs.iter().filter(|(_, j)| j.over.is_none()).map(|(id, _)| id.clone()).collect()
+    }
+}
+
+fn name(i: usize) -> String {
+    format!("rung-{i}")
+}
+
+fn new_controller(i: usize, setup: &Setup) -> Controller {
+    Controller {
+        owner: Owner::new(&name(i), setup.clone()),
+        down_until: 0.0,
+        link_at: 0.0,
+        joined: false,
+        to_owner: VecDeque::new(),
+        to_leader: VecDeque::new(),
+        pings: VecDeque::new(),
+        regime: false,
+    }
+}
+
+fn disconnect(c: &mut Controller, until: f64) {
+    c.link_at = c.link_at.max(until);
+    c.joined = false;
+    c.to_owner.clear();
+    c.to_leader.clear();
+    c.pings.clear();
+}
+
+fn report_of(machine: &str, w: &Worker) -> Report {
+    Report {
+        machine: machine.into(),
+        addr: String::new(),
+        kind: w.kind.clone(),
+        zone: w.zone.clone(),
+        spot: w.spot,
+        session: w.session,
+        seq: w.seq,
+        token: w.token,
+        notice_s: None,
+        tasks: w
+            .tasks
+            .iter()
+            .map(|((j, i, a), t)| TaskReport { task: wire::task_name(j, *i), attempt: *a, state: t.state, why: t.why, saved: None })
+            .collect(),
+    }
+}
+
+/// A job as tests submit it.
+pub fn job(id: u32, team: &str, shape: Shape, tasks: u32, cpus: f64) -> Job {
+    Job {
+        id: format!("wk-{id:06}"),
+        class: "any".into(),
+        team: team.into(),
+        shape,
+        priority: Priority::Standard,
+        tasks,
+        cpus,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "img".into(),
+        image_gb: 0.5,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 3.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+fn random_job(rng: &mut fastrand::Rng, id: u32) -> Job {
+    let gang = rng.u32(0..4) == 0;
+    let shape = if gang { Shape::Gang } else { Shape::Array };
+    let tasks = if gang { rng.u32(1..4) } else { rng.u32(1..12) };
+    let mut j = job(id, if rng.bool() { "red" } else { "blue" }, shape, tasks, f64::from(rng.u32(1..4)));
+    j.image = format!("img-{}", rng.u32(0..3));
+    j.estimate_s = 1.0 + rng.f64() * 6.0;
+    j.spot = rng.bool();
+    j.one_zone = rng.u32(0..4) == 0;
+    j.spread = !j.one_zone && rng.u32(0..4) == 0 && tasks > 1;
+    if rng.u32(0..4) == 0 {
+        j.types = Some(vec!["large".into()]);
+    }
+    if rng.u32(0..6) == 0 && !j.spread {
+        j.zone = Some("a".into());
+    }
+    j
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn days(defect: Defect, seeds: std::ops::Range<u64>, held_up: u32) -> (BTreeSet<String>, u64, u64) {
+        let (mut broken, mut starts, mut leaders) = (BTreeSet::new(), 0, 0);
+        for seed in seeds {
+            let mut w = World::new(seed, defect);
+            w.held_up = held_up;
+            w.live(150.0, 60.0);
+            broken.append(&mut w.broken);
+            starts += w.starts;
+            leaders += w.leaders;
+        }
+        (broken, starts, leaders)
+    }
+
+    #[test]
+    fn rules_hold_whatever_fails() {
+        let (broken, starts, leaders) = days(Defect::None, 0..40, 3);
+        assert!(broken.is_empty(), "{broken:?}");
+        assert!(starts > 5000, "too little happened: {starts} starts");
+        assert!(leaders > 100, "too few changes of leader: {leaders}");
+    }
+
+    #[test]
+    fn rules_hold_when_many_messages_are_held_up() {
+        let (broken, starts, _) = days(Defect::None, 0..30, 15);
+        assert!(broken.is_empty(), "{broken:?}");
+        assert!(starts > 2000, "too little happened: {starts} starts");
+    }
+
+    #[test]
+    fn all_work_is_done_once_troubles_end() {
+        for seed in 100..115 {
+            let mut w = World::new(seed, Defect::None);
+            w.live(100.0, 150.0);
+            assert_eq!(w.open_jobs(), Vec::<String>::new(), "seed {seed}");
+            assert!(w.done > 10);
+        }
+    }
+
+    fn trips(defect: Defect, rule: &str) {
+        let (broken, _, _) = days(defect, 0..30, 15);
+        assert!(broken.contains(rule), "{defect:?} went unnoticed: {broken:?}");
+    }
+
+    #[test]
+    fn trusting_held_up_reports_is_noticed() {
+        trips(Defect::TrustAnyReport, "ran_twice");
+    }
+
+    #[test]
+    fn forgetting_the_roster_is_noticed() {
+        trips(Defect::ForgetRoster, "ran_twice");
+    }
+
+    #[test]
+    fn exceeding_limits_is_noticed() {
+        trips(Defect::DoubleLimit, "quota");
+    }
+
+    #[test]
+    fn wrong_places_are_noticed() {
+        trips(Defect::IgnoreTypes, "wrong_place");
+    }
+
+    #[test]
+    fn running_on_after_a_cancellation_is_noticed() {
+        trips(Defect::IgnoreCancel, "ran_cancelled");
+    }
+
+    #[test]
+    fn calling_half_a_job_done_is_noticed() {
+        trips(Defect::HalfDone, "not_done");
+    }
+}
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -54,7 +54,7 @@
 }
 
 impl Fleet {
-    pub fn arrived(&mut self, job: &Spec, _now: Secs) {
+    pub fn arrived(&mut self, job: &Spec) {
         let room = Room { cpus: job.cpus, gpus: job.gpus, memory_gb: job.memory_gb };
         let shape = self.shapes.entry(job.class.clone()).or_insert_with(|| ClassShape { room, types: job.types.clone(), spot: job.spot });
         // The largest task seen stands for its class.
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -213,7 +213,6 @@
     pub spec: Rc<Spec>,
     pub revision: u64,
     pub done: Ranges,
-    pub age_s: f64,
 }
 
 /// Tasks per progress record: a bitmap in hexadecimal takes half of what a value may hold.
@@ -278,7 +277,7 @@
             classes: BTreeMap::new(),
         };
         for j in jobs {
-            l.add_job(j, true, now);
+            l.add_job(j, true);
         }
         for (name, r) in roster {
             let mut m = l.new_machine(&r.kind, &r.zone, r.spot, now);
@@ -361,7 +360,7 @@
     // ---- jobs ----
 
     /// A job that was accepted; `earlier` if an earlier leader may have started it.
-    pub fn add_job(&mut self, j: OpenJob, earlier: bool, now: Secs) {
+    pub fn add_job(&mut self, j: OpenJob, earlier: bool) {
         if self.jobs.contains_key(&j.spec.id) {
             return;
         }
@@ -387,7 +386,7 @@
             within: false,
             spec: j.spec,
         };
-        self.fleet.arrived(&job.spec, now);
+        self.fleet.arrived(&job.spec);
         self.jobs.insert(job.spec.id.clone(), job);
         self.wake = true;
     }
@@ -939,7 +938,7 @@
             if g.machines.is_empty() {
                 ready.push((*id, std::mem::take(&mut g.tasks)));
             }
-            !ready.last().is_some_and(|(r, _)| r == id)
+            ready.last().is_none_or(|(r, _)| r != id)
         });
         for (group, tasks) in ready {
             for (id, i) in tasks {
--- /dev/null
+++ b/crates/wire/tests/examples.rs
@@ -0,0 +1,143 @@
+//! The formats against examples written from the protocol.
+
+use ciborium::{cbor, Value};
+use wire::cbor::{decode, encode};
+use wire::peers::{frame, unframe, ToLeader, ToOwner};
+use wire::users::{valid_id, Job, Priority, Shape};
+use wire::workers::{Order, Orders, Report, TaskState, Why};
+
+fn bytes(v: &Value) -> Vec<u8> {
+    encode(v)
+}
+
+fn example_job() -> Value {
+    cbor!({"name_id" => "wk-000412", "docket" => "train", "crew" => "vision", "shape" => "ensemble", "urgency" => "high",
+        "tickets" => 16, "vcpus" => 8.0, "gpus" => 1.0, "mem_gb" => 64.0, "kit" => "img-07", "image_gb" => 6.2,
+        "chassis_list" => ["g8"], "yard" => null, "one_zone" => true, "spread" => false, "loaners" => true,
+        "expected_s" => 240.0, "bookmark_s" => 30.0, "stash_s" => 4.0, "due_s" => 900.0, "new_field" => {"x" => 1}})
+    .unwrap()
+}
+
+fn change(v: &Value, key: &str, to: Option<Value>) -> Vec<u8> {
+    let Value::Map(mut m) = v.clone() else { panic!() };
+    m.retain(|(k, _)| k.as_text() != Some(key));
+    if let Some(to) = to {
+        m.push((Value::Text(key.into()), to));
+    }
+    bytes(&Value::Map(m))
+}
+
+#[test]
+fn a_job_as_in_the_protocol() {
+    let job: Job = decode(&bytes(&example_job())).unwrap();
+    assert_eq!((job.shape, job.priority, job.tasks, job.cpus), (Shape::Gang, Priority::High, 16, 8.0));
+    assert_eq!(job.types, Some(vec!["g8".to_string()]));
+    assert_eq!((job.zone.as_deref(), job.deadline_s), (None, Some(900.0)));
+    job.check().unwrap();
+    // What may be null may be left out; an amount may come as an integer.
+    let bare: Job = decode(&change(&example_job(), "due_s", None)).unwrap();
+    assert_eq!(bare.deadline_s, None);
+    let whole: Job = decode(&change(&example_job(), "vcpus", Some(8.into()))).unwrap();
+    assert_eq!(whole.cpus, 8.0);
+}
+
+#[test]
+fn malformed_jobs_are_refused() {
+    let job = example_job();
+    for key in ["name_id", "docket", "crew", "shape", "urgency", "tickets", "vcpus", "kit", "one_zone", "expected_s"] {
+        assert!(decode::<Job>(&change(&job, key, None)).is_err(), "without {key}");
+    }
+    assert!(decode::<Job>(&change(&job, "vcpus", Some("8".into()))).is_err());
+    assert!(decode::<Job>(&change(&job, "tickets", Some(1.5.into()))).is_err());
+    assert!(decode::<Job>(&change(&job, "vcpus", Some(f64::NAN.into()))).is_err());
+    assert!(decode::<Job>(b"not cbor at all").is_err());
+    assert!(decode::<Job>(&bytes(&cbor!([1, 2]).unwrap())).is_err());
+    for (key, v) in [("tickets", Value::from(0)), ("tickets", 100_001.into()), ("vcpus", (-1.0).into()), ("name_id", "a/b".into())] {
+        assert!(decode::<Job>(&change(&job, key, Some(v))).unwrap().check().is_err(), "{key}");
+    }
+    // Deep nesting costs little and ends in an error.
+    let deep = [vec![0x81u8; 60_000], vec![0]].concat();
+    assert!(decode::<Job>(&deep).is_err());
+    assert!(!valid_id("") && !valid_id("../x") && !valid_id(&"x".repeat(101)) && valid_id("wk-000412"));
+}
+
+#[test]
+fn a_report_and_its_answer_as_in_the_protocol() {
+    let report = cbor!({"rung" => "host-000231", "addr" => "10.1.0.232:9000", "chassis" => "g8", "yard" => "a", "loaners" => true,
+        "shift" => 1, "tick" => 88, "baton" => 41, "recall_s" => null,
+        "tickets" => [{"ticket" => "wk-000412/3", "try" => 2, "standing" => "running"},
+            {"ticket" => "wk-000398/0", "try" => 1, "standing" => "exited", "cause" => "done"},
+            {"ticket" => "wk-000398/1", "try" => 1, "standing" => "exited", "cause" => "stopped", "stored" => true},
+            {"ticket" => "wk-000398/2", "try" => 1, "standing" => "exited", "cause" => "something new"}]})
+    .unwrap();
+    let r: Report = decode(&bytes(&report)).unwrap();
+    assert_eq!((r.session, r.seq, r.token, r.notice_s), (1, 88, 41, None));
+    assert_eq!((r.tasks[0].state, r.tasks[1].why), (TaskState::Running, Some(Why::Done)));
+    assert_eq!((r.tasks[2].saved, r.tasks[3].why), (Some(true), Some(Why::Error)));
+    let orders = Orders {
+        token: 41,
+        orders: vec![
+            Order::Start { task: "wk-000412/4".into(), attempt: 2 },
+            Order::Stop { task: "wk-000377/1".into(), attempt: 1, grace_s: 10.0 },
+            Order::Clear { task: "wk-000398/0".into(), attempt: 1 },
+        ],
+    };
+    let want = cbor!({"baton" => 41, "orders" => [
+        {"verb" => "launch", "ticket" => "wk-000412/4", "try" => 2},
+        {"verb" => "halt", "ticket" => "wk-000377/1", "try" => 1, "winddown_s" => 10.0},
+        {"verb" => "clear", "ticket" => "wk-000398/0", "try" => 1}]})
+    .unwrap();
+    assert_eq!(decode::<Value>(&encode(&orders)).unwrap(), want);
+}
+
+#[test]
+fn store_messages_as_in_the_protocol() {
+    use wire::store::{Changes, Condition, Page, Txn, Write};
+    let txn = Txn {
+        conditions: vec![Condition { key: "a/b".into(), version: 0 }],
+        writes: vec![
+            Write::Put { key: "a/b".into(), value: cbor!({"x" => 1}).unwrap(), lease: Some(7) },
+            Write::Drop { key: "c/d".into() },
+        ],
+    };
+    let want = cbor!({"if" => [{"k" => "a/b", "stamp" => 0}],
+        "writes" => [{"write" => "a/b", "v" => {"x" => 1}, "permit" => 7}, {"drop" => "c/d"}]})
+    .unwrap();
+    assert_eq!(decode::<Value>(&encode(&txn)).unwrap(), want);
+    let news =
+        cbor!({"ledger_rev" => 433, "news" => [{"write" => "c/9", "v" => {"x" => 1}, "stamp" => 433}, {"drop" => "c/d", "stamp" => 432}]})
+            .unwrap();
+    let c: Changes = decode(&bytes(&news)).unwrap();
+    assert_eq!((c.revision, c.changes[0].put.as_deref(), c.changes[1].dropped.as_deref()), (433, Some("c/9"), Some("c/d")));
+    let page = cbor!({"items" => [{"k" => "c/9", "v" => {"x" => 1}, "stamp" => 5}], "more" => true, "ledger_rev" => 431}).unwrap();
+    let p: Page = decode(&bytes(&page)).unwrap();
+    assert!(p.more && p.items[0].version == 5);
+}
+
+#[test]
+fn frames_between_controllers_tolerate_garbage() {
+    let m = ToLeader::HandBack { job: "wk-1".into(), attempt: 9, tasks: vec![(0, 3), (7, 1)] };
+    let f = frame(&m);
+    assert_eq!(u32::from_be_bytes([f[0], f[1], f[2], f[3]]) as usize, f.len() - 4);
+    assert_eq!(unframe::<ToLeader>(&f[4..]), Some(m));
+    assert_eq!(unframe::<ToOwner>(&[]), None);
+    let mut other = f[4..].to_vec();
+    other[0] = 99;
+    assert_eq!(unframe::<ToLeader>(&other), None, "another version");
+    let mut taken = 0;
+    for seed in 0..2000u64 {
+        // A plain generator: any bytes at all must only ever give a message or nothing.
+        let mut x = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+        let noise: Vec<u8> = (0..seed % 60)
+            .map(|_| {
+                x ^= x << 13;
+                x ^= x >> 7;
+                x ^= x << 17;
+                x as u8
+            })
+            .collect();
+        let inside = [vec![wire::peers::VERSION], noise].concat();
+        taken += usize::from(unframe::<ToOwner>(&inside).is_some());
+    }
+    assert!(taken < 1000, "garbage passes too often: {taken}");
+}
