--- a/crates/ladderroute/src/renting.rs
+++ b/crates/ladderroute/src/renting.rs
@@ -2,12 +2,13 @@
 
 use crate::node::Node;
 use sched::leader::Deed;
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use wire::cbor;
 use wire::cloud::{Catalog, MachineList, Names};
 
+/// Prices are read once in this many lists.
+const LISTS_PER_CATALOG: u32 = 5;
 /// Tries of one hire under the same name before its outcome is left to the list.
 const HIRE_TRIES: u32 = 4;
 
@@ -44,30 +45,24 @@
 /// Reads the list and the prices again and again, while leading.
 pub async fn watch_cloud(node: Rc<Node>) {
     let lag = node.settings.settings.cloud.list_lag_s;
-    let round = Cell::new(0u32);
+    let mut round = 0;
     loop {
         smol::Timer::after(Duration::from_secs_f64((lag / 2.0).max(4.0 / node.settings.settings.cloud.rps))).await;
-        round.set(round.get() + 1);
-        if round.get() % 5 == 0 {
+        round += 1;
+        if round == LISTS_PER_CATALOG {
+            round = 0;
             fetch_catalog(&node).await;
         }
-        let mut since = String::new();
-        loop {
-            let path = if since.is_empty() { "/machines?most=200".to_string() } else { format!("/machines?since={since}&most=200") };
+        let mut since = Some(String::new());
+        while let Some(after) = since.take() {
+            let path = if after.is_empty() { "/machines?most=200".to_string() } else { format!("/machines?since={after}&most=200") };
             let Ok(answer) = node.cloud.ask("GET", &path, &[], limit(&node)).await else { break };
             let Some(list) = (answer.status == 200).then(|| cbor::decode::<MachineList>(&answer.body).ok()).flatten() else { break };
-            let now = node.now();
-            let mut guard = node.lock();
-            let state = &mut *guard;
-            let Some(lead) = &mut state.shared.lead else { return };
-            lead.leader.listed(&list.machines, now);
-            node.pump(state);
-            drop(guard);
-            match list.machines.last() {
-                Some(last) if list.more => since = last.name.clone(),
-                _ => break,
+            with_leader(&node, |l, now| l.listed(&list.machines, now));
+            if list.more {
+                since = list.machines.last().map(|m| m.name.clone());
+                smol::Timer::after(pace(&node)).await;
             }
-            smol::Timer::after(pace(&node)).await;
         }
     }
 }
