--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -5,6 +5,7 @@
 use crate::Secs;
 use std::collections::{BTreeMap, BTreeSet};
 use wire::cloud::{Hire, Listed, ListedMachine, MachineType};
+use wire::peers::Allowed;
 use wire::users::Job as Spec;
 
 /// The cloud charges at least this long for a machine (a figure of the protocol).
@@ -139,7 +140,7 @@
                 if left == 0 {
                     break;
                 }
-                if needs.kinds.iter().any(|(k, s)| *k == c.kind && *s == c.spot) && zones.as_ref().is_none_or(|z| *z == c.zone) {
+                if needs.kinds.iter().any(|a| a.kind == c.kind && a.spot == c.spot) && zones.as_ref().is_none_or(|z| *z == c.zone) {
                     let take = c.free.times(room).min(left);
                     (0..take).for_each(|_| c.free.sub(room));
                     left -= take;
@@ -188,9 +189,9 @@
     }
 
     /// The offer with the lowest price per task that fits, preferring one that is not too big.
-    fn cheapest(&mut self, kinds: &[(String, bool)], zone: Option<&str>, room: Room, n: u32, now: Secs) -> Option<(Offer, Room)> {
+    fn cheapest(&mut self, kinds: &[Allowed], zone: Option<&str>, room: Room, n: u32, now: Secs) -> Option<(Offer, Room)> {
         let mut best: Option<(f64, Offer, Room)> = None;
-        for (kind, spot) in kinds {
+        for Allowed { kind, spot, .. } in kinds {
             let Some(t) = self.types.get(kind) else { continue };
             let cap = Room::of_type(t);
             let slots = cap.times(room).min(n);
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -6,7 +6,7 @@
 //! report that was held up in the network is never taken for the present.
 
 use crate::part;
-use crate::place::{rank, Candidate, Room};
+use crate::place::{rank, slow_above_gb, Candidate, Room};
 use crate::setup::Setup;
 use crate::Secs;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -72,7 +72,7 @@
     setup: Setup,
     token: u64,
     members: Vec<String>,
-    types: BTreeMap<String, Room>,
+    types: BTreeMap<String, MachineType>,
     authority: Secs,
     regime_at: Secs,
     extra_s: Secs,
@@ -165,7 +165,7 @@
     }
 
     fn catalog(&mut self, types: &[MachineType]) {
-        self.types = types.iter().map(|t| (t.name.clone(), Room::of_type(t))).collect();
+        self.types = types.iter().map(|t| (t.name.clone(), t.clone())).collect();
     }
 
     fn regime(&mut self, token: u64, prev: u64, members: Vec<String>, extra_ms: u64, cards: Vec<wire::peers::MachineCard>, now: Secs) {
@@ -261,7 +261,7 @@
     }
 
     fn free(&self, name: &str, m: &Machine, jobs: &dyn Jobs) -> Room {
-        let Some(mut free) = self.types.get(&m.kind).copied() else {
+        let Some(mut free) = self.types.get(&m.kind).map(Room::of_type) else {
             return Room::default();
         };
         for t in m.tasks.values().filter(|t| t.state != TaskState::Exited) {
@@ -283,11 +283,14 @@
 
     fn give(&mut self, job: String, attempt: u64, needs: &Needs, runs: &[(u32, u32)], jobs: &dyn Jobs) {
         let room = Room::of(needs);
-        let mut spots: Vec<(String, Room, bool)> = self
+        let mut spots: Vec<(String, Room, bool, bool)> = self
             .machines
             .iter()
             .filter(|(_, m)| m.usable && m.known && !m.lapsed && m.notice_s.is_none())
-            .map(|(n, m)| (n.clone(), self.free(n, m, jobs), has_image(m, &needs.image, jobs)))
+            .filter_map(|(n, m)| {
+                let slow = needs.image_gb > slow_above_gb(self.types.get(&m.kind)?, self.setup.guarantee_s);
+                Some((n.clone(), self.free(n, m, jobs), has_image(m, &needs.image, jobs), slow))
+            })
             .collect();
         let mut back = Vec::new();
         for index in runs.iter().flat_map(|(a, n)| *a..a + n) {
@@ -295,7 +298,7 @@
                 .iter_mut()
                 .filter_map(|s| {
                     let m = self.machines.get(&s.0)?;
-                    let c = Candidate { kind: &m.kind, zone: &m.zone, spot: m.spot, free: s.1, has_image: s.2 };
+                    let c = Candidate { kind: &m.kind, zone: &m.zone, spot: m.spot, free: s.1, has_image: s.2, slow_fetch: s.3 };
                     Some((rank(needs, &c)?, s))
                 })
                 .min_by_key(|(rank, _)| *rank);
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -55,18 +55,33 @@
     pub free: Room,
     /// The image is there, or is being fetched for another task.
     pub has_image: bool,
+    /// Fetching the image would take a good part of the time allowed for a start.
+    pub slow_fetch: bool,
 }
 
-/// Whether the job may run there at all.
-pub fn allowed(needs: &Needs, kind: &str, zone: &str, spot: bool) -> bool {
-    needs.kinds.iter().any(|(k, s)| k == kind && *s == spot) && needs.zone.as_deref().is_none_or(|z| z == zone)
+/// The tier of a machine for these needs; none if the task may not run there at all.
+pub fn tier(needs: &Needs, kind: &str, zone: &str, spot: bool) -> Option<u8> {
+    if needs.zone.as_deref().is_some_and(|z| z != zone) {
+        return None;
+    }
+    needs.kinds.iter().find(|a| a.kind == kind && a.spot == spot).map(|a| a.tier)
 }
 
-/// The better a machine suits, the smaller its rank: one that has the image first, then the
-/// one with the least room left, so that others become empty and can be returned.
-pub fn rank(needs: &Needs, c: &Candidate) -> Option<(bool, u64)> {
-    if !allowed(needs, c.kind, c.zone, c.spot) || !c.free.holds(Room::of(needs)) {
+/// How well a machine suits; less is better.
+pub type Rank = (bool, u8, bool, u64);
+
+/// The better a machine suits, the smaller its rank: not one that would fetch for long; the
+/// cheaper tier; one that has the image; then the one with the least room left, so that others
+/// become empty and can be returned.
+pub fn rank(needs: &Needs, c: &Candidate) -> Option<Rank> {
+    let tier = tier(needs, c.kind, c.zone, c.spot)?;
+    if !c.free.holds(Room::of(needs)) {
         return None;
     }
-    Some((!c.has_image, ((c.free.cpus - needs.cpus).max(0.0) * 1000.0) as u64))
+    Some((c.slow_fetch && !c.has_image, tier, !c.has_image, ((c.free.cpus - needs.cpus).max(0.0) * 1000.0) as u64))
+}
+
+/// Images above this size take more than half of the time allowed for a guaranteed start.
+pub fn slow_above_gb(t: &MachineType, guarantee_s: f64) -> f64 {
+    t.fetch_gb_per_s * guarantee_s / 2.0
 }
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -5,12 +5,12 @@
 //! and does not block those behind it.
 
 use crate::leader::{Active, Deed, Job, Leader, Phase, Place, Rostered};
-use crate::place::{allowed, rank, Candidate, Room, SLACK};
+use crate::place::{rank, slow_above_gb, tier, Candidate, Room, SLACK};
 use crate::ranges::runs;
 use crate::setup::Team;
 use crate::Secs;
 use std::collections::{BTreeMap, BTreeSet};
-use wire::peers::{Needs, ToOwner};
+use wire::peers::{Allowed, Needs, ToOwner};
 
 /// Most array tasks given out in one pass; the rest follows in the next.
 const TASKS_AT_ONCE: u32 = 400;
@@ -23,16 +23,25 @@
     owner: String,
     free: Room,
     images: Vec<String>,
+    /// Images above this size take long to fetch.
+    slow_above_gb: f64,
 }
 
 type Spots = BTreeMap<String, Spot>;
 
-fn candidate<'a>(s: &'a Spot, image: &str) -> Candidate<'a> {
-    Candidate { kind: &s.kind, zone: &s.zone, spot: s.spot, free: s.free, has_image: s.images.iter().any(|i| i == image) }
+fn candidate<'a>(s: &'a Spot, needs: &Needs) -> Candidate<'a> {
+    Candidate {
+        kind: &s.kind,
+        zone: &s.zone,
+        spot: s.spot,
+        free: s.free,
+        has_image: s.images.contains(&needs.image),
+        slow_fetch: needs.image_gb > s.slow_above_gb,
+    }
 }
 
 fn best(spots: &Spots, needs: &Needs) -> Option<String> {
-    spots.iter().filter_map(|(n, s)| Some((rank(needs, &candidate(s, &needs.image))?, n))).min().map(|(_, n)| n.clone())
+    spots.iter().filter_map(|(n, s)| Some((rank(needs, &candidate(s, needs))?, n))).min().map(|(_, n)| n.clone())
 }
 
 impl Leader {
@@ -142,14 +151,16 @@
             if s.types.as_ref().is_some_and(|l| !l.contains(&t.name)) || !Room::of_type(t).holds(job.room()) {
                 continue;
             }
-            for spot in [false, true] {
+            for spot in [true, false] {
                 let pair = (t.name.clone(), spot);
                 if (!spot || s.spot) && !without.is_some_and(|w| w.contains(&pair)) {
-                    kinds.push(pair);
+                    // Cheap machines first, so that dear ones become empty and can be returned.
+                    kinds.push(Allowed { kind: pair.0, spot, tier: u8::from(!spot) });
                 }
             }
         }
-        Needs { cpus: s.cpus, gpus: s.gpus, memory_gb: s.memory_gb, image: s.image.clone(), kinds, zone: s.zone.clone() }
+        let image = s.image.clone();
+        Needs { cpus: s.cpus, gpus: s.gpus, memory_gb: s.memory_gb, image, image_gb: s.image_gb, kinds, zone: s.zone.clone() }
     }
 
     fn spots(&self) -> Spots {
@@ -164,7 +175,8 @@
                     && m.notice_until.is_none()
             })
             .filter_map(|(n, m)| {
-                let mut free = self.cap(&m.kind)?;
+                let t = self.types.get(&m.kind)?;
+                let mut free = Room::of_type(t);
                 free.sub(m.used);
                 m.held.values().for_each(|h| free.sub(*h));
                 Some((
@@ -176,6 +188,7 @@
                         owner: m.owner.clone(),
                         free,
                         images: m.images.clone(),
+                        slow_above_gb: slow_above_gb(t, self.setup.guarantee_s),
                     },
                 ))
             })
@@ -212,7 +225,7 @@
     fn roomiest_zone(&self, job: &Job, spots: &Spots) -> Option<String> {
         let needs = self.needs(job, None);
         let mut room: BTreeMap<&String, u32> = BTreeMap::new();
-        for s in spots.values().filter(|s| allowed(&needs, &s.kind, &s.zone, s.spot)) {
+        for s in spots.values().filter(|s| tier(&needs, &s.kind, &s.zone, s.spot).is_some()) {
             *room.entry(&s.zone).or_default() += s.free.times(job.room());
         }
         room.into_iter().filter(|(_, n)| *n > 0).max_by_key(|(_, n)| *n).map(|(z, _)| z.clone())
@@ -424,7 +437,7 @@
 fn fit(spots: &Spots, needs: &Needs, n: u32, most_in_zone: u32) -> Option<Vec<(String, u32)>> {
     let room = Room::of(needs);
     let mut fits: Vec<_> =
-        spots.iter().filter_map(|(name, s)| Some((rank(needs, &candidate(s, &needs.image))?, name, s.free.times(room), &s.zone))).collect();
+        spots.iter().filter_map(|(name, s)| Some((rank(needs, &candidate(s, needs))?, name, s.free.times(room), &s.zone))).collect();
     fits.sort();
     let mut in_zone: BTreeMap<&String, u32> = BTreeMap::new();
     let (mut left, mut out) = (n, Vec::new());
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -27,11 +27,19 @@
     pub gpus: f64,
     pub memory_gb: f64,
     pub image: String,
-    /// Machine types that are allowed, each with whether it is meant as spot.
-    pub kinds: Vec<(String, bool)>,
+    pub image_gb: f64,
+    pub kinds: Vec<Allowed>,
     pub zone: Option<String>,
 }
 
+/// A machine type that a task may use, as spot or ordinary; a lower tier is preferred.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Allowed {
+    pub kind: String,
+    pub spot: bool,
+    pub tier: u8,
+}
+
 /// A machine as its owner sees it.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct MachineView {
