Let new leaders use the machines of the roster

Cause: a new leader knew rostered machines but never told their owners that they may be used, so they idled until they were returned (troubles, from 215 s on: 60 of 300 CPUs used, 30 jobs waiting). Ruled out: leases that lapse (none did), quota, back-off.

--- a/crates/model/src/plain.rs
+++ b/crates/model/src/plain.rs
@@ -163,4 +163,18 @@
         }
         assert!(gangs > 50);
     }
+
+    /// Machines that an earlier leader rostered stay in use (they once idled until returned).
+    #[test]
+    fn a_new_leader_uses_the_machines_of_the_roster() {
+        let record = wire::store::RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
+        let roster = BTreeMap::from([("host-1".to_string(), record)]);
+        let mut l = Leader::new("rung-0", setup(), 1, 7, 4.0, Vec::new(), &roster, 0.0);
+        l.catalog(vec![machine_type("small", 4.0, 16.0, 0.3)]);
+        l.tick(5.0, 0);
+        let usable = l.drain().into_iter().any(
+            |d| matches!(d, Deed::Send(_, ToOwner::Regime { machines, .. }) if machines.iter().any(|c| c.name == "host-1" && c.usable)),
+        );
+        assert!(usable, "the owner was not told that it may use the machine");
+    }
 }
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -707,6 +707,8 @@
                 m.since = token;
             }
             m.accounted = false;
+            // Owners learn from the cards what they may use; also what an earlier leader rostered.
+            m.usable_told = m.rostered == Rostered::Yes && !m.drain && !m.releasing;
             m.cleared.clear();
             m.closed = false;
         }
