Return dear idle machines sooner and rent less for passing peaks

Cause: machines idled for two boot times, dear ones as long as cheap ones, and each wave of tasks rented for all of it though running tasks free their room within one boot time. Ruled out: boot failures, notices (few machines were lost).

--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -130,7 +130,7 @@
                 needs = self.needs(job, None);
             }
             let mut left = n;
-            if !gang && !job.within {
+            if !gang {
                 let credit = (turnover / room.cpus.max(0.01)).floor().min(f64::from(left));
                 turnover -= credit * room.cpus;
                 left -= credit as u32;
@@ -220,10 +220,11 @@
                 continue;
             }
             let boot = self.types.get(&m.kind).map_or(LEAST_CHARGE_S, |t| t.boot_s);
+            let cheapness = self.types.get(&m.kind).map_or(1.0, |t| if m.spot { t.price / t.spot_price.max(1e-9) } else { 1.0 });
             if !m.tasks.is_empty() || !m.held.is_empty() || !m.quiet {
                 m.idle_since = now;
             }
-            let keep = (boot * self.setup.keep_boots).max(LEAST_CHARGE_S * 0.5);
+            let keep = boot * self.setup.keep_boots * cheapness;
             let faulty = m.failed_jobs.len() >= 2;
             if (now - m.idle_since > keep || faulty) && !m.drain && m.rostered == Rostered::Yes {
                 log::info!("event=drain machine={name} idle_s={:.0} faulty={faulty}", now - m.idle_since);
