--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -832,6 +832,30 @@
         names
     }
 
+    /// What the leader knows, in words.
+    pub fn explain(&self) -> String {
+        let Some((me, l, _)) = &self.leader else { return "no leader".into() };
+        let owners = self.controllers.iter().enumerate().map(|(i, c)| {
+            format!(
+                "{} token={} authority={} joined={} regime={}\n{}",
+                name(i),
+                c.owner.token(),
+                c.owner.has_authority(self.now),
+                c.joined,
+                c.regime,
+                c.owner.explain()
+            )
+        });
+        let head = format!("leader {} token={} members={:?}", name(*me), l.token(), l.members());
+        let workers = self.workers.iter().map(|(n, w)| {
+            format!(
+                "{n} gone={} up={:.1} session={} seq={} token={} lease={:.1} next={:.1} target={} now={:.1} tasks={:?}",
+                w.gone, w.up_at, w.session, w.seq, w.token, w.lease_from, w.next, w.target, self.now, w.tasks
+            )
+        });
+        [head].into_iter().chain(owners).chain(workers).chain([l.explain()]).collect::<Vec<_>>().join("\n")
+    }
+
     /// Jobs that are neither done nor cancelled.
     pub fn open_jobs(&self) -> Vec<String> {
         self.jobs.iter().filter(|(_, j)| j.over.is_none()).map(|(id, _)| id.clone()).collect()
@@ -964,7 +988,7 @@
         for seed in 100..115 {
             let mut w = World::new(seed, Defect::None);
             w.live(100.0, 150.0);
-            assert_eq!(w.open_jobs(), Vec::<String>::new(), "seed {seed}");
+            assert_eq!(w.open_jobs(), Vec::<String>::new(), "seed {seed}\n{}", w.explain());
             assert!(w.done > 10);
         }
     }
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -353,6 +353,33 @@
         }
     }
 
+    /// Every open job in words, for logs and failed tests.
+    pub fn explain(&self) -> String {
+        let job = |(id, j): (&String, &Job)| {
+            let at: Vec<String> = j.active.iter().map(|(i, a)| format!("{i}@{:?}", a.place)).collect();
+            format!(
+                "{id} {:?} tasks={} cpus={} team={} ready={} done={} uncertain={} phase={:?} backoff={:.1} active=[{}]",
+                j.spec.shape,
+                j.spec.tasks,
+                j.spec.cpus,
+                j.spec.team,
+                j.ready.len(),
+                j.done.len(),
+                j.uncertain,
+                j.phase,
+                j.backoff_until,
+                at.join(" ")
+            )
+        };
+        let machine = |(n, m): (&String, &Machine)| {
+            format!(
+                "{n} {} {} spot={} owner={} accounted={} usable={} lapsed={:?} foreign={} used={} rostered={:?}",
+                m.kind, m.zone, m.spot, m.owner, m.accounted, m.usable_told, m.lapsed_at, m.foreign, m.used.cpus, m.rostered
+            )
+        };
+        self.jobs.iter().map(job).chain(self.machines.iter().map(machine)).collect::<Vec<_>>().join("\n")
+    }
+
     fn send(&mut self, to: &str, message: ToOwner) {
         self.deeds.push(Deed::Send(to.to_string(), message));
     }
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -98,6 +98,26 @@
         }
     }
 
+    /// The book in words, for logs and failed tests.
+    pub fn explain(&self) -> String {
+        let line = |(n, m): (&String, &Machine)| {
+            format!(
+                "{n} usable={} since={} known={} session={} seq={} answered={:.1} lapsed={} tasks={} pending={} stops={}",
+                m.usable,
+                m.since,
+                m.known,
+                m.session,
+                m.seq,
+                m.answered,
+                m.lapsed,
+                m.tasks.len(),
+                m.pending.len(),
+                m.stops.len()
+            )
+        };
+        self.machines.iter().map(line).collect::<Vec<_>>().join("\n")
+    }
+
     pub fn token(&self) -> u64 {
         self.token
     }
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -56,6 +56,8 @@
             .map(|(id, j)| (!j.within, j.spec.priority, j.revision, id.clone()))
             .collect();
         order.sort();
+        // Machines kept for gangs take array tasks, last of all, while no gang waits for room.
+        let gang_waits = self.fleet.unmet.iter().any(|(id, _)| self.jobs.get(id).is_some_and(|j| j.is_gang()));
         self.fleet.unmet.clear();
         let mut left = TASKS_AT_ONCE;
         for (_, _, _, id) in order {
@@ -70,7 +72,11 @@
             let all = self.needs(job, None);
             let mut needs = self.needs(job, Some(&scarce));
             if needs.kinds.is_empty() {
-                needs = all;
+                needs = all.clone();
+            }
+            if !job.is_gang() && !gang_waits {
+                let last = all.kinds.into_iter().filter(|a| !needs.kinds.iter().any(|n| n.kind == a.kind && n.spot == a.spot));
+                needs.kinds.extend(last.map(|a| Allowed { tier: 2, ..a }).collect::<Vec<_>>());
             }
             if job.is_gang() {
                 self.place_gang(&id, &needs, quota, &mut spots, now);
