--- a/crates/ladderroute/src/operator.rs
+++ b/crates/ladderroute/src/operator.rs
@@ -14,13 +14,13 @@
     pub leader_lease_share: f64,
     /// How long an idle machine is kept, in boot times.
     pub keep_boots: f64,
-    /// Share of the recent peak of work that is kept rented.
-    pub warm_share: f64,
+    /// Part of a gang's wait objective that it may wait for a machine in use.
+    pub patience: f64,
 }
 
 impl Default for Tuning {
     fn default() -> Tuning {
-        Tuning { hold_s: 10.0, leader_lease_share: 0.36, keep_boots: 0.8, warm_share: 0.0 }
+        Tuning { hold_s: 10.0, leader_lease_share: 0.36, keep_boots: 0.8, patience: 0.3 }
     }
 }
 
@@ -40,7 +40,7 @@
             ("hold_s", &mut t.hold_s, 0.5, 600.0),
             ("leader_lease_share", &mut t.leader_lease_share, 0.05, 0.8),
             ("keep_boots", &mut t.keep_boots, 0.0, 1000.0),
-            ("warm_share", &mut t.warm_share, 0.0, 2.0),
+            ("patience", &mut t.patience, 0.0, 1.0),
         ] {
             if !message.has_field_by_name(name) {
                 continue;
@@ -64,7 +64,7 @@
         assert_eq!(Tuning::parse("", "f").unwrap(), Tuning::default());
         let t = Tuning::parse("# comment\nhold_s: 4.5\nkeep_boots: 3", "f").unwrap();
         assert_eq!((t.hold_s, t.keep_boots), (4.5, 3.0));
-        assert_eq!(t.warm_share, Tuning::default().warm_share);
+        assert_eq!(t.patience, Tuning::default().patience);
         let error = |text: &str| Tuning::parse(text, "f").unwrap_err().to_string();
         assert!(error("hold_s: 0").starts_with("hold_s: must lie between"));
         assert!(error("hold: 3").contains("hold"), "{}", error("hold: 3"));
--- a/crates/ladderroute/src/settings.rs
+++ b/crates/ladderroute/src/settings.rs
@@ -44,6 +44,8 @@
 pub struct Objective {
     pub kind: String,
     #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
     pub within_s: Option<f64>,
 }
 
@@ -173,8 +175,9 @@
             list_lag_s: p.cloud.list_lag_s,
             hold_s: tuning.hold_s,
             guarantee_s: guarantee_s.unwrap_or(p.workers.report_s * 10.0),
+            wait_s: p.objectives.iter().filter(|o| o.kind == "wait").filter_map(|o| Some((o.class.clone()?, o.within_s?))).collect(),
+            patience: tuning.patience,
             keep_boots: tuning.keep_boots,
-            warm_share: tuning.warm_share,
         }
     }
 }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -160,8 +160,9 @@
         list_lag_s: 4.0,
         hold_s: 5.0,
         guarantee_s: 5.0,
+        wait_s: BTreeMap::new(),
+        patience: 0.4,
         keep_boots: 2.0,
-        warm_share: 0.0,
     }
 }
 
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -1,11 +1,11 @@
 //! Fleet: which machines to rent and which to return.
 
-use crate::leader::{Deed, Leader, Rostered};
-use crate::place::Room;
+use crate::leader::{Deed, Job, Leader, Machine, Rostered};
+use crate::place::{tier, Room};
 use crate::Secs;
 use std::collections::{BTreeMap, BTreeSet};
 use wire::cloud::{Hire, Listed, ListedMachine, MachineType};
-use wire::peers::Allowed;
+use wire::peers::{Allowed, Needs};
 use wire::users::Job as Spec;
 
 /// The cloud charges at least this long for a machine (a figure of the protocol).
@@ -121,6 +121,7 @@
         let mut coming = self.coming();
         // Running tasks free their room again and again while a machine boots.
         let mut turnover = self.turnover();
+        let mut busy = self.busy_until(now);
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
         for (id, n) in self.fleet.unmet.clone() {
             let Some(job) = self.jobs.get(&id) else { continue };
@@ -129,6 +130,9 @@
             if needs.kinds.is_empty() {
                 needs = self.needs(job, None);
             }
+            if gang && self.can_wait(&id, &needs, &mut busy, now) {
+                continue;
+            }
             let mut left = n;
             if !gang {
                 let credit = (turnover / room.cpus.max(0.01)).floor().min(f64::from(left));
@@ -175,6 +179,53 @@
         }
     }
 
+    /// When machines in use are expected to be empty, the earliest first.
+    fn busy_until(&self, now: Secs) -> Vec<(Secs, String)> {
+        let usable = |m: &Machine| m.usable_told && m.lapsed_at.is_none() && m.notice_until.is_none() && !m.foreign && m.accounted;
+        let mut out: Vec<(Secs, String)> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| usable(m))
+            .map(|(name, m)| {
+                let ends = m.tasks.keys().filter_map(|(id, i)| {
+                    let job = self.jobs.get(id)?;
+                    let a = job.active.get(i)?;
+                    let run = self.run_s(job);
+                    Some(if a.running { (a.since + run).max(now + run * 0.25) } else { now + run })
+                });
+                (ends.fold(now, f64::max), name.clone())
+            })
+            .collect();
+        out.sort_by(|a, b| a.0.total_cmp(&b.0));
+        out
+    }
+
+    /// How long a task of a job runs, as far as was learned of its class.
+    fn run_s(&self, job: &Job) -> f64 {
+        self.classes.get(&job.spec.class).map_or(job.spec.estimate_s, |c| c.run_s).max(1.0)
+    }
+
+    /// Whether a gang that fits on one machine is expected to get one that is in use early
+    /// enough for its class's objective; that machine is then taken.
+    fn can_wait(&self, id: &str, needs: &Needs, busy: &mut [(Secs, String)], now: Secs) -> bool {
+        let Some(job) = self.jobs.get(id) else { return false };
+        let Some(within) = self.setup.wait_s.get(&job.spec.class) else { return false };
+        let latest = job.seen + within * self.setup.patience;
+        let found = busy.iter_mut().find(|(_, name)| {
+            self.machines.get(name).is_some_and(|m| {
+                tier(needs, &m.kind, &m.zone, m.spot).is_some() && self.cap(&m.kind).is_some_and(|c| c.times(job.room()) >= job.spec.tasks)
+            })
+        });
+        match found {
+            Some(slot) if slot.0.max(now) <= latest => {
+                slot.0 += self.run_s(job);
+                busy.sort_by(|a, b| a.0.total_cmp(&b.0));
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// CPUs that running array tasks will free while a machine boots, beyond their own count.
     fn turnover(&self) -> f64 {
         let boot = self.types.values().map(|t| t.boot_s).fold(f64::MAX, f64::min);
@@ -182,7 +233,7 @@
             .values()
             .filter(|j| !j.is_gang())
             .map(|j| {
-                let run = self.classes.get(&j.spec.class).map_or(j.spec.estimate_s, |c| c.run_s).max(1.0);
+                let run = self.run_s(j);
                 j.active.len() as f64 * j.spec.cpus * (boot / run).min(3.0)
             })
             .sum()
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -73,6 +73,8 @@
 pub(crate) struct Job {
     pub spec: Rc<Spec>,
     pub revision: u64,
+    /// When this leader learned of it.
+    pub seen: Secs,
     pub over: bool,
     pub finishing: bool,
     pub done: Ranges,
@@ -177,6 +179,8 @@
     broken: BTreeSet<String>,
     counter: u64,
     born: Secs,
+    /// The time of the last tick.
+    time: Secs,
     members: Vec<String>,
     regime_set: bool,
     token_asked: bool,
@@ -253,6 +257,7 @@
             broken: BTreeSet::new(),
             counter: 0,
             born: now,
+            time: now,
             members: Vec::new(),
             regime_set: false,
             token_asked: false,
@@ -398,6 +403,7 @@
         });
         let job = Job {
             revision: j.revision,
+            seen: self.time,
             over: false,
             finishing: false,
             durable: j.done.clone(),
@@ -1059,6 +1065,7 @@
 
     /// Does what is due: `known` is the number of other controllers in the settings.
     pub fn tick(&mut self, now: Secs, known: usize) {
+        self.time = now;
         self.review_regime(now, known);
         if !self.regime_set {
             return;
--- a/crates/sched/src/setup.rs
+++ b/crates/sched/src/setup.rs
@@ -25,11 +25,13 @@
     pub hold_s: f64,
     /// Part of the time allowed for a guaranteed start after which borrowed room is taken back.
     pub guarantee_s: f64,
+    /// By class: within what time its gangs should start.
+    pub wait_s: BTreeMap<String, f64>,
+    /// Part of that time that a gang may wait for a machine in use rather than have one rented.
+    pub patience: f64,
     /// How long an idle machine is kept, as a multiple of its boot time (at least the cloud's
     /// minimum charge).
     pub keep_boots: f64,
-    /// Share of the recent peak of work in use that is kept rented.
-    pub warm_share: f64,
 }
 
 impl Setup {
