--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -249,7 +249,9 @@
             if slots == 0 {
                 continue;
             }
-            let price = if *spot { t.spot_price } else { t.price } / f64::from(slots);
+            // Boot time is paid as well; a peak pays for little more than the least charge.
+            let hourly = if *spot { t.spot_price } else { t.price };
+            let price = hourly * (t.boot_s + LEAST_CHARGE_S) / f64::from(slots);
             for z in t.zones.iter().filter(|z| zone.is_none_or(|w| w == z.as_str())) {
                 let offer = (kind.clone(), z.clone(), *spot);
                 // A little noise spreads machines over zones of the same price.
