Rent only for what running tasks leave over by the time that machine has booted

Cause: the credit for room that running tasks free was counted over the shortest boot of all types, yet the machines rented took up to three times as long.

--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use wire::cloud::{Hire, Listed, ListedMachine, MachineType};
 use wire::peers::{Allowed, Needs};
-use wire::users::Job as Spec;
+use wire::users::{Job as Spec, Shape};
 
 /// The cloud charges at least this long for a machine (a figure of the protocol).
 const LEAST_CHARGE_S: f64 = 60.0;
@@ -120,7 +120,8 @@
         let scarce = self.scarce();
         let mut coming = self.coming();
         // Running tasks free their room again and again while a machine boots.
-        let mut turnover = self.turnover();
+        let turnover = self.turnover();
+        let mut ahead = 0.0;
         let mut busy = self.busy_until(now);
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
         for (id, n) in self.fleet.unmet.clone() {
@@ -134,11 +135,6 @@
                 continue;
             }
             let mut left = n;
-            if !gang {
-                let credit = (turnover / room.cpus.max(0.01)).floor().min(f64::from(left));
-                turnover -= credit * room.cpus;
-                left -= credit as u32;
-            }
             let mut zones: Option<String> = needs.zone.clone();
             for c in coming.iter_mut() {
                 if left == 0 {
@@ -155,6 +151,15 @@
             }
             while left > 0 {
                 let Some((offer, cap)) = self.cheapest(&needs.kinds, zones.as_deref(), room, left, now) else { break };
+                if !gang {
+                    let boot = self.types.get(&offer.0).map_or(LEAST_CHARGE_S, |t| t.boot_s);
+                    let served = ((turnover * boot - ahead) / room.cpus.max(0.01)).floor().clamp(0.0, f64::from(left));
+                    ahead += served * room.cpus;
+                    left -= served as u32;
+                    if left == 0 {
+                        break;
+                    }
+                }
                 let mut free = cap;
                 let take = free.times(room).min(left);
                 if take == 0 {
@@ -226,17 +231,10 @@
         }
     }
 
-    /// CPUs that running array tasks will free while a machine boots, beyond their own count.
+    /// CPUs per second that running array tasks free for others.
     fn turnover(&self) -> f64 {
-        let boot = self.types.values().map(|t| t.boot_s).fold(f64::MAX, f64::min);
-        self.jobs
-            .values()
-            .filter(|j| !j.is_gang())
-            .map(|j| {
-                let run = self.run_s(j);
-                j.active.len() as f64 * j.spec.cpus * (boot / run).min(3.0)
-            })
-            .sum()
+        let arrays = self.jobs.values().filter(|j| j.spec.shape == Shape::Array);
+        arrays.map(|j| j.active.len() as f64 * j.spec.cpus / self.run_s(j)).sum()
     }
 
     /// The offer with the lowest price per task that fits, preferring one that is not too big.
