Return a lost machine only after its owner has closed it

Cause: a machine that had lapsed was returned while its owner still took it for usable; when it came back for a moment, array tasks were placed there, and the leader ignored views of a returned machine, so those tasks stayed given for ever. Ruled out: lost messages between controllers (the stream was whole), hand-backs.

--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -277,15 +277,16 @@
             }
             let keep = boot * self.setup.keep_boots * cheapness;
             let faulty = m.failed_jobs.len() >= 2;
-            if (now - m.idle_since > keep || faulty) && !m.drain && m.rostered == Rostered::Yes {
-                log::info!("event=drain machine={name} idle_s={:.0} faulty={faulty}", now - m.idle_since);
+            let lost = m.lapsed_at.is_some_and(|at| now - at > boot);
+            if (lost || m.rostered == Rostered::Yes && (now - m.idle_since > keep || faulty)) && !m.drain {
+                log::info!("event=drain machine={name} idle_s={:.0} faulty={faulty} lost={lost}", now - m.idle_since);
                 m.drain = true;
                 self.tell_usable(&name);
                 continue;
             }
-            let empty = m.tasks.is_empty() && m.held.is_empty() && m.quiet;
-            let lost = m.lapsed_at.is_some_and(|at| now - at > boot);
-            if empty && ((m.drain && m.closed && m.accounted) || lost) {
+            // Also of a lost machine its owner must show first that it places nothing there: it
+            // may have come back meanwhile, and what is placed on a returned machine is lost.
+            if m.drain && m.closed && m.accounted && m.quiet && m.tasks.is_empty() && m.held.is_empty() {
                 m.releasing = true;
                 release.push(name);
             }
