Let a new leader wait only for the machines that may hold a job's tasks

Change: an array's first start and a gang's binding are on record, so untouched jobs start at once and gangs wait only for their own machines; machines that stay silent while work waits for them are returned; the limit is charged with no more than the team's jobs could use. Ruled out: renting (no hire was refused), quota of the teams.

--- a/crates/ladderroute/src/lead.rs
+++ b/crates/ladderroute/src/lead.rs
@@ -1,7 +1,7 @@
 //! Leading: campaign, renewal, the leader's clock, and the writer of its decisions.
 
 use crate::node::{open_job, Lead, Node};
-use sched::leader::{Deed, Leader};
+use sched::leader::{Deed, Earlier, Leader};
 use sched::ranges::Ranges;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -10,7 +10,8 @@
 use store::client::{Decided, StoreError};
 use store::keys;
 use store::leadership::{next_token, still_leader, take, usable, Won};
-use wire::store::{to_value, BindingRecord, Condition, JobRecord, LeaderRecord, ProgressRecord, Recorded, Txn, Write};
+use wire::store::{to_value, BegunRecord, BindingRecord, Condition, JobRecord, LeaderRecord, ProgressRecord, Recorded, Txn, Write};
+use wire::users::Shape;
 
 /// Part of the store's rates that the leader takes; the others share the rest.
 const LEADER_SHARE: f64 = 0.5;
@@ -89,10 +90,21 @@
     let replica = &state.shared.replica;
     let value_kb = node.settings.settings.state.value_kb;
     let chunk_bits = sched::leader::chunk_bits(value_kb);
-    let jobs = replica.jobs.values().filter_map(|e| Some(open_job(e, e.job.clone()?, chunk_bits))).collect();
+    let earlier = |spec: &wire::users::Job| match (spec.shape, replica.bound_machines(&spec.id)) {
+        (Shape::Gang, Some(machines)) => Earlier::Bound(machines),
+        (Shape::Gang, None) => Earlier::Untouched,
+        _ if replica.begun.contains(&spec.id) => Earlier::Anywhere,
+        _ => Earlier::Untouched,
+    };
+    let open = |e: &store::replica::JobEntry| {
+        let spec = e.job.clone()?;
+        let before = earlier(&spec);
+        Some(open_job(e, spec, chunk_bits, before))
+    };
+    let jobs = replica.jobs.values().filter_map(open).collect();
     let seed = node.seed.replace(node.seed.get().wrapping_add(1));
     let mut leader = Leader::new(&node.settings.member, node.setup.clone(), seed, won.token, value_kb, jobs, &replica.roster, node.now());
-    leader.set_won_at(won.version);
+    leader.set_lately_cancelled(replica.lately_cancelled(Duration::from_secs_f64(node.setup.lease_s + node.setup.cancel_s)));
     if let Some(types) = state.shared.catalog.clone() {
         leader.catalog(types);
     }
@@ -188,18 +200,18 @@
     let urgent = |d: &Deed| match d {
         Deed::NewToken => 0,
         Deed::Bind { .. } => 1,
-        Deed::Roster(_, Some(_)) => 2,
+        Deed::Roster(_, Some(_)) | Deed::Begin { .. } => 2,
         Deed::Finish { .. } => 3,
         _ => 4,
     };
     let first = (0..lead.writes.len()).min_by_key(|i| (urgent(&lead.writes[*i]), *i))?;
     let first = lead.writes.remove(first)?;
-    let alone = !matches!(first, Deed::Roster(..) | Deed::Progress { .. });
+    let alone = !is_plain(&first);
     let mut batch = vec![first];
     if !alone {
         let mut i = 0;
         while i < lead.writes.len() && batch.len() < node.settings.settings.state.txn_ops {
-            if matches!(lead.writes[i], Deed::Roster(..) | Deed::Progress { .. }) {
+            if is_plain(&lead.writes[i]) {
                 batch.extend(lead.writes.remove(i));
             } else {
                 i += 1;
@@ -209,6 +221,11 @@
     Some((batch, won))
 }
 
+/// Decisions that can share a transaction: each is true by itself.
+fn is_plain(deed: &Deed) -> bool {
+    matches!(deed, Deed::Roster(..) | Deed::Progress { .. } | Deed::Begin { .. })
+}
+
 enum Written {
     Yes,
     No,
@@ -247,6 +264,10 @@
             for deed in batch {
                 match deed {
                     Deed::Roster(name, Some(r)) => txn.writes.push(Write::Put { key: keys::roster(name), value: to_value(r), lease: None }),
+                    Deed::Begin { job } => {
+                        let value = to_value(&BegunRecord { token: won.token });
+                        txn.writes.push(Write::Put { key: keys::begun(job), value, lease: None });
+                    }
                     Deed::Roster(name, None) => txn.writes.push(Write::Drop { key: keys::roster(name) }),
                     Deed::Progress { job, chunk, bits, .. } => {
                         let value = to_value(&ProgressRecord { bits: bits.clone() });
@@ -304,6 +325,7 @@
                 }
                 lead.leader.finish_result(&job, ok);
             }
+            Deed::Begin { job } => lead.leader.begin_result(&job, ok),
             Deed::Roster(name, record) => {
                 if !ok && record.is_none() {
                     lead.writes.push_back(Deed::Roster(name, None));
--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -2,7 +2,7 @@
 
 use crate::operator::Tuning;
 use crate::settings::Settings;
-use sched::leader::{Deed, Leader};
+use sched::leader::{Deed, Earlier, Leader};
 use sched::owner::{Jobs, Owner};
 use sched::place::Room;
 use sched::setup::Setup;
@@ -182,9 +182,8 @@
         };
         match &entry.job {
             Some(spec) => {
-                let open = open_job(entry, spec.clone(), lead.leader_chunk());
-                let earlier = entry.version <= lead.first_version();
-                lead.leader.add_job(open, earlier);
+                // What is new to this leader was never given out: no other could have led since.
+                lead.leader.add_job(open_job(entry, spec.clone(), lead.leader.chunk_bits(), Earlier::Untouched));
             }
             None => lead.leader.job_over(id),
         }
@@ -192,22 +191,12 @@
 }
 
 /// A job of the replica as the leader takes it.
-pub fn open_job(entry: &store::replica::JobEntry, spec: Rc<wire::users::Job>, chunk_bits: u32) -> sched::leader::OpenJob {
+pub fn open_job(entry: &store::replica::JobEntry, spec: Rc<wire::users::Job>, chunk_bits: u32, earlier: Earlier) -> sched::leader::OpenJob {
     let mut done = sched::ranges::Ranges::default();
     for (chunk, bits) in &entry.progress {
         done.add_bits(chunk * chunk_bits, bits, spec.tasks);
     }
-    sched::leader::OpenJob { spec, revision: entry.version, done }
-}
-
-impl Lead {
-    pub fn leader_chunk(&self) -> u32 {
-        self.leader.chunk_bits()
-    }
-    /// Revision at which this leadership was won; jobs up to it may have been started before.
-    pub fn first_version(&self) -> u64 {
-        self.leader.won_at()
-    }
+    sched::leader::OpenJob { spec, revision: entry.version, done, earlier }
 }
 
 fn send(link: &Sender<Vec<u8>>, message: &ToLeader) {
--- a/crates/model/src/plain.rs
+++ b/crates/model/src/plain.rs
@@ -50,7 +50,7 @@
 mod tests {
     use super::*;
     use crate::world::{job, machine_type, setup};
-    use sched::leader::{Deed, Leader, OpenJob};
+    use sched::leader::{Deed, Earlier, Leader, OpenJob};
     use sched::ranges::Ranges;
     use std::rc::Rc;
     use wire::peers::{MachineView, ToLeader, ToOwner};
@@ -129,8 +129,14 @@
             jobs.sort_by(|a, b| a.id.cmp(&b.id));
             let mut l = leader(&machines, limit);
             for (i, j) in jobs.iter().enumerate() {
-                l.add_job(OpenJob { spec: Rc::new(j.clone()), revision: i as u64 + 1, done: Ranges::default() }, false);
+                l.add_job(OpenJob {
+                    spec: Rc::new(j.clone()),
+                    revision: i as u64 + 1,
+                    done: Ranges::default(),
+                    earlier: Earlier::Untouched,
+                });
             }
+            jobs.iter().for_each(|j| l.begin_result(&j.id, true));
             l.tick(5.1, 0);
             let mut order: Vec<Job> = Vec::new();
             // Within the guarantee first, each in order of creation.
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -1,6 +1,6 @@
 //! A simulated world around the real decisions of `sched`.
 
-use sched::leader::{chunk_bits, Deed, Leader, OpenJob};
+use sched::leader::{chunk_bits, Deed, Earlier, Leader, OpenJob};
 use sched::owner::{Answer, Jobs, Owner};
 use sched::place::Room;
 use sched::ranges::Ranges;
@@ -88,6 +88,7 @@
     done: Ranges,
     over: Option<f64>,
     cancelled: bool,
+    earlier: Earlier,
 }
 
 struct Book<'a>(&'a BTreeMap<String, JobState>);
@@ -213,7 +214,14 @@
             let real = Rc::new(spec.clone());
             self.jobs.insert(
                 id.clone(),
-                JobState { spec: real, revision: self.revision, done: Ranges::default(), over: None, cancelled: false },
+                JobState {
+                    spec: real,
+                    revision: self.revision,
+                    done: Ranges::default(),
+                    over: None,
+                    cancelled: false,
+                    earlier: Earlier::Untouched,
+                },
             );
             if self.defect == Defect::IgnoreTypes {
                 spec.types = None;
@@ -223,7 +231,7 @@
         };
         let revision = self.revision;
         if let Some((_, leader, _)) = &mut self.leader {
-            leader.add_job(OpenJob { spec: told, revision, done: Ranges::default() }, false);
+            leader.add_job(OpenJob { spec: told, revision, done: Ranges::default(), earlier: Earlier::Untouched });
         }
     }
 
@@ -693,7 +701,7 @@
                 spec.types = None;
                 spec.zone = None;
             }
-            OpenJob { spec: Rc::new(spec), revision: j.revision, done: j.done.clone() }
+            OpenJob { spec: Rc::new(spec), revision: j.revision, done: j.done.clone(), earlier: j.earlier.clone() }
         };
         let ignore = self.defect == Defect::IgnoreCancel;
         let jobs = self.jobs.values().filter(|j| j.over.is_none() || ignore && j.cancelled).map(open).collect();
@@ -701,6 +709,8 @@
         let roster = if self.defect == Defect::ForgetRoster { &empty } else { &self.roster };
         let seed = self.rng.u64(..);
         let mut leader = Leader::new(&name(me), self.setup.clone(), seed, self.term, 4.0, jobs, roster, now);
+        let lately = |j: &&JobState| j.cancelled && j.over.is_some_and(|at| now - at < self.setup.lease_s + self.setup.cancel_s);
+        leader.set_lately_cancelled(self.jobs.values().filter(lately).map(|j| j.spec.team.clone()).collect());
         leader.catalog(self.types.clone());
         self.leader_until = now + TTL * 0.95;
         for c in &mut self.controllers {
@@ -768,7 +778,18 @@
                 }
                 leader.finish_result(&job, ok && open);
             }
-            Deed::Bind { job, attempt, .. } => leader.bind_result(&job, attempt, ok, now),
+            Deed::Begin { job } => {
+                if let Some(j) = self.jobs.get_mut(&job).filter(|_| ok) {
+                    j.earlier = Earlier::Anywhere;
+                }
+                leader.begin_result(&job, ok);
+            }
+            Deed::Bind { job, attempt, places } => {
+                if let Some(j) = self.jobs.get_mut(&job).filter(|_| ok) {
+                    j.earlier = Earlier::Bound(places.into_iter().map(|(m, _, _)| m).collect());
+                }
+                leader.bind_result(&job, attempt, ok, now);
+            }
             Deed::Hire(hire) => {
                 let names = ok.then(|| self.hire(&hire));
                 leader.hired(&hire.name, names, now);
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -291,6 +291,15 @@
                 release.push(name);
             }
         }
+        if self.waits_for_unknown() && now - self.regime_at > 2.0 * wire::ANSWER_DROPPED_S + 1.5 * self.setup.report_s {
+            // Long enough for a worker to give up twice on a controller that does not answer.
+            // Work waits for machines that do not report: once returned they are accounted for.
+            for (name, m) in self.machines.iter_mut().filter(|(_, m)| m.unknown && !m.releasing) {
+                log::info!("event=unheard machine={name}");
+                m.releasing = true;
+                release.push(name.clone());
+            }
+        }
         let late: Vec<String> = self
             .fleet
             .booting
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -23,9 +23,24 @@
     Send(String, ToOwner),
     NewToken,
     Roster(String, Option<RosterRecord>),
-    Progress { job: String, chunk: u32, bits: String, tasks: u32 },
-    Finish { job: String },
-    Bind { job: String, attempt: u64, places: Vec<(String, u32, u32)> },
+    /// Record that an array's tasks may be given out from now on.
+    Begin {
+        job: String,
+    },
+    Progress {
+        job: String,
+        chunk: u32,
+        bits: String,
+        tasks: u32,
+    },
+    Finish {
+        job: String,
+    },
+    Bind {
+        job: String,
+        attempt: u64,
+        places: Vec<(String, u32, u32)>,
+    },
     Hire(Hire),
     Release(Vec<String>),
 }
@@ -82,8 +97,12 @@
     pub dirty: BTreeSet<u32>,
     pub ready: Ranges,
     pub active: BTreeMap<u32, Active>,
-    /// Started by an earlier leader perhaps; not to be started until all machines are known.
+    /// Started by an earlier leader perhaps; not to be started until the suspects are known.
     pub uncertain: bool,
+    /// Machines on which it may be, if it was started; none stands for any.
+    pub suspects: Option<BTreeSet<String>>,
+    /// Whether the record that its tasks may be given out is durable.
+    pub begun: Begun,
     pub backoff_until: Secs,
     pub failures: u32,
     pub phase: Phase,
@@ -108,6 +127,13 @@
     }
 }
 
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Begun {
+    No,
+    Writing,
+    Yes,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Rostered {
     No,
@@ -193,12 +219,14 @@
     groups: BTreeMap<u64, LimboGroup>,
     next_group: u64,
     start_open: bool,
+    /// Teams with a job cancelled so lately that its tasks may still be on unknown machines.
+    pub(crate) lately_cancelled: BTreeSet<String>,
+    pub(crate) regime_at: Secs,
     pub(crate) fleet: crate::fleet::Fleet,
     pub(crate) deeds: Vec<Deed>,
     wake: bool,
     flushed: Secs,
     chunk_bits: u32,
-    won_at: u64,
     last_display: Vec<(String, u32)>,
     display_at: Secs,
     placed_at: Secs,
@@ -217,6 +245,19 @@
     pub spec: Rc<Spec>,
     pub revision: u64,
     pub done: Ranges,
+    pub earlier: Earlier,
+}
+
+/// What earlier leaders may have done with a job, as the store shows it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Earlier {
+    /// Nothing: no record says that any of its tasks was given out.
+    Untouched,
+    /// Its tasks may be on any machine of the roster.
+    Anywhere,
+    /// A gang: its tasks may be on the machines of its newest binding. Every earlier attempt
+    /// was certainly gone before that was written.
+    Bound(BTreeSet<String>),
 }
 
 /// Tasks per progress record: a bitmap in hexadecimal takes half of what a value may hold.
@@ -270,19 +311,20 @@
             groups: BTreeMap::new(),
             next_group: 0,
             start_open: true,
+            lately_cancelled: BTreeSet::new(),
+            regime_at: now,
             fleet: crate::fleet::Fleet::default(),
             deeds: Vec::new(),
             wake: false,
             flushed: now,
             chunk_bits: chunk_bits(value_kb),
-            won_at: 0,
             last_display: Vec::new(),
             display_at: now,
             placed_at: f64::MIN,
             classes: BTreeMap::new(),
         };
         for j in jobs {
-            l.add_job(j, true);
+            l.add_job(j);
         }
         for (name, r) in roster {
             let mut m = l.new_machine(&r.kind, &r.zone, r.spot, now);
@@ -330,15 +372,6 @@
         self.chunk_bits
     }
 
-    /// Revision at which the leadership was won.
-    pub fn set_won_at(&mut self, revision: u64) {
-        self.won_at = revision;
-    }
-
-    pub fn won_at(&self) -> u64 {
-        self.won_at
-    }
-
     pub fn members(&self) -> &[String] {
         &self.members
     }
@@ -391,8 +424,8 @@
 
     // ---- jobs ----
 
-    /// A job that was accepted; `earlier` if an earlier leader may have started it.
-    pub fn add_job(&mut self, j: OpenJob, earlier: bool) {
+    /// A job that was accepted.
+    pub fn add_job(&mut self, j: OpenJob) {
         if self.jobs.contains_key(&j.spec.id) {
             return;
         }
@@ -411,7 +444,12 @@
             dirty: BTreeSet::new(),
             ready,
             active: BTreeMap::new(),
-            uncertain: earlier,
+            uncertain: j.earlier != Earlier::Untouched,
+            begun: if j.earlier == Earlier::Untouched { Begun::No } else { Begun::Yes },
+            suspects: match j.earlier {
+                Earlier::Bound(machines) => Some(machines),
+                _ => None,
+            },
             backoff_until: 0.0,
             failures: 0,
             phase: Phase::Idle,
@@ -420,6 +458,11 @@
             spec: j.spec,
         };
         self.fleet.arrived(&job.spec);
+        let mut job = job;
+        if job.begun == Begun::No && !job.is_gang() {
+            job.begun = Begun::Writing;
+            self.deeds.push(Deed::Begin { job: job.spec.id.clone() });
+        }
         self.jobs.insert(job.spec.id.clone(), job);
         self.wake = true;
     }
@@ -694,6 +737,7 @@
         let prev = self.regime_token;
         self.regime_token = self.token;
         self.regime_set = true;
+        self.regime_at = now;
         self.regime_broken = false;
         let broken = std::mem::take(&mut self.broken);
         // Any earlier owner may have prolonged leases until its authority ends for certain.
@@ -798,6 +842,7 @@
         }
         if !self.machines.contains_key(&v.name) {
             if self.fleet.is_released(&v.name) {
+                self.view_of_returned(from, &v);
                 return;
             }
             log::info!("event=machine_up machine={} kind={} zone={} spot={}", v.name, v.kind, v.zone, v.spot);
@@ -836,6 +881,25 @@
         self.wake = true;
     }
 
+    /// A machine that was returned is gone with all that is on it. Its owner may have placed
+    /// tasks there before it knew; they are nowhere.
+    fn view_of_returned(&mut self, from: &str, v: &MachineView) {
+        if v.usable {
+            self.send(from, ToOwner::Use { machine: v.name.clone(), usable: false });
+        }
+        let live = v.tasks.iter().filter(|t| t.state != TaskState::Exited).map(|t| &t.task);
+        for t in live.chain(&v.pending) {
+            let here = |a: &Active| match &a.place {
+                Place::Given(o, _) => o == from,
+                Place::On(m) => *m == v.name,
+                Place::Limbo(_) => false,
+            };
+            if self.jobs.get(&t.job).and_then(|j| j.active.get(&t.index)).is_some_and(|a| a.attempt == t.attempt && here(a)) {
+                self.gone(&t.job, t.index);
+            }
+        }
+    }
+
     fn apply_tasks(&mut self, v: &MachineView, now: Secs) {
         let name = v.name.as_str();
         let mut listed: BTreeSet<(String, u32)> = BTreeSet::new();
@@ -983,13 +1047,22 @@
                 }
             }
         }
-        if self.start_open && self.regime_set && self.machines.values().all(|m| !m.unknown) {
+        if !self.start_open || !self.regime_set {
+            return;
+        }
+        let unknown: BTreeSet<&String> = self.machines.iter().filter(|(_, m)| m.unknown).map(|(n, _)| n).collect();
+        let all = unknown.is_empty();
+        let known = |j: &Job| match &j.suspects {
+            Some(machines) => machines.iter().all(|m| !unknown.contains(m)),
+            None => all,
+        };
+        let ids: Vec<String> = self.jobs.iter().filter(|(_, j)| j.uncertain && known(j)).map(|(id, _)| id.clone()).collect();
+        if all {
             self.start_open = false;
             log::info!("event=accounted machines={}", self.machines.len());
-            let ids: Vec<String> = self.jobs.iter().filter(|(_, j)| j.uncertain).map(|(id, _)| id.clone()).collect();
-            for id in ids {
-                self.certain(&id);
-            }
+        }
+        for id in ids {
+            self.certain(&id);
             self.wake = true;
         }
     }
@@ -1017,6 +1090,24 @@
         }
     }
 
+    /// The record that an array has begun is durable, or could not be written.
+    pub fn begin_result(&mut self, id: &str, written: bool) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.begun = if written { Begun::Yes } else { Begun::No };
+            self.wake = true;
+        }
+    }
+
+    /// Teams whose tasks may be on unknown machines though their jobs are over.
+    pub fn set_lately_cancelled(&mut self, teams: BTreeSet<String>) {
+        self.lately_cancelled = teams;
+    }
+
+    /// Whether work waits for machines of unknown content.
+    pub(crate) fn waits_for_unknown(&self) -> bool {
+        self.start_open && self.jobs.values().any(|j| j.uncertain)
+    }
+
     // ---- machines ----
 
     /// The roster record of a machine is durable (or dropped), or could not be written.
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -4,7 +4,7 @@
 //! revision), id. A gang is one entry. An entry that backs off or does not fit is passed over
 //! and does not block those behind it.
 
-use crate::leader::{Active, Deed, Job, Leader, Phase, Place, Rostered};
+use crate::leader::{Active, Begun, Deed, Job, Leader, Machine, Phase, Place, Rostered};
 use crate::place::{rank, slow_above_gb, tier, Candidate, Room, SLACK};
 use crate::ranges::runs;
 use crate::setup::Team;
@@ -103,13 +103,25 @@
         }
     }
 
-    /// What machines of unknown content may take from every team's limit.
-    fn unknown_room(&self) -> Room {
-        let mut sum = Room::default();
-        for m in self.machines.values().filter(|m| m.unknown || m.foreign) {
-            sum.add(self.cap(&m.kind).unwrap_or_default());
+    /// What machines of unknown content may take from a team's limit: all they have, but no
+    /// more than the team's jobs that may be there could use.
+    fn unknown_room(&self, team: &str) -> Room {
+        let sum = |out: &mut Room, m: &Machine| out.add(self.cap(&m.kind).unwrap_or_default());
+        let (mut foreign, mut unknown) = (Room::default(), Room::default());
+        self.machines.values().filter(|m| m.foreign && !m.unknown).for_each(|m| sum(&mut foreign, m));
+        self.machines.values().filter(|m| m.unknown).for_each(|m| sum(&mut unknown, m));
+        if !self.lately_cancelled.contains(team) {
+            let mut most = Room::default();
+            for j in self.jobs.values().filter(|j| j.uncertain && j.spec.team == team) {
+                let n = f64::from(j.spec.tasks - j.done.len().min(j.spec.tasks)) - j.active.len() as f64;
+                most.cpus += n.max(0.0) * j.spec.cpus;
+                most.gpus += n.max(0.0) * j.spec.gpus;
+            }
+            unknown.cpus = unknown.cpus.min(most.cpus);
+            unknown.gpus = unknown.gpus.min(most.gpus);
         }
-        sum
+        foreign.add(unknown);
+        foreign
     }
 
     /// How many more tasks of a job its team's limit allows (all or nothing for a gang).
@@ -118,7 +130,7 @@
             return 0;
         };
         let mut free = Room { cpus: *cpus_max, gpus: *gpus_max, memory_gb: f64::MAX };
-        free.sub(Room { memory_gb: 0.0, ..self.unknown_room() });
+        free.sub(Room { memory_gb: 0.0, ..self.unknown_room(&job.spec.team) });
         free.sub(Room { memory_gb: 0.0, ..self.team_used.get(&job.spec.team).copied().unwrap_or_default() });
         for j in self.jobs.values().filter(|j| j.spec.team == job.spec.team) {
             if let Phase::Holding { .. } | Phase::Binding { .. } = j.phase {
@@ -238,6 +250,16 @@
     }
 
     fn place_array(&mut self, id: &str, needs: &Needs, quota: u32, spots: &mut Spots, left: &mut u32, now: Secs) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        // Recorded once before its first start, so that a later leader knows which jobs an
+        // earlier one has never touched and need not wait for every machine with them.
+        if job.begun != Begun::Yes {
+            if job.begun == Begun::No {
+                job.begun = Begun::Writing;
+                self.deeds.push(Deed::Begin { job: id.into() });
+            }
+            return;
+        }
         let Some(job) = self.jobs.get(id) else { return };
         let zoned = job.spec.one_zone || job.spec.spread;
         let mut limits = if zoned { self.zone_limits(job, spots) } else { Some(BTreeMap::new()) };
--- a/crates/store/src/keys.rs
+++ b/crates/store/src/keys.rs
@@ -8,6 +8,7 @@
 pub const PROGRESS: &str = "lr/progress/";
 pub const ROSTER: &str = "lr/roster/";
 pub const BINDING: &str = "lr/binding/";
+pub const BEGUN: &str = "lr/begun/";
 
 pub fn job(id: &str) -> String {
     format!("{JOBS}{id}")
@@ -25,3 +26,7 @@
 pub fn binding(id: &str, chunk: u32) -> String {
     format!("{BINDING}{id}/{chunk}")
 }
+
+pub fn begun(id: &str) -> String {
+    format!("{BEGUN}{id}")
+}
--- a/crates/store/src/replica.rs
+++ b/crates/store/src/replica.rs
@@ -1,8 +1,9 @@
 //! A controller's copy of the service's keys, kept current by `/follow`.
 
 use crate::keys;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 use wire::store::{
     from_value, BindingRecord, Changes, JobRecord, LeaderRecord, Page, ProgressRecord, Recorded, RosterRecord, TermRecord, Value,
 };
@@ -16,6 +17,9 @@
     pub version: u64,
     pub created_ms: u64,
     pub tasks: u32,
+    /// Team, and when this controller learned that the job is over.
+    pub team: String,
+    pub over_since: Option<Instant>,
     pub job: Option<Rc<Job>>,
     /// Done tasks as the store knows them: chunk to bitmap.
     pub progress: BTreeMap<u32, Vec<u8>>,
@@ -45,7 +49,10 @@
     pub leader: Option<(LeaderRecord, u64)>,
     pub term: (u64, u64),
     pub roster: BTreeMap<String, RosterRecord>,
-    pub bindings: BTreeMap<String, u64>,
+    /// Machines of each gang's newest binding, by record.
+    pub bindings: BTreeMap<String, BTreeMap<u32, BindingRecord>>,
+    /// Arrays whose tasks may have been given out.
+    pub begun: BTreeSet<String>,
     /// Progress that came before its job's record while loading.
     early: BTreeMap<String, BTreeMap<u32, Vec<u8>>>,
 }
@@ -105,10 +112,12 @@
             if let Some(r) = from_value(value) {
                 self.roster.insert(name.to_string(), r);
             }
-        } else if let Some((id, _)) = key.strip_prefix(keys::BINDING).and_then(|k| k.rsplit_once('/')) {
-            if let Some(b) = from_value::<BindingRecord>(value) {
-                self.bindings.insert(id.to_string(), b.attempt);
+        } else if let Some((id, chunk)) = key.strip_prefix(keys::BINDING).and_then(|k| k.rsplit_once('/')) {
+            if let (Ok(chunk), Some(b)) = (chunk.parse(), from_value(value)) {
+                self.bindings.entry(id.to_string()).or_default().insert(chunk, b);
             }
+        } else if let Some(id) = key.strip_prefix(keys::BEGUN) {
+            self.begun.insert(id.to_string());
         } else if key == keys::LEADER {
             self.leader = from_value(value).map(|l| (l, version));
             return Changed::Leader;
@@ -120,6 +129,20 @@
         Changed::Other
     }
 
+    /// Teams with a job of which it became known within `span` that it is cancelled.
+    pub fn lately_cancelled(&self, span: Duration) -> BTreeSet<String> {
+        let lately = |e: &&JobEntry| e.state == Recorded::Cancelled && e.over_since.is_some_and(|t| t.elapsed() < span);
+        self.jobs.values().filter(lately).map(|e| e.team.clone()).collect()
+    }
+
+    /// Machines on which a gang may have been started: those of the records with the newest
+    /// attempt; none if it was never bound.
+    pub fn bound_machines(&self, id: &str) -> Option<BTreeSet<String>> {
+        let records = self.bindings.get(id)?;
+        let newest = records.values().map(|b| b.attempt).max()?;
+        Some(records.values().filter(|b| b.attempt == newest).flat_map(|b| b.places.iter().map(|(m, _, _)| m.clone())).collect())
+    }
+
     /// Takes a job's record, also one that was read directly and is not yet in the replica.
     pub fn put_job(&mut self, id: &str, r: JobRecord, version: u64) {
         if self.jobs.get(id).is_some_and(|e| e.version >= version) {
@@ -127,8 +150,16 @@
         }
         let open = r.state == Recorded::Open;
         let progress = if open { self.early.remove(id).unwrap_or_default() } else { BTreeMap::new() };
-        let entry =
-            JobEntry { state: r.state, version, created_ms: r.created_ms, tasks: r.job.tasks, job: open.then(|| Rc::new(r.job)), progress };
+        let entry = JobEntry {
+            state: r.state,
+            version,
+            created_ms: r.created_ms,
+            tasks: r.job.tasks,
+            team: r.job.team.clone(),
+            over_since: (!open).then(Instant::now),
+            job: open.then(|| Rc::new(r.job)),
+            progress,
+        };
         self.jobs.insert(id.to_string(), entry);
     }
 
@@ -140,6 +171,8 @@
             return Changed::Leader;
         } else if let Some((id, _)) = key.strip_prefix(keys::BINDING).and_then(|k| k.rsplit_once('/')) {
             self.bindings.remove(id);
+        } else if let Some(id) = key.strip_prefix(keys::BEGUN) {
+            self.begun.remove(id);
         } else if let Some((id, chunk)) = key.strip_prefix(keys::PROGRESS).and_then(|k| k.rsplit_once('/')) {
             if let (Some(e), Ok(chunk)) = (self.jobs.get_mut(id), chunk.parse::<u32>()) {
                 e.progress.remove(&chunk);
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -143,6 +143,12 @@
     pub spot: bool,
 }
 
+/// An array whose tasks may have been given out, by a leader of this token or a later one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BegunRecord {
+    pub token: u64,
+}
+
 /// Where a gang was bound: machine, first task, number of tasks.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BindingRecord {
