--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -1007,7 +1007,7 @@
 
     #[test]
     fn all_work_is_done_once_troubles_end() {
-        for seed in 100..130 {
+        for seed in 100..180 {
             let mut w = World::new(seed, Defect::None);
             w.live(100.0, 300.0);
             assert_eq!(w.open_jobs(), Vec::<String>::new(), "seed {seed}\n{}", w.explain());
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -294,10 +294,15 @@
         if self.waits_for_unknown() && now - self.regime_at > 2.0 * wire::ANSWER_DROPPED_S + 1.5 * self.setup.report_s {
             // Long enough for a worker to give up twice on a controller that does not answer.
             // Work waits for machines that do not report: once returned they are accounted for.
-            for (name, m) in self.machines.iter_mut().filter(|(_, m)| m.unknown && !m.releasing) {
+            let silent: Vec<String> = self.machines.iter().filter(|(_, m)| m.unknown && !m.releasing).map(|(n, _)| n.clone()).collect();
+            for name in silent {
                 log::info!("event=unheard machine={name}");
-                m.releasing = true;
-                release.push(name.clone());
+                if let Some(m) = self.machines.get_mut(&name) {
+                    m.releasing = true;
+                }
+                // It may be heard after all before it is gone; nothing is to be placed on it.
+                self.tell_usable(&name);
+                release.push(name);
             }
         }
         let late: Vec<String> = self
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -411,8 +411,8 @@
         };
         let machine = |(n, m): (&String, &Machine)| {
             format!(
-                "{n} {} {} spot={} owner={} accounted={} usable={} lapsed={:?} foreign={} used={} rostered={:?}",
-                m.kind, m.zone, m.spot, m.owner, m.accounted, m.usable_told, m.lapsed_at, m.foreign, m.used.cpus, m.rostered
+                "{n} {} {} spot={} owner={} accounted={} usable={} lapsed={:?} foreign={} used={} rostered={:?} drain={} closed={} quiet={} releasing={}",
+                m.kind, m.zone, m.spot, m.owner, m.accounted, m.usable_told, m.lapsed_at, m.foreign, m.used.cpus, m.rostered, m.drain, m.closed, m.quiet, m.releasing
             )
         };
         self.jobs.iter().map(job).chain(self.machines.iter().map(machine)).collect::<Vec<_>>().join("\n")
@@ -845,6 +845,10 @@
                 self.view_of_returned(from, &v);
                 return;
             }
+            if v.token != self.token {
+                // Seen under an earlier regime; its owner will show it again under this one.
+                return;
+            }
             log::info!("event=machine_up machine={} kind={} zone={} spot={}", v.name, v.kind, v.zone, v.spot);
             let mut m = self.new_machine(&v.kind, &v.zone, v.spot, now);
             m.owner = from.to_string();
@@ -871,16 +875,26 @@
             m.accounted = true;
             m.unknown = false;
         }
-        if m.rostered == Rostered::No && !v.lapsed {
-            m.rostered = Rostered::Writing;
-            let record = RosterRecord { kind: v.kind.clone(), zone: v.zone.clone(), spot: v.spot };
-            self.deeds.push(Deed::Roster(v.name.clone(), Some(record)));
+        self.roster(&v.name);
+        if let Some(usable) = self.machines.get(&v.name).map(|m| m.usable_told).filter(|u| *u != v.usable && v.token == token) {
+            // The owner began anew after it was told.
+            self.send(from, ToOwner::Use { machine: v.name.clone(), usable });
         }
         self.apply_tasks(&v, now);
         self.settle(now);
         self.wake = true;
     }
 
+    /// Has a machine that is up rostered, if it is not yet.
+    fn roster(&mut self, name: &str) {
+        let Some(m) = self.machines.get_mut(name) else { return };
+        if m.rostered == Rostered::No && m.lapsed_at.is_none() && !m.releasing {
+            m.rostered = Rostered::Writing;
+            let record = RosterRecord { kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot };
+            self.deeds.push(Deed::Roster(name.into(), Some(record)));
+        }
+    }
+
     /// A machine that was returned is gone with all that is on it. Its owner may have placed
     /// tasks there before it knew; they are nowhere.
     fn view_of_returned(&mut self, from: &str, v: &MachineView) {
@@ -1201,6 +1215,10 @@
                 self.deeds.push(Deed::Progress { job: id.clone(), chunk, bits, tasks: job.done.len() });
             }
         }
+        // A roster write that failed is tried again: an idle machine brings no new view.
+        for name in self.machines.keys().cloned().collect::<Vec<_>>() {
+            self.roster(&name);
+        }
         let retry: Vec<String> =
             self.jobs.iter().filter(|(_, j)| !j.over && !j.finishing && !j.uncertain).map(|(id, _)| id.clone()).collect();
         for id in retry {
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -358,7 +358,9 @@
             self.out.push(ToLeader::HoldAnswer { attempt, held: false });
             return;
         };
-        if now >= h.until {
+        // A machine that was lost while it held room would never start the task, nor show it gone.
+        let here = |name: &String| self.machines.get(name).is_some_and(|m| m.usable && !m.lapsed && m.notice_s.is_none());
+        if now >= h.until || !h.places.iter().all(|(m, _, _)| here(m)) {
             self.out.push(ToLeader::HoldAnswer { attempt, held: false });
             return;
         }
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -407,7 +407,9 @@
         if *a != attempt {
             return;
         }
-        if !written || now >= *until {
+        // A machine that was returned meanwhile took its held room with it.
+        let here = places.iter().all(|(m, _, _)| self.machines.contains_key(m));
+        if !written || !here || now >= *until {
             self.end_hold(id, now, true);
             return;
         }
