--- a/crates/model/src/plain.rs
+++ b/crates/model/src/plain.rs
@@ -183,4 +183,58 @@
         );
         assert!(usable, "the owner was not told that it may use the machine");
     }
+
+    /// Tasks of blue that a guaranteed job of red has stopped, by blue's guarantee.
+    fn stopped_for_red(blue_guarantee: f64) -> usize {
+        let mut s = setup();
+        s.teams.get_mut("blue").unwrap().cpus = blue_guarantee;
+        let mut l = Leader::new("rung-0", s, 1, 1, 4.0, Vec::new(), &BTreeMap::new(), 0.0);
+        l.catalog(vec![machine_type("small", 4.0, 16.0, 0.3)]);
+        l.tick(5.0, 0);
+        let view = |tasks: Vec<wire::peers::TaskView>| {
+            ToLeader::Machine(MachineView {
+                token: 1,
+                name: "host-1".into(),
+                kind: "small".into(),
+                zone: "a".into(),
+                spot: false,
+                session: 1,
+                lapsed: false,
+                notice_s: None,
+                tasks,
+                pending: Vec::new(),
+                usable: true,
+            })
+        };
+        l.on_owner("rung-0", view(Vec::new()), 5.0);
+        l.roster_result("host-1", true, true);
+        let mut add = |l: &mut Leader, id: u32, team: &str, tasks: u32, cpus: f64| {
+            let spec = Rc::new(job(id, team, Shape::Array, tasks, cpus));
+            l.add_job(OpenJob { spec, revision: u64::from(id), done: Ranges::default(), earlier: Earlier::Untouched });
+            l.begin_result(&format!("wk-{id:06}"), true);
+        };
+        add(&mut l, 1, "blue", 4, 1.0);
+        l.tick(6.0, 0);
+        let given = l.drain().into_iter().find_map(|d| match d {
+            Deed::Send(_, ToOwner::Give { attempt, .. }) => Some(attempt),
+            _ => None,
+        });
+        let running = (0..4).map(|index| wire::peers::TaskView {
+            task: wire::peers::TaskRef { job: "wk-000001".into(), index, attempt: given.unwrap() },
+            state: wire::workers::TaskState::Running,
+            why: None,
+            saved: false,
+        });
+        l.on_owner("rung-0", view(running.collect()), 6.5);
+        add(&mut l, 2, "red", 1, 2.0);
+        l.tick(7.0, 0);
+        l.tick(20.0, 0);
+        l.drain().iter().filter(|d| matches!(d, Deed::Send(_, ToOwner::Stop { task, .. }) if task.job == "wk-000001")).count()
+    }
+
+    #[test]
+    fn only_borrowed_room_is_taken_back_and_no_more_than_needed() {
+        assert_eq!(stopped_for_red(0.0), 2);
+        assert_eq!(stopped_for_red(12.0), 0, "work within its guarantee was stopped");
+    }
 }
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -509,6 +509,19 @@
         }
     }
 
+    /// Has one task stopped, if it is on a machine and was not told yet.
+    pub(crate) fn stop_task(&mut self, id: &str, index: u32, grace_s: f64) {
+        let Some(a) = self.jobs.get_mut(id).and_then(|j| j.active.get_mut(&index)) else { return };
+        let Place::On(machine) = a.place.clone() else { return };
+        if std::mem::replace(&mut a.stop_sent, true) {
+            return;
+        }
+        let task = TaskRef { job: id.into(), index, attempt: a.attempt };
+        if let Some(owner) = self.machines.get(&machine).map(|m| m.owner.clone()) {
+            self.send(&owner, ToOwner::Stop { machine, task, grace_s });
+        }
+    }
+
     fn clear(&mut self, machine: &str, task: TaskRef) {
         let Some(m) = self.machines.get_mut(machine) else {
             return;
@@ -1189,6 +1202,7 @@
         if std::mem::take(&mut self.wake) || now - self.placed_at > self.setup.report_s.min(1.0) / 2.0 {
             self.placed_at = now;
             self.schedule(now);
+            self.preempt(now);
         }
         self.run_fleet(now);
         if now - self.flushed > self.setup.report_s.min(2.0) / 2.0 {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod owner;
 pub mod part;
 pub mod place;
+mod preempt;
 mod queue;
 pub mod ranges;
 pub mod setup;
