--- a/crates/model/src/plain.rs
+++ b/crates/model/src/plain.rs
@@ -208,7 +208,7 @@
         };
         l.on_owner("rung-0", view(Vec::new()), 5.0);
         l.roster_result("host-1", true, true);
-        let mut add = |l: &mut Leader, id: u32, team: &str, tasks: u32, cpus: f64| {
+        let add = |l: &mut Leader, id: u32, team: &str, tasks: u32, cpus: f64| {
             let spec = Rc::new(job(id, team, Shape::Array, tasks, cpus));
             l.add_job(OpenJob { spec, revision: u64::from(id), done: Ranges::default(), earlier: Earlier::Untouched });
             l.begin_result(&format!("wk-{id:06}"), true);
