--- a/crates/model/src/plain.rs
+++ b/crates/model/src/plain.rs
@@ -25,7 +25,9 @@
             }
             let fits = |m: &&mut Plain| m.cpus + 1e-6 >= job.cpus && m.memory_gb + 1e-6 >= job.memory_gb;
             let best = machines.iter_mut().filter(fits).min_by(|a, b| {
-                let key = |m: &Plain| (m.image.as_deref() != Some(job.image.as_str()), ((m.cpus - job.cpus).max(0.0) * 1000.0) as u64);
+                let key = |m: &Plain| {
+                    (m.image.is_none(), m.image.as_deref() != Some(job.image.as_str()), ((m.cpus - job.cpus).max(0.0) * 1000.0) as u64)
+                };
                 key(a).cmp(&key(b)).then(a.name.cmp(&b.name))
             });
             let Some(m) = best else { break };
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -303,13 +303,14 @@
 
     fn give(&mut self, job: String, attempt: u64, needs: &Needs, runs: &[(u32, u32)], jobs: &dyn Jobs) {
         let room = Room::of(needs);
-        let mut spots: Vec<(String, Room, bool, bool)> = self
+        let mut spots: Vec<(String, Room, bool, bool, bool)> = self
             .machines
             .iter()
             .filter(|(_, m)| m.usable && m.known && !m.lapsed && m.notice_s.is_none())
             .filter_map(|(n, m)| {
                 let slow = needs.image_gb > slow_above_gb(self.types.get(&m.kind)?, self.setup.guarantee_s);
-                Some((n.clone(), self.free(n, m, jobs), has_image(m, &needs.image, jobs), slow))
+                let idle = m.pending.is_empty() && m.tasks.values().all(|t| t.state == TaskState::Exited);
+                Some((n.clone(), self.free(n, m, jobs), has_image(m, &needs.image, jobs), slow, idle))
             })
             .collect();
         let mut back = Vec::new();
@@ -318,7 +319,8 @@
                 .iter_mut()
                 .filter_map(|s| {
                     let m = self.machines.get(&s.0)?;
-                    let c = Candidate { kind: &m.kind, zone: &m.zone, spot: m.spot, free: s.1, has_image: s.2, slow_fetch: s.3 };
+                    let c =
+                        Candidate { kind: &m.kind, zone: &m.zone, spot: m.spot, free: s.1, has_image: s.2, slow_fetch: s.3, empty: s.4 };
                     Some((rank(needs, &c)?, s))
                 })
                 .min_by_key(|(rank, _)| *rank);
@@ -328,6 +330,7 @@
             };
             spot.1.sub(room);
             spot.2 = true;
+            spot.4 = false;
             if let Some(m) = self.machines.get_mut(&spot.0) {
                 m.pending.insert(TaskRef { job: job.clone(), index, attempt }, room);
                 remember(m, &needs.image);
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -57,6 +57,8 @@
     pub has_image: bool,
     /// Fetching the image would take a good part of the time allowed for a start.
     pub slow_fetch: bool,
+    /// Nothing runs there, so it may soon be returned.
+    pub empty: bool,
 }
 
 /// The tier of a machine for these needs; none if the task may not run there at all.
@@ -68,17 +70,17 @@
 }
 
 /// How well a machine suits; less is better.
-pub type Rank = (bool, u8, bool, u64);
+pub type Rank = (bool, u8, bool, bool, u64);
 
 /// The better a machine suits, the smaller its rank: not one that would fetch for long; the
-/// cheaper tier; one that has the image; then the one with the least room left, so that others
-/// become empty and can be returned.
+/// cheaper tier; one that is in use; one that has the image; then the one with the least room
+/// left, so that others become empty and can be returned.
 pub fn rank(needs: &Needs, c: &Candidate) -> Option<Rank> {
     let tier = tier(needs, c.kind, c.zone, c.spot)?;
     if !c.free.holds(Room::of(needs)) {
         return None;
     }
-    Some((c.slow_fetch && !c.has_image, tier, !c.has_image, ((c.free.cpus - needs.cpus).max(0.0) * 1000.0) as u64))
+    Some((c.slow_fetch && !c.has_image, tier, c.empty, !c.has_image, ((c.free.cpus - needs.cpus).max(0.0) * 1000.0) as u64))
 }
 
 /// Images above this size take more than half of the time allowed for a guaranteed start.
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -23,6 +23,7 @@
     owner: String,
     free: Room,
     images: Vec<String>,
+    empty: bool,
     /// Images above this size take long to fetch.
     slow_above_gb: f64,
 }
@@ -37,6 +38,7 @@
         free: s.free,
         has_image: s.images.contains(&needs.image),
         slow_fetch: needs.image_gb > s.slow_above_gb,
+        empty: s.empty,
     }
 }
 
@@ -206,6 +208,7 @@
                         owner: m.owner.clone(),
                         free,
                         images: m.images.clone(),
+                        empty: m.tasks.is_empty(),
                         slow_above_gb: slow_above_gb(t, self.setup.guarantee_s),
                     },
                 ))
@@ -278,6 +281,7 @@
             let Some(machine) = machine else { break };
             let Some(s) = spots.get_mut(&machine) else { break };
             s.free.sub(room);
+            s.empty = false;
             if !s.images.contains(&needs.image) {
                 s.images.push(needs.image.clone());
             }
@@ -347,6 +351,7 @@
             let mut sum = Room::default();
             (0..count).for_each(|_| sum.add(room));
             s.free.sub(sum);
+            s.empty = false;
             if let Some(m) = self.machines.get_mut(&machine) {
                 m.held.insert(attempt, sum);
             }
