--- a/crates/ladderroute/src/accept.rs
+++ b/crates/ladderroute/src/accept.rs
@@ -21,7 +21,8 @@
 pub fn later(node: &Node, error: &str) -> Response {
     // A look at the store is possible again after about this long.
     let s = (node.setup.report_s / 2.0).ceil().clamp(1.0, 30.0) as u32;
-    refuse(503, error).retry(s)
+    // Closing lets the balancer choose again: another controller may be able to.
+    Response { close: true, ..refuse(503, error).retry(s) }
 }
 
 fn state_of(node: &Node, id: &str, e: &JobEntry) -> JobState {
--- a/crates/ladderroute/src/api.rs
+++ b/crates/ladderroute/src/api.rs
@@ -57,11 +57,16 @@
     }
 }
 
-/// Ready: the jobs and the machine types are known, and the store has not been failing.
+/// Ready: the jobs and the machine types are known, and this controller is not worse off than
+/// the others. If the store fails for it while another one leads with fresh authority, users
+/// are better served elsewhere; if the store fails for all, leaving the balancer would only
+/// lengthen the outage for users, since it takes nodes back slowly.
 fn ready(node: &Node) -> Response {
+    let now = node.now();
     let s = node.lock();
-    let failing = s.shared.store_bad_since.is_some_and(|t| t.elapsed().as_secs_f64() > wire::ANSWER_DROPPED_S / 2.0);
-    if s.shared.loaded && s.shared.catalog.is_some() && !failing {
+    let failing = s.shared.store_bad_since.is_some_and(|t| t.elapsed().as_secs_f64() > wire::ANSWER_DROPPED_S / 4.0);
+    let others_fare_better = failing && s.shared.lead.is_none() && s.owner.has_authority(now);
+    if s.shared.loaded && s.shared.catalog.is_some() && !others_fare_better {
         Response::new(200, Vec::new())
     } else {
         drop(s);
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -206,7 +206,7 @@
     }
 
     /// How long a task of a job runs, as far as was learned of its class.
-    fn run_s(&self, job: &Job) -> f64 {
+    pub(crate) fn run_s(&self, job: &Job) -> f64 {
         self.classes.get(&job.spec.class).map_or(job.spec.estimate_s, |c| c.run_s).max(1.0)
     }
 
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -13,6 +13,10 @@
 /// Part of the time allowed for a guaranteed start that is left to room freed by itself.
 const PATIENCE: f64 = 0.2;
 
+/// Borrowed work that can't save is stopped only in this first part of its expected run: later
+/// it costs more to repeat than its end is away.
+const MOST_LOST: f64 = 0.25;
+
 /// A task that may be stopped.
 struct Victim {
     job: String,
@@ -115,6 +119,9 @@
                     return None;
                 }
                 let lost_s = if a.running { now - a.since } else { 0.0 };
+                if o.spec.priority <= job.spec.priority && o.spec.checkpoint_s <= 0.0 && lost_s > self.run_s(o) * MOST_LOST {
+                    return None;
+                }
                 Some(Victim { job: other.clone(), index: *index, room: o.room(), lost_s, team: o.spec.team.clone(), borrowed })
             })
             .collect();
