--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -101,10 +101,10 @@
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// The leader's store lease: a part of the workers' lease, and no more than the time after
+    /// The leader's store lease: a part of the workers' lease, and no more than half the time after
     /// which a worker drops an answer.
     pub fn leader_ttl(&self) -> Duration {
-        Duration::from_secs_f64((self.setup.lease_s * self.tuning.leader_lease_share).clamp(0.5, wire::ANSWER_DROPPED_S))
+        Duration::from_secs_f64((self.setup.lease_s * self.tuning.leader_lease_share).clamp(0.5, wire::ANSWER_DROPPED_S * 0.5))
     }
 
     /// Notes whether the store answers, for `/ready`.
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -716,7 +716,7 @@
         if self.token_asked || (self.regime_set && !self.regime_broken && wanted == self.members) {
             return;
         }
-        let settle = self.silence_s() / 4.0;
+        let settle = self.silence_s() / 8.0;
         let lost = self.regime_broken || self.regime_set && self.members.iter().any(|m| !wanted.contains(m));
         let newest = self.links.values().map(|l| l.since).fold(self.born, f64::max);
         if !lost && self.links.len() < known && now - newest < settle {
