--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -13,6 +13,10 @@
 /// Part of the time allowed for a guaranteed start that is left to room freed by itself.
 const PATIENCE: f64 = 0.2;
 
+/// A job that missed its time waits for room to become free, which is soon as a rule and loses
+/// no work; after this many times the time allowed it may take room back again.
+const STARVED: f64 = 12.0;
+
 /// Borrowed work that can't save is stopped only in this first part of its expected run: later
 /// it costs more to repeat than its end is away.
 const MOST_LOST: f64 = 0.25;
@@ -35,7 +39,10 @@
         let mut spare = self.spare_after_stops();
         for (id, n) in unmet {
             let Some(job) = self.jobs.get(&id) else { continue };
-            if now - job.seen < patience || job.is_gang() && job.spec.tasks > 1 {
+            let waited = now - job.seen;
+            let in_time = waited >= patience && waited <= self.setup.guarantee_s;
+            let starved = waited > self.setup.guarantee_s * STARVED;
+            if !in_time && !starved || job.is_gang() && job.spec.tasks > 1 {
                 continue;
             }
             let (needs, room) = (self.needs(job, None), job.room());
