Begin a leadership with an empty owner's book, and drop records of finished jobs

Cause: read in review: for some tenths of a second a new leader could answer under its old regime's token; two progress records of one chunk could meet in one transaction; begun and binding records of finished jobs stayed in the store.

--- a/crates/ladderroute/src/lead.rs
+++ b/crates/ladderroute/src/lead.rs
@@ -2,6 +2,7 @@
 
 use crate::node::{open_job, Lead, Node};
 use sched::leader::{Deed, Earlier, Leader};
+use sched::owner::Owner;
 use sched::ranges::Ranges;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -108,6 +109,8 @@
     if let Some(types) = state.shared.catalog.clone() {
         leader.catalog(types);
     }
+    // The book of earlier regimes must not answer on this leadership's authority.
+    state.owner = Owner::new(&node.settings.member, node.setup.clone());
     state.owner.set_authority(node.at(won.until));
     state.shared.lead =
         Some(Lead { leader, won: won.clone(), writes: Default::default(), cloud: Default::default(), links: HashMap::new() });
@@ -211,7 +214,8 @@
     if !alone {
         let mut i = 0;
         while i < lead.writes.len() && batch.len() < node.settings.settings.state.txn_ops {
-            if is_plain(&lead.writes[i]) {
+            let again = |d: &Deed| is_progress_of(d, &lead.writes[i]);
+            if is_plain(&lead.writes[i]) && !batch.iter().any(again) {
                 batch.extend(lead.writes.remove(i));
             } else {
                 i += 1;
@@ -226,6 +230,14 @@
     matches!(deed, Deed::Roster(..) | Deed::Progress { .. } | Deed::Begin { .. })
 }
 
+/// Whether both are progress of the same chunk: a transaction must not write a key twice.
+fn is_progress_of(a: &Deed, b: &Deed) -> bool {
+    match (a, b) {
+        (Deed::Progress { job: x, chunk: i, .. }, Deed::Progress { job: y, chunk: j, .. }) => x == y && i == j,
+        _ => false,
+    }
+}
+
 enum Written {
     Yes,
     No,
@@ -250,7 +262,16 @@
             let record = JobRecord { state: Recorded::Done, created_ms: e.created_ms, job: (*spec).clone() };
             txn.writes.push(Write::Put { key, value: to_value(&record), lease: None });
             let room = node.settings.settings.state.txn_ops.saturating_sub(1);
-            txn.writes.extend(e.progress.keys().take(room).map(|c| Write::Drop { key: keys::progress(job, *c) }));
+            // What a later leader would need to run it is not needed any more.
+            let (begun, bound) = {
+                let s = node.lock();
+                let bound: Vec<u32> = s.shared.replica.bindings.get(job).map(|b| b.keys().copied().collect()).unwrap_or_default();
+                (s.shared.replica.begun.contains(job), bound)
+            };
+            let progress = e.progress.keys().map(|c| keys::progress(job, *c));
+            let bindings = bound.into_iter().map(|c| keys::binding(job, c));
+            let drops = progress.chain(bindings).chain(begun.then(|| keys::begun(job)));
+            txn.writes.extend(drops.take(room).map(|key| Write::Drop { key }));
         }
         Deed::Bind { job, attempt, places } => {
             // Long bindings take several records, each below the value limit.
