--- a/crates/ladderroute/src/fresh.rs
+++ b/crates/ladderroute/src/fresh.rs
@@ -85,7 +85,9 @@
             match load(&node).await {
                 Ok(()) => node.store_ok(true),
                 Err(e) => {
-                    log::info!("event=load_failed error=\"{e}\"");
+                    // Once is enough for people; it is tried again and again.
+                    let level = if node.lock().shared.store_bad_since.is_none() { log::Level::Info } else { log::Level::Debug };
+                    log::log!(level, "event=load_failed error=\"{e}\"");
                     node.store_ok(false);
                     smol::Timer::after(pause).await;
                     continue;
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Fleet: which machines to rent and which to return.
 
-use crate::leader::{Deed, Job, Leader, Machine, Rostered};
+use crate::leader::{Deed, Job, Leader, Rostered};
 use crate::place::{tier, Room};
 use crate::Secs;
 use std::collections::{BTreeMap, BTreeSet};
@@ -186,11 +186,10 @@
 
     /// When machines in use are expected to be empty, the earliest first.
     fn busy_until(&self, now: Secs) -> Vec<(Secs, String)> {
-        let usable = |m: &Machine| m.usable_told && m.lapsed_at.is_none() && m.notice_until.is_none() && !m.foreign && m.accounted;
         let mut out: Vec<(Secs, String)> = self
             .machines
             .iter()
-            .filter(|(_, m)| usable(m))
+            .filter(|(_, m)| m.open())
             .map(|(name, m)| {
                 let ends = m.tasks.keys().filter_map(|(id, i)| {
                     let job = self.jobs.get(id)?;
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -172,6 +172,14 @@
     pub cleared: BTreeSet<TaskRef>,
 }
 
+impl Machine {
+    /// Whether tasks may be placed there now, as far as the picture goes.
+    pub fn open(&self) -> bool {
+        let present = self.accounted && self.lapsed_at.is_none() && self.notice_until.is_none();
+        self.rostered == Rostered::Yes && self.usable_told && present && !self.foreign
+    }
+}
+
 pub(crate) struct OwnerLink {
     pub since: Secs,
     pub heard: Secs,
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -33,6 +33,8 @@
 
 /// Most starts in one answer, so that it stays below the protocol's limit.
 const STARTS_AT_ONCE: usize = 400;
+/// A closed machine that is lost stays in the book for this many leases.
+const LEASES_REMEMBERED: f64 = 20.0;
 /// Images remembered for each machine.
 const IMAGES: usize = 8;
 
@@ -265,6 +267,9 @@
     pub fn tick(&mut self, now: Secs) {
         self.holds.retain(|_, h| now < h.until);
         let over = self.setup.lease_certainly_over_s();
+        // A closed machine that was not heard for many leases is forgotten; should it report
+        // again, it is taken up as a new one.
+        self.machines.retain(|_, m| !m.lapsed || m.usable || m.dirty || now <= m.answered + over * LEASES_REMEMBERED);
         for (name, m) in self.machines.iter_mut() {
             if !m.lapsed && now > m.answered + over {
                 // The worker has killed and forgotten its tasks; only a later session counts.
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -4,7 +4,7 @@
 //! and work of lower priority. Those that began last lose least, so they go first, and no
 //! more than the guarantee lacks.
 
-use crate::leader::{Leader, Machine, Place, Rostered};
+use crate::leader::{Leader, Place};
 use crate::place::{tier, Room, SLACK};
 use crate::Secs;
 use std::collections::BTreeMap;
@@ -56,11 +56,8 @@
 
     /// Room of each usable machine once the tasks that were told to stop are gone.
     fn spare_after_stops(&self) -> BTreeMap<String, Room> {
-        let usable = |m: &Machine| {
-            m.usable_told && m.rostered == Rostered::Yes && m.accounted && !m.foreign && m.lapsed_at.is_none() && m.notice_until.is_none()
-        };
         let mut out = BTreeMap::new();
-        for (name, m) in self.machines.iter().filter(|(_, m)| usable(m)) {
+        for (name, m) in self.machines.iter().filter(|(_, m)| m.open()) {
             let Some(mut free) = self.cap(&m.kind) else { continue };
             free.sub(m.used);
             m.held.values().for_each(|h| free.sub(*h));
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -4,7 +4,7 @@
 //! revision), id. A gang is one entry. An entry that backs off or does not fit is passed over
 //! and does not block those behind it.
 
-use crate::leader::{Active, Begun, Deed, Job, Leader, Machine, Phase, Place, Rostered};
+use crate::leader::{Active, Begun, Deed, Job, Leader, Machine, Phase, Place};
 use crate::place::{rank, slow_above_gb, tier, Candidate, Room, SLACK};
 use crate::ranges::runs;
 use crate::setup::Team;
@@ -186,14 +186,7 @@
     fn spots(&self) -> Spots {
         self.machines
             .iter()
-            .filter(|(_, m)| {
-                m.rostered == Rostered::Yes
-                    && m.usable_told
-                    && m.accounted
-                    && !m.foreign
-                    && m.lapsed_at.is_none()
-                    && m.notice_until.is_none()
-            })
+            .filter(|(_, m)| m.open())
             .filter_map(|(n, m)| {
                 let t = self.types.get(&m.kind)?;
                 let mut free = Room::of_type(t);
