--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -12,9 +12,6 @@
 const LEAST_CHARGE_S: f64 = 60.0;
 /// A machine that takes this many times its nominal boot time is given up.
 const BOOTS_TO_WAIT: f64 = 3.5;
-/// For this long after a refusal of the same offer idle machines are kept longer, this many times.
-const SHORT_S: f64 = LEAST_CHARGE_S;
-const KEEP_IF_SHORT: f64 = 2.0;
 /// Most machines of one request (a figure of the protocol).
 const MOST_AT_ONCE: u32 = 50;
 /// Most names of one release (a figure of the protocol).
@@ -277,10 +274,7 @@
             if !m.tasks.is_empty() || !m.held.is_empty() || !m.quiet {
                 m.idle_since = now;
             }
-            let offer = (m.kind.clone(), m.zone.clone(), m.spot);
-            // What the cloud has refused lately could not be had again soon.
-            let short = self.fleet.refused.get(&offer).is_some_and(|(until, n)| *n > 1 && now - until < SHORT_S);
-            let keep = boot * self.setup.keep_boots * cheapness * if short { KEEP_IF_SHORT } else { 1.0 };
+            let keep = boot * self.setup.keep_boots * cheapness;
             let faulty = m.failed_jobs.len() >= 2;
             let lost = m.lapsed_at.is_some_and(|at| now - at > boot);
             if (lost || m.rostered == Rostered::Yes && (now - m.idle_since > keep || faulty)) && !m.drain {
