--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -1027,6 +1027,10 @@
         };
         let why = t.why.unwrap_or(Why::Error);
         if why == Why::Done {
+            // What completes shows that earlier errors there were their jobs' own.
+            if let Some(m) = self.machines.get_mut(machine) {
+                m.failed_jobs.clear();
+            }
             let durable = job.over || job.durable.contains(task.index);
             let entry = (machine.to_string(), task.clone());
             if !durable && !job.clears.contains(&entry) {
