Tidy: one place each for free room, spared types, an owner's silence and queued frames

Read in review: the free room of a machine, the choice to spare scarce types, the time after which an owner counts as lost and the queueing of frames were each written twice; two settings and a field of the progress decision were carried and never read.

--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -16,7 +16,7 @@
 use store::leadership::Won;
 use store::replica::{Changed, Replica};
 use wire::cloud::MachineType;
-use wire::peers::{frame, ToLeader, ToOwner};
+use wire::peers::{frame, ToOwner};
 
 /// Frames that may wait for a slow connection between controllers; more ends it.
 const FRAMES_WAITING: usize = 4096;
@@ -126,7 +126,7 @@
             for message in owner.drain() {
                 match (&mut shared.lead, &shared.to_leader) {
                     (Some(lead), _) => lead.leader.on_owner(&self.settings.member, message, now),
-                    (None, Some(link)) => send(link, &message),
+                    (None, Some(link)) => send(link, frame(&message)),
                     _ => {}
                 }
                 idle = false;
@@ -144,7 +144,7 @@
                     }
                     Deed::Send(to, message) => {
                         if let Some(link) = lead.links.get(&to) {
-                            send_to_owner(&link.frames, &message);
+                            send(&link.frames, frame(&message));
                         }
                     }
                     deed @ (Deed::Hire(_) | Deed::Release(_)) => {
@@ -199,19 +199,14 @@
     sched::leader::OpenJob { spec, revision: entry.version, done, earlier }
 }
 
-fn send(link: &Sender<Vec<u8>>, message: &ToLeader) {
-    if link.try_send(frame(message)).is_err() {
+/// Queues a frame for a connection between controllers.
+pub fn send(link: &Sender<Vec<u8>>, bytes: Vec<u8>) {
+    if link.try_send(bytes).is_err() {
         // What is lost on the way would leave the two with different pictures.
         link.close();
     }
 }
 
-pub fn send_to_owner(link: &Sender<Vec<u8>>, message: &ToOwner) {
-    if link.try_send(frame(message)).is_err() {
-        link.close();
-    }
-}
-
 pub fn frames() -> (Sender<Vec<u8>>, smol::channel::Receiver<Vec<u8>>) {
     smol::channel::bounded(FRAMES_WAITING)
 }
--- a/crates/ladderroute/src/peers.rs
+++ b/crates/ladderroute/src/peers.rs
@@ -1,6 +1,6 @@
 //! The controllers' own port: owners connect to the leader and keep one stream of frames.
 
-use crate::node::{frames, send_to_owner, JobRooms, Link, Node};
+use crate::node::{frames, send, JobRooms, Link, Node};
 use http::within;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
@@ -122,10 +122,10 @@
     match message {
         ToLeader::Ping { n } => {
             // Authority of an owner ends before the leader's own, and soon after the last ping.
-            let until = node.at(lead.won.until).min(now + lead.leader.silence_s() * 1.25);
+            let until = node.at(lead.won.until).min(now + node.setup.owner_silence_s() * 1.25);
             if let Some(valid) = lead.leader.grant(member, now, until) {
                 let token = lead.leader.token();
-                send_to_owner(link, &ToOwner::Grant { n, token, valid_ms: (valid * 1000.0) as u64 });
+                send(link, frame(&ToOwner::Grant { n, token, valid_ms: (valid * 1000.0) as u64 }));
             }
         }
         other => {
@@ -178,7 +178,7 @@
     };
     let pinger = {
         let ping = ping.clone();
-        let every = Duration::from_secs_f64((node.setup.lease_s * 0.18).min(2.0) / 4.0);
+        let every = Duration::from_secs_f64(node.setup.owner_silence_s() / 4.0);
         node.ex.spawn(async move {
             loop {
                 ping();
--- a/crates/ladderroute/src/settings.rs
+++ b/crates/ladderroute/src/settings.rs
@@ -169,8 +169,6 @@
             teams,
             report_s: p.workers.report_s,
             lease_s: p.workers.lease_s,
-            gang_wait_s: p.workers.gang_wait_s,
-            gang_peer_s: p.workers.gang_peer_s,
             cancel_s: p.workers.cancel_s,
             list_lag_s: p.cloud.list_lag_s,
             hold_s: tuning.hold_s,
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -155,8 +155,6 @@
         teams: BTreeMap::from([("red".into(), team(8.0, 24.0)), ("blue".into(), team(12.0, 32.0))]),
         report_s: 1.0,
         lease_s: 8.0,
-        gang_wait_s: 20.0,
-        gang_peer_s: 3.0,
         cancel_s: 25.0,
         list_lag_s: 4.0,
         hold_s: 5.0,
@@ -637,7 +635,7 @@
             while c.pings.front().is_some_and(|(at, _)| *at <= now) {
                 let Some((_, sent)) = c.pings.pop_front() else { break };
                 leader.owner_heard(&name(i), now);
-                let until = self.leader_until.min(now + leader.silence_s() * 1.25);
+                let until = self.leader_until.min(now + self.setup.owner_silence_s() * 1.25);
                 if let Some(valid) = leader.grant(&name(i), now, until) {
                     if c.regime && c.owner.token() == leader.token() {
                         c.owner.set_authority(sent + valid);
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -127,10 +127,7 @@
         for (id, n) in self.fleet.unmet.clone() {
             let Some(job) = self.jobs.get(&id) else { continue };
             let (room, gang) = (job.room(), job.is_gang());
-            let mut needs = self.needs(job, Some(&scarce));
-            if needs.kinds.is_empty() {
-                needs = self.needs(job, None);
-            }
+            let needs = self.needs_sparing(job, &scarce);
             if gang && self.can_wait(&id, &needs, &mut busy, now) {
                 continue;
             }
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -31,7 +31,6 @@
         job: String,
         chunk: u32,
         bits: String,
-        tasks: u32,
     },
     Finish {
         job: String,
@@ -178,6 +177,14 @@
         let present = self.accounted && self.lapsed_at.is_none() && self.notice_until.is_none();
         self.rostered == Rostered::Yes && self.usable_told && present && !self.foreign
     }
+
+    /// What is left of its room beside possibly-on tasks and held room.
+    pub fn free(&self, whole: Room) -> Room {
+        let mut free = whole;
+        free.sub(self.used);
+        self.held.values().for_each(|h| free.sub(*h));
+        free
+    }
 }
 
 pub(crate) struct OwnerLink {
@@ -715,7 +722,8 @@
     }
 
     fn review_regime(&mut self, now: Secs, known: usize) {
-        let silent: Vec<String> = self.links.iter().filter(|(_, l)| now - l.heard > self.silence_s()).map(|(m, _)| m.clone()).collect();
+        let silent: Vec<String> =
+            self.links.iter().filter(|(_, l)| now - l.heard > self.setup.owner_silence_s()).map(|(m, _)| m.clone()).collect();
         for m in silent {
             log::info!("event=owner_silent member={m}");
             self.owner_lost(&m);
@@ -724,7 +732,7 @@
         if self.token_asked || (self.regime_set && !self.regime_broken && wanted == self.members) {
             return;
         }
-        let settle = self.silence_s() / 8.0;
+        let settle = self.setup.owner_silence_s() / 8.0;
         let lost = self.regime_broken || self.regime_set && self.members.iter().any(|m| !wanted.contains(m));
         let newest = self.links.values().map(|l| l.since).fold(self.born, f64::max);
         if !lost && self.links.len() < known && now - newest < settle {
@@ -738,11 +746,6 @@
         }
     }
 
-    /// After how long without a word an owner counts as lost.
-    pub fn silence_s(&self) -> f64 {
-        (self.setup.lease_s * 0.18).min(wire::ANSWER_DROPPED_S * 0.5)
-    }
-
     /// A new token is durable, or could not be had for now.
     pub fn token_result(&mut self, token: Option<u64>, now: Secs) {
         self.token_asked = false;
@@ -1238,7 +1241,7 @@
             for chunk in dirty {
                 let to = ((chunk + 1) * bits).min(job.spec.tasks);
                 let bits = job.done.hex(chunk * bits, to);
-                self.deeds.push(Deed::Progress { job: id.clone(), chunk, bits, tasks: job.done.len() });
+                self.deeds.push(Deed::Progress { job: id.clone(), chunk, bits });
             }
         }
         // A roster write that failed is tried again: an idle machine brings no new view.
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -58,9 +58,7 @@
     fn spare_after_stops(&self) -> BTreeMap<String, Room> {
         let mut out = BTreeMap::new();
         for (name, m) in self.machines.iter().filter(|(_, m)| m.open()) {
-            let Some(mut free) = self.cap(&m.kind) else { continue };
-            free.sub(m.used);
-            m.held.values().for_each(|h| free.sub(*h));
+            let Some(mut free) = self.cap(&m.kind).map(|c| m.free(c)) else { continue };
             for (id, i) in m.tasks.keys() {
                 if let Some(job) = self.jobs.get(id).filter(|j| j.active.get(i).is_some_and(|a| a.stop_sent)) {
                     free.add(job.room());
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -72,10 +72,7 @@
                 continue;
             }
             let all = self.needs(job, None);
-            let mut needs = self.needs(job, Some(&scarce));
-            if needs.kinds.is_empty() {
-                needs = all.clone();
-            }
+            let mut needs = self.needs_sparing(job, &scarce);
             if !job.is_gang() && !gang_waits {
                 let last = all.kinds.into_iter().filter(|a| !needs.kinds.iter().any(|n| n.kind == a.kind && n.spot == a.spot));
                 needs.kinds.extend(last.map(|a| Allowed { tier: 2, ..a }).collect::<Vec<_>>());
@@ -183,15 +180,22 @@
         Needs { cpus: s.cpus, gpus: s.gpus, memory_gb: s.memory_gb, image, image_gb: s.image_gb, kinds, zone: s.zone.clone() }
     }
 
+    /// The same without scarce machine types, unless the job has no other.
+    pub(crate) fn needs_sparing(&self, job: &Job, scarce: &BTreeSet<(String, bool)>) -> Needs {
+        let needs = self.needs(job, Some(scarce));
+        if needs.kinds.is_empty() {
+            return self.needs(job, None);
+        }
+        needs
+    }
+
     fn spots(&self) -> Spots {
         self.machines
             .iter()
             .filter(|(_, m)| m.open())
             .filter_map(|(n, m)| {
                 let t = self.types.get(&m.kind)?;
-                let mut free = Room::of_type(t);
-                free.sub(m.used);
-                m.held.values().for_each(|h| free.sub(*h));
+                let free = m.free(Room::of_type(t));
                 Some((
                     n.clone(),
                     Spot {
--- a/crates/sched/src/setup.rs
+++ b/crates/sched/src/setup.rs
@@ -17,8 +17,6 @@
     pub teams: BTreeMap<String, Team>,
     pub report_s: f64,
     pub lease_s: f64,
-    pub gang_wait_s: f64,
-    pub gang_peer_s: f64,
     pub cancel_s: f64,
     pub list_lag_s: f64,
     /// How long held room waits for the rest of its gang.
@@ -35,6 +33,11 @@
 }
 
 impl Setup {
+    /// After how long without a word an owner counts as lost.
+    pub fn owner_silence_s(&self) -> f64 {
+        (self.lease_s * 0.18).min(wire::ANSWER_DROPPED_S * 0.5)
+    }
+
     /// After how long without an answered report a worker's lease has certainly ended: the
     /// lease, what both clocks may drift, and a margin.
     pub fn lease_certainly_over_s(&self) -> f64 {
