--- a/crates/ladderroute/src/main.rs
+++ b/crates/ladderroute/src/main.rs
@@ -10,6 +10,7 @@
 mod peers;
 mod renting;
 mod settings;
+mod writer;
 
 use clap::Parser;
 
--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -25,6 +25,7 @@
 pub struct Lead {
     pub leader: Leader,
     pub won: Won,
+    pub books: crate::writer::Books,
     /// Decisions that have to be written, and requests to the cloud.
     pub writes: VecDeque<Deed>,
     pub cloud: VecDeque<Deed>,
@@ -185,7 +186,10 @@
                 // What is new to this leader was never given out: no other could have led since.
                 lead.leader.add_job(open_job(entry, spec.clone(), lead.leader.chunk_bits(), Earlier::Untouched));
             }
-            None => lead.leader.job_over(id),
+            None => {
+                lead.books.job_over(id);
+                lead.leader.job_over(id);
+            }
         }
     }
 }
@@ -250,7 +254,7 @@
 
 /// Lets time pass for the owner's book.
 async fn tick(node: Rc<Node>) {
-    let step = Duration::from_secs_f64((node.setup.report_s / 4.0).clamp(0.1, 0.5));
+    let step = Duration::from_secs_f64((node.setup.report_s / 20.0).clamp(0.05, 0.1));
     loop {
         smol::Timer::after(step).await;
         let now = node.now();
--- a/crates/model/src/plain.rs
+++ b/crates/model/src/plain.rs
@@ -61,7 +61,7 @@
     fn leader(machines: &[(&str, &str)], limit: f64) -> Leader {
         let mut s = setup();
         s.teams.get_mut("red").unwrap().cpus_max = limit;
-        let mut l = Leader::new("rung-0", s, 1, 1, 4.0, Vec::new(), &BTreeMap::new(), 0.0);
+        let mut l = Leader::new("rung-0", s, 1, 1, 4.0, Vec::new(), &BTreeMap::new(), 0, 0.0);
         l.catalog(vec![machine_type("small", 4.0, 16.0, 0.3), machine_type("large", 16.0, 64.0, 1.1)]);
         l.tick(5.0, 0);
         l.drain();
@@ -79,7 +79,7 @@
                 pending: Vec::new(),
                 usable: false,
             };
-            l.on_owner("rung-0", ToLeader::Machine(v), 5.0);
+            l.on_owner("rung-0", ToLeader::Machines(vec![v]), 5.0);
             l.roster_result(name, true, true);
         }
         l.drain();
@@ -138,7 +138,7 @@
                     earlier: Earlier::Untouched,
                 });
             }
-            jobs.iter().for_each(|j| l.begin_result(&j.id, true));
+            l.begin_result(jobs.len() as u64, true);
             l.tick(5.1, 0);
             let mut order: Vec<Job> = Vec::new();
             // Within the guarantee first, each in order of creation.
@@ -177,7 +177,7 @@
     fn a_new_leader_uses_the_machines_of_the_roster() {
         let record = wire::store::RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
         let roster = BTreeMap::from([("host-1".to_string(), record)]);
-        let mut l = Leader::new("rung-0", setup(), 1, 7, 4.0, Vec::new(), &roster, 0.0);
+        let mut l = Leader::new("rung-0", setup(), 1, 7, 4.0, Vec::new(), &roster, 0, 0.0);
         l.catalog(vec![machine_type("small", 4.0, 16.0, 0.3)]);
         l.tick(5.0, 0);
         let usable = l.drain().into_iter().any(
@@ -190,11 +190,11 @@
     fn stopped_for_red(blue_guarantee: f64) -> usize {
         let mut s = setup();
         s.teams.get_mut("blue").unwrap().cpus = blue_guarantee;
-        let mut l = Leader::new("rung-0", s, 1, 1, 4.0, Vec::new(), &BTreeMap::new(), 0.0);
+        let mut l = Leader::new("rung-0", s, 1, 1, 4.0, Vec::new(), &BTreeMap::new(), 0, 0.0);
         l.catalog(vec![machine_type("small", 4.0, 16.0, 0.3)]);
         l.tick(5.0, 0);
         let view = |tasks: Vec<wire::peers::TaskView>| {
-            ToLeader::Machine(MachineView {
+            ToLeader::Machines(vec![MachineView {
                 token: 1,
                 name: "host-1".into(),
                 kind: "small".into(),
@@ -206,14 +206,14 @@
                 tasks,
                 pending: Vec::new(),
                 usable: true,
-            })
+            }])
         };
         l.on_owner("rung-0", view(Vec::new()), 5.0);
         l.roster_result("host-1", true, true);
         let add = |l: &mut Leader, id: u32, team: &str, tasks: u32, cpus: f64| {
             let spec = Rc::new(job(id, team, Shape::Array, tasks, cpus));
             l.add_job(OpenJob { spec, revision: u64::from(id), done: Ranges::default(), earlier: Earlier::Untouched });
-            l.begin_result(&format!("wk-{id:06}"), true);
+            l.begin_result(u64::from(id), true);
         };
         add(&mut l, 1, "blue", 4, 1.0);
         l.tick(6.0, 0);
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -117,6 +117,7 @@
     free_at: f64,
     term: u64,
     revision: u64,
+    begun: u64,
     roster: BTreeMap<String, RosterRecord>,
     jobs: BTreeMap<String, JobState>,
     messages: Vec<(f64, Message)>,
@@ -186,6 +187,7 @@
             free_at: 0.0,
             term: 0,
             revision: 0,
+            begun: 0,
             roster: BTreeMap::new(),
             jobs: BTreeMap::new(),
             messages: Vec::new(),
@@ -650,6 +652,9 @@
         if now < self.leader_until {
             leader.tick(now, 2);
         }
+        if !leader.index_agrees() {
+            self.break_rule("index");
+        }
         loop {
             let mut idle = true;
             for m in self.controllers[me].owner.drain() {
@@ -706,7 +711,7 @@
         let empty = BTreeMap::new();
         let roster = if self.defect == Defect::ForgetRoster { &empty } else { &self.roster };
         let seed = self.rng.u64(..);
-        let mut leader = Leader::new(&name(me), self.setup.clone(), seed, self.term, 4.0, jobs, roster, now);
+        let mut leader = Leader::new(&name(me), self.setup.clone(), seed, self.term, 4.0, jobs, roster, self.begun, now);
         let lately = |j: &&JobState| j.cancelled && j.over.is_some_and(|at| now - at < self.setup.lease_s + self.setup.cancel_s);
         leader.set_lately_cancelled(self.jobs.values().filter(lately).map(|j| j.spec.team.clone()).collect());
         leader.catalog(self.types.clone());
@@ -776,11 +781,14 @@
                 }
                 leader.finish_result(&job, ok && open);
             }
-            Deed::Begin { job } => {
-                if let Some(j) = self.jobs.get_mut(&job).filter(|_| ok) {
+            Deed::Begin { upto } => {
+                if ok {
+                    self.begun = self.begun.max(upto);
+                }
+                for j in self.jobs.values_mut().filter(|j| ok && j.revision <= upto && j.spec.shape != Shape::Gang) {
                     j.earlier = Earlier::Anywhere;
                 }
-                leader.begin_result(&job, ok);
+                leader.begin_result(upto, ok);
             }
             Deed::Bind { job, attempt, places } => {
                 if let Some(j) = self.jobs.get_mut(&job).filter(|_| ok) {
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -17,6 +17,9 @@
 /// Most names of one release (a figure of the protocol).
 const MOST_RELEASED: usize = 100;
 
+/// An offer is not taken at this many times the price of one whose answer is still to come.
+const MUCH_DEARER: f64 = 1.3;
+
 /// Type, zone and kind (spot or ordinary).
 type Offer = (String, String, bool);
 
@@ -48,13 +51,30 @@
     pub shapes: BTreeMap<String, ClassShape>,
     asked: BTreeMap<String, Hire>,
     refused: BTreeMap<Offer, (Secs, u32)>,
+    /// The zone that each waiting gang's machines are rented in.
+    gang_zones: BTreeMap<String, Option<String>>,
+    /// Machines that are there for waiting gangs: not returned meanwhile.
+    kept: BTreeSet<String>,
     released: BTreeSet<String>,
     releasing: BTreeSet<String>,
     counter: u64,
     last: Secs,
 }
 
+/// Whether an offer is of a type and kind that tasks may use, and in a zone if one is given.
+fn allows(needs: &Needs, zone: &Option<String>, o: &Offer) -> bool {
+    needs.kinds.iter().any(|a| a.kind == o.0 && a.spot == o.2) && zone.as_ref().is_none_or(|z| *z == o.1)
+}
+
 impl Fleet {
+    pub fn gang_zone(&self, id: &str) -> Option<&String> {
+        self.gang_zones.get(id)?.as_ref()
+    }
+
+    pub fn forget_job(&mut self, id: &str) {
+        self.gang_zones.remove(id);
+    }
+
     pub fn arrived(&mut self, job: &Spec) {
         let room = Room { cpus: job.cpus, gpus: job.gpus, memory_gb: job.memory_gb };
         let shape = self.shapes.entry(job.class.clone()).or_insert_with(|| ClassShape { room, types: job.types.clone(), spot: job.spot });
@@ -79,18 +99,48 @@
     }
 }
 
-/// Room that is on its way.
+/// Machines on their way that have the same room left.
 struct Coming {
-    kind: String,
-    zone: String,
-    spot: bool,
+    offer: Offer,
     free: Room,
+    n: u32,
+}
+
+/// Takes room for up to `left` tasks out of what is on its way; says how many remain.
+fn take_coming(coming: &mut Vec<Coming>, allowed: impl Fn(&Offer) -> bool, room: Room, mut left: u32) -> u32 {
+    let mut changed = Vec::new();
+    for c in coming.iter_mut().filter(|c| allowed(&c.offer)) {
+        let times = c.free.times(room);
+        if left == 0 || times == 0 {
+            continue;
+        }
+        let whole = (left / times).min(c.n);
+        let part = if whole < c.n { left - whole * times } else { 0 };
+        for (n, tasks) in [(whole, times), (u32::from(part > 0), part)] {
+            if n > 0 {
+                let mut free = c.free;
+                free.sub(room.scaled(tasks));
+                changed.push(Coming { offer: c.offer.clone(), free, n });
+                c.n -= n;
+                left -= n * tasks;
+            }
+        }
+    }
+    coming.retain(|c| c.n > 0);
+    coming.append(&mut changed);
+    left
 }
 
+/// When machines in use are expected to be empty, the earliest first.
+type Busy = Vec<(Secs, String)>;
+
 impl Leader {
-    /// Rents for what does not fit, and returns what is idle. Paced by the report interval.
+    /// Rents for what does not fit, and returns what is idle. Paced by the report interval, but
+    /// sooner when the cloud has answered all that was asked.
     pub(crate) fn run_fleet(&mut self, now: Secs) {
-        if now - self.fleet.last < self.setup.report_s.min(1.0) || self.types.is_empty() {
+        let pace = self.setup.report_s.min(1.0);
+        let soon = self.fleet.asked.is_empty() && !self.fleet.unmet.is_empty() && now - self.fleet.last >= pace / 4.0;
+        if now - self.fleet.last < pace && !soon || self.types.is_empty() {
             return;
         }
         self.fleet.last = now;
@@ -99,6 +149,7 @@
     }
 
     fn coming(&self) -> Vec<Coming> {
+        let mut sums: BTreeMap<Offer, u32> = BTreeMap::new();
         let booting = self.fleet.booting.values().map(|b| (&b.kind, &b.zone, b.spot, 1));
         let asked = self.fleet.asked.values().map(|h| (&h.kind, &h.zone, h.spot, h.count));
         let fresh = self
@@ -106,14 +157,10 @@
             .values()
             .filter(|m| m.rostered != Rostered::Yes && m.lapsed_at.is_none() && !m.drain)
             .map(|m| (&m.kind, &m.zone, m.spot, 1));
-        let mut out = Vec::new();
         for (kind, zone, spot, n) in booting.chain(asked).chain(fresh) {
-            let Some(free) = self.cap(kind) else { continue };
-            for _ in 0..n {
-                out.push(Coming { kind: kind.clone(), zone: zone.clone(), spot, free });
-            }
+            *sums.entry((kind.clone(), zone.clone(), spot)).or_default() += n;
         }
-        out
+        sums.into_iter().filter_map(|(offer, n)| Some(Coming { free: self.cap(&offer.0)?, offer, n })).collect()
     }
 
     fn rent(&mut self, now: Secs) {
@@ -122,71 +169,145 @@
         // Running tasks free their room again and again while a machine boots.
         let turnover = self.turnover();
         let mut ahead = 0.0;
-        let mut busy = self.busy_until(now);
+        let mut busy: Option<Busy> = None;
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
+        self.fleet.kept.clear();
         for (id, n) in self.fleet.unmet.clone() {
             let Some(job) = self.jobs.get(&id) else { continue };
-            let (room, gang) = (job.room(), job.is_gang());
+            let room = job.room();
             let needs = self.needs_sparing(job, &scarce);
-            if gang && self.can_wait(&id, &needs, &mut busy, now) {
-                continue;
-            }
-            let mut left = n;
-            let mut zones: Option<String> = needs.zone.clone();
-            for c in coming.iter_mut() {
-                if left == 0 {
-                    break;
-                }
-                if needs.kinds.iter().any(|a| a.kind == c.kind && a.spot == c.spot) && zones.as_ref().is_none_or(|z| *z == c.zone) {
-                    let take = c.free.times(room).min(left);
-                    (0..take).for_each(|_| c.free.sub(room));
-                    left -= take;
-                    if take > 0 && gang && job.spec.one_zone {
-                        zones = Some(c.zone.clone());
-                    }
+            if job.is_gang() {
+                let mut slots = busy.take().unwrap_or_else(|| self.busy_until(&needs, now));
+                if !self.can_wait(&id, &needs, &mut slots, now) {
+                    self.rent_for_gang(&id, &needs, &mut coming, &mut wanted, now);
                 }
+                busy = Some(slots);
+                continue;
             }
+            let mut left = take_coming(&mut coming, |o| allows(&needs, &needs.zone, o), room, n);
             while left > 0 {
-                let Some((offer, cap)) = self.cheapest(&needs.kinds, zones.as_deref(), room, left, now) else { break };
-                if !gang {
-                    let boot = self.types.get(&offer.0).map_or(LEAST_CHARGE_S, |t| t.boot_s);
-                    let served = ((turnover * boot - ahead) / room.cpus.max(0.01)).floor().clamp(0.0, f64::from(left));
-                    ahead += served * room.cpus;
-                    left -= served as u32;
-                    if left == 0 {
-                        break;
-                    }
-                }
-                let mut free = cap;
-                let take = free.times(room).min(left);
-                if take == 0 {
+                let Some((offer, cap)) = self.cheapest(&needs.kinds, needs.zone.as_deref(), room, left, &wanted, now) else { break };
+                let boot = self.types.get(&offer.0).map_or(LEAST_CHARGE_S, |t| t.boot_s);
+                let served = ((turnover * boot - ahead) / room.cpus.max(0.01)).floor().clamp(0.0, f64::from(left));
+                ahead += served * room.cpus;
+                left -= served as u32;
+                let times = cap.times(room);
+                if left == 0 || times == 0 {
                     break;
                 }
-                (0..take).for_each(|_| free.sub(room));
+                let free = self.most_wanted(&offer, &wanted);
+                let n = (left / times).clamp(1, free.max(1));
+                coming.push(Coming { offer: offer.clone(), free: cap, n });
+                *wanted.entry(offer.clone()).or_default() += n;
+                left = take_coming(&mut coming, |o| *o == offer, room, left);
+            }
+        }
+        for ((kind, zone, spot), mut count) in wanted {
+            while count > 0 {
+                self.fleet.counter += 1;
+                let name = format!("lr-{}-{}", self.token(), self.fleet.counter);
+                let hire = Hire { name: name.clone(), kind: kind.clone(), zone: zone.clone(), spot, count: count.min(MOST_AT_ONCE) };
+                count -= hire.count;
+                log::info!("event=hire name={name} kind={} zone={} spot={} count={}", hire.kind, hire.zone, hire.spot, hire.count);
+                self.fleet.asked.insert(name, hire.clone());
+                self.deeds.push(Deed::Hire(hire));
+            }
+        }
+    }
+
+    /// How many more machines of an offer may be asked for at present: what is refused shows
+    /// only in the answers, and requests are few.
+    fn most_wanted(&self, offer: &Offer, wanted: &BTreeMap<Offer, u32>) -> u32 {
+        let asked = self.fleet.asked.values().filter(|h| (&h.kind, &h.zone, h.spot) == (&offer.0, &offer.1, offer.2));
+        let sum: u32 = asked.map(|h| h.count).sum::<u32>() + wanted.get(offer).copied().unwrap_or(0);
+        (MOST_AT_ONCE * 2).saturating_sub(sum)
+    }
+
+    /// Rents what a whole gang lacks. If its job wants one zone, that is the one which lacks
+    /// least of those that are said to have machines, and it is kept to: half a gang's machines
+    /// in each of two zones serve nobody. What is there for it already is not returned.
+    fn rent_for_gang(&mut self, id: &str, needs: &Needs, coming: &mut Vec<Coming>, wanted: &mut BTreeMap<Offer, u32>, now: Secs) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let (room, n, spread) = (job.room(), job.spec.tasks, job.spec.spread);
+        let every: BTreeSet<Option<String>> =
+            needs.kinds.iter().filter_map(|a| self.types.get(&a.kind)).flat_map(|t| t.zones.iter().cloned().map(Some)).collect();
+        if needs.zone.is_some() || !job.spec.one_zone && !spread {
+            self.rent_in_zone(needs, room, n, coming, wanted, now);
+            return;
+        }
+        let within = |zone: &Option<String>| Needs { zone: zone.clone(), ..needs.clone() };
+        let has = |l: &Leader, zone: &Option<String>| {
+            let here: u32 = l.index.fits(&within(zone)).iter().map(|f| f.times).sum();
+            let on_way: u32 = coming.iter().filter(|c| allows(needs, zone, &c.offer)).map(|c| c.free.times(room) * c.n).sum();
+            here.saturating_add(on_way)
+        };
+        let offers = |l: &Leader, zone: &Option<String>| {
+            needs.kinds.iter().any(|a| {
+                let zones = l.types.get(&a.kind).map_or(&[][..], |t| &t.zones);
+                let mut offers = zones.iter().map(|z| (a.kind.clone(), z.clone(), a.spot));
+                offers.any(|o| allows(needs, zone, &o) && l.fleet.available(&o, now))
+            })
+        };
+        if spread {
+            // No zone may have more than half: what is above that in one is of no use.
+            let half = n.div_ceil(2);
+            let mut order: Vec<_> = every.iter().map(|z| (!offers(self, z), has(self, z).min(half), z.clone())).collect();
+            order.sort_by_key(|(none, has, _)| (*none, std::cmp::Reverse(*has)));
+            let mut left = n;
+            for (_, _, zone) in order {
+                let take = left.min(half);
                 left -= take;
-                if gang && self.jobs.get(&id).is_some_and(|j| j.spec.one_zone) {
-                    zones = Some(offer.1.clone());
-                }
-                coming.push(Coming { kind: offer.0.clone(), zone: offer.1.clone(), spot: offer.2, free });
-                *wanted.entry(offer).or_default() += 1;
+                self.rent_in_zone(&within(&zone), room, take, coming, wanted, now);
             }
+            return;
+        }
+        let lacks = |l: &Leader, zone: &Option<String>| n.saturating_sub(has(l, zone));
+        let long = self.waits_long(id, now);
+        let good = |z: &&Option<String>| every.contains(*z) && (long || lacks(self, z) == 0 || offers(self, z));
+        let stays = self.fleet.gang_zones.get(id).filter(good).cloned();
+        let best = || every.iter().min_by_key(|z| (lacks(self, z) > 0 && !offers(self, z), lacks(self, z))).cloned();
+        let Some(zone) = stays.or_else(best) else { return };
+        self.fleet.gang_zones.insert(id.into(), zone.clone());
+        self.rent_in_zone(&within(&zone), room, n, coming, wanted, now);
+    }
+
+    /// Keeps what is free for `n` tasks, and rents what they lack beside what is on its way.
+    fn rent_in_zone(&mut self, needs: &Needs, room: Room, n: u32, coming: &mut Vec<Coming>, wanted: &mut BTreeMap<Offer, u32>, now: Secs) {
+        let mut left = n;
+        for f in self.index.fits(needs) {
+            if left == 0 {
+                break;
+            }
+            left -= f.times.min(left);
+            self.fleet.kept.insert(f.name.to_string());
         }
-        for ((kind, zone, spot), count) in wanted {
-            self.fleet.counter += 1;
-            let name = format!("lr-{}-{}", self.token(), self.fleet.counter);
-            let hire = Hire { name: name.clone(), kind, zone, spot, count: count.min(MOST_AT_ONCE) };
-            log::info!("event=hire name={name} kind={} zone={} spot={} count={}", hire.kind, hire.zone, hire.spot, hire.count);
-            self.fleet.asked.insert(name, hire.clone());
-            self.deeds.push(Deed::Hire(hire));
+        left = take_coming(coming, |o| allows(needs, &needs.zone, o), room, left);
+        while left > 0 {
+            let Some((offer, cap)) = self.cheapest(&needs.kinds, needs.zone.as_deref(), room, left, wanted, now) else { break };
+            let times = cap.times(room);
+            if times == 0 {
+                break;
+            }
+            let n = (left / times).clamp(1, self.most_wanted(&offer, wanted).max(1));
+            coming.push(Coming { offer: offer.clone(), free: cap, n });
+            *wanted.entry(offer.clone()).or_default() += n;
+            left = take_coming(coming, |o| *o == offer, room, left);
         }
     }
 
-    /// When machines in use are expected to be empty, the earliest first.
-    fn busy_until(&self, now: Secs) -> Vec<(Secs, String)> {
-        let mut out: Vec<(Secs, String)> = self
+    /// Whether a gang has waited so long that machines are set aside for it.
+    pub(crate) fn waits_long(&self, id: &str, now: Secs) -> bool {
+        let Some(job) = self.jobs.get(id) else { return false };
+        let within = self.setup.wait_s.get(&job.spec.class).copied().unwrap_or(self.setup.guarantee_s * 4.0);
+        now - job.seen > within * self.setup.patience
+    }
+
+    /// When machines on which these tasks may run are expected to be empty, the earliest first.
+    fn busy_until(&self, needs: &Needs, now: Secs) -> Busy {
+        let mut out: Busy = self
             .machines
             .iter()
-            .filter(|(_, m)| m.open())
+            .filter(|(_, m)| m.open() && tier(needs, &m.kind, &m.zone, m.spot).is_some())
             .map(|(name, m)| {
                 let ends = m.tasks.keys().filter_map(|(id, i)| {
                     let job = self.jobs.get(id)?;
@@ -206,25 +327,32 @@
         self.classes.get(&job.spec.class).map_or(job.spec.estimate_s, |c| c.run_s).max(1.0)
     }
 
-    /// Whether a gang that fits on one machine is expected to get one that is in use early
-    /// enough for its class's objective; that machine is then taken.
-    fn can_wait(&self, id: &str, needs: &Needs, busy: &mut [(Secs, String)], now: Secs) -> bool {
+    /// Whether a gang is expected to get machines that are in use early enough for its class's
+    /// objective; those machines are then taken.
+    fn can_wait(&self, id: &str, needs: &Needs, busy: &mut Busy, now: Secs) -> bool {
         let Some(job) = self.jobs.get(id) else { return false };
         let Some(within) = self.setup.wait_s.get(&job.spec.class) else { return false };
         let latest = job.seen + within * self.setup.patience;
-        let found = busy.iter_mut().find(|(_, name)| {
-            self.machines.get(name).is_some_and(|m| {
-                tier(needs, &m.kind, &m.zone, m.spot).is_some() && self.cap(&m.kind).is_some_and(|c| c.times(job.room()) >= job.spec.tasks)
-            })
-        });
-        match found {
-            Some(slot) if slot.0.max(now) <= latest => {
-                slot.0 += self.run_s(job);
-                busy.sort_by(|a, b| a.0.total_cmp(&b.0));
-                true
+        let mut slots: BTreeMap<&str, (u32, Vec<usize>)> = BTreeMap::new();
+        let mut found = None;
+        for (at, (until, name)) in busy.iter().enumerate() {
+            let Some(m) = self.machines.get(name).filter(|m| tier(needs, &m.kind, &m.zone, m.spot).is_some()) else { continue };
+            if until.max(now) > latest {
+                break;
+            }
+            let (have, chosen) = slots.entry(if job.spec.one_zone { &m.zone } else { "" }).or_default();
+            *have += self.cap(&m.kind).map_or(0, |c| c.times(job.room()));
+            chosen.push(at);
+            if *have >= job.spec.tasks {
+                found = Some(std::mem::take(chosen));
+                break;
             }
-            _ => false,
         }
+        let Some(chosen) = found else { return false };
+        let run = self.run_s(job);
+        chosen.into_iter().for_each(|at| busy[at].0 += run);
+        busy.sort_by(|a, b| a.0.total_cmp(&b.0));
+        true
     }
 
     /// CPUs per second that running array tasks free for others.
@@ -234,8 +362,19 @@
     }
 
     /// The offer with the lowest price per task that fits, preferring one that is not too big.
-    fn cheapest(&mut self, kinds: &[Allowed], zone: Option<&str>, room: Room, n: u32, now: Secs) -> Option<(Offer, Room)> {
+    /// None if what costs much less than the rest is being asked for to the limit: its answer
+    /// comes soon.
+    fn cheapest(
+        &mut self,
+        kinds: &[Allowed],
+        zone: Option<&str>,
+        room: Room,
+        n: u32,
+        wanted: &BTreeMap<Offer, u32>,
+        now: Secs,
+    ) -> Option<(Offer, Room)> {
         let mut best: Option<(f64, Offer, Room)> = None;
+        let mut least = f64::MAX;
         for Allowed { kind, spot, .. } in kinds {
             let Some(t) = self.types.get(kind) else { continue };
             let cap = Room::of_type(t);
@@ -250,12 +389,16 @@
                 let offer = (kind.clone(), z.clone(), *spot);
                 // A little noise spreads machines over zones of the same price.
                 let price = price * (1.0 + 0.01 * self.rng.f64());
-                if self.fleet.available(&offer, now) && best.as_ref().is_none_or(|(p, _, _)| price < *p) {
+                if !self.fleet.available(&offer, now) {
+                    continue;
+                }
+                least = least.min(price);
+                if self.most_wanted(&offer, wanted) > 0 && best.as_ref().is_none_or(|(p, _, _)| price < *p) {
                     best = Some((price, offer, cap));
                 }
             }
         }
-        best.map(|(_, offer, cap)| (offer, cap))
+        best.filter(|(price, _, _)| *price <= least * MUCH_DEARER).map(|(_, offer, cap)| (offer, cap))
     }
 
     fn return_idle(&mut self, now: Secs) {
@@ -268,7 +411,7 @@
             }
             let boot = self.types.get(&m.kind).map_or(LEAST_CHARGE_S, |t| t.boot_s);
             let cheapness = self.types.get(&m.kind).map_or(1.0, |t| if m.spot { t.price / t.spot_price.max(1e-9) } else { 1.0 });
-            if !m.tasks.is_empty() || !m.held.is_empty() || !m.quiet {
+            if !m.tasks.is_empty() || !m.held.is_empty() || !m.quiet || self.fleet.kept.contains(&name) {
                 m.idle_since = now;
             }
             let keep = boot * self.setup.keep_boots * cheapness;
--- /dev/null
+++ b/crates/sched/src/index.rs
@@ -0,0 +1,158 @@
+//! Machines that may take tasks, kept from one pass to the next and ordered by what placement
+//! ranks on: type, zone and kind as pools, and in each pool the free CPUs. A job looks only at
+//! the pools that it allows, and there only at machines with enough room.
+
+use crate::place::{rank, slow_above_gb, tier, Candidate, Rank, Room};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use wire::cloud::MachineType;
+use wire::peers::Needs;
+
+/// What placement needs to know of one machine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Spot {
+    pub owner: String,
+    pub free: Room,
+    pub images: Vec<String>,
+    /// Nothing runs there, so it may soon be returned.
+    pub empty: bool,
+}
+
+/// Machines of one type, zone and kind.
+#[derive(Debug)]
+struct Pool {
+    kind: String,
+    zone: Rc<str>,
+    spot: bool,
+    slow_above_gb: f64,
+    by_room: BTreeSet<(u64, Rc<str>)>,
+}
+
+/// A machine on which at least one task fits.
+#[derive(Clone, Debug, PartialEq, PartialOrd)]
+pub struct Found {
+    pub rank: Rank,
+    pub name: Rc<str>,
+    pub zone: Rc<str>,
+    /// How many tasks fit.
+    pub times: u32,
+}
+
+#[derive(Debug, Default)]
+pub struct Index {
+    pools: Vec<Pool>,
+    spots: BTreeMap<Rc<str>, (usize, Spot)>,
+}
+
+fn thousandths(cpus: f64) -> u64 {
+    (cpus.max(0.0) * 1000.0).round() as u64
+}
+
+impl Index {
+    fn pool(&mut self, t: &MachineType, zone: &str, spot: bool, guarantee_s: f64) -> usize {
+        match self.pools.iter().position(|p| p.kind == t.name && *p.zone == *zone && p.spot == spot) {
+            Some(at) => at,
+            None => {
+                let slow_above_gb = slow_above_gb(t, guarantee_s);
+                self.pools.push(Pool { kind: t.name.clone(), zone: zone.into(), spot, slow_above_gb, by_room: BTreeSet::new() });
+                self.pools.len() - 1
+            }
+        }
+    }
+
+    /// Takes a machine in, or what has changed of it.
+    pub fn put(&mut self, name: &str, t: &MachineType, zone: &str, spot: bool, guarantee_s: f64, s: Spot) {
+        let key: Rc<str> = match self.spots.get_key_value(name) {
+            Some((_, (_, old))) if *old == s => return,
+            Some((key, (pool, old))) => {
+                self.pools[*pool].by_room.remove(&(thousandths(old.free.cpus), key.clone()));
+                key.clone()
+            }
+            None => name.into(),
+        };
+        let pool = self.pool(t, zone, spot, guarantee_s);
+        self.pools[pool].by_room.insert((thousandths(s.free.cpus), key.clone()));
+        self.spots.insert(key, (pool, s));
+    }
+
+    pub fn remove(&mut self, name: &str) {
+        if let Some((key, (pool, s))) = self.spots.remove_entry(name) {
+            self.pools[pool].by_room.remove(&(thousandths(s.free.cpus), key));
+        }
+    }
+
+    pub fn clear(&mut self) {
+        *self = Index::default();
+    }
+
+    pub fn get(&self, name: &str) -> Option<&Spot> {
+        self.spots.get(name).map(|(_, s)| s)
+    }
+
+    pub fn zones(&self) -> BTreeSet<Rc<str>> {
+        self.pools.iter().filter(|p| !p.by_room.is_empty()).map(|p| p.zone.clone()).collect()
+    }
+
+    /// Sets room of a machine aside for tasks that need an image.
+    pub fn take(&mut self, name: &str, room: Room, n: u32, image: &str) {
+        let Some((key, (pool, s))) = self.spots.get_key_value(name) else { return };
+        let (key, pool, mut s) = (key.clone(), *pool, s.clone());
+        let before = thousandths(s.free.cpus);
+        s.free.sub(room.scaled(n));
+        s.empty = false;
+        if !s.images.iter().any(|i| i == image) {
+            s.images.insert(0, image.to_string());
+        }
+        let by_room = &mut self.pools[pool].by_room;
+        by_room.remove(&(before, key.clone()));
+        by_room.insert((thousandths(s.free.cpus), key.clone()));
+        self.spots.insert(key, (pool, s));
+    }
+
+    /// The machines on which a task fits, the best first. Whatever one takes makes it suit the
+    /// same job's next task even better, so a job may fill them one after the other.
+    pub fn fits(&self, needs: &Needs) -> Vec<Found> {
+        self.fits_beside(needs, None)
+    }
+
+    /// The same without what is set aside.
+    pub fn fits_beside(&self, needs: &Needs, aside: Option<&Needs>) -> Vec<Found> {
+        let room = Room::of(needs);
+        let from = thousandths(needs.cpus).saturating_sub(1);
+        let mut out = Vec::new();
+        for p in &self.pools {
+            if p.by_room.is_empty() || tier(needs, &p.kind, &p.zone, p.spot).is_none() {
+                continue;
+            }
+            if aside.is_some_and(|a| tier(a, &p.kind, &p.zone, p.spot).is_some()) {
+                continue;
+            }
+            for (_, name) in p.by_room.range((from, Rc::from(""))..) {
+                let Some((_, s)) = self.spots.get(name) else { continue };
+                let c = Candidate {
+                    kind: &p.kind,
+                    zone: &p.zone,
+                    spot: p.spot,
+                    free: s.free,
+                    has_image: s.images.contains(&needs.image),
+                    slow_fetch: needs.image_gb > p.slow_above_gb,
+                    empty: s.empty,
+                };
+                if let Some(rank) = rank(needs, &c) {
+                    out.push(Found { rank, name: name.clone(), zone: p.zone.clone(), times: s.free.times(room) });
+                }
+            }
+        }
+        out.sort_unstable_by(|a, b| (a.rank, &a.name).cmp(&(b.rank, &b.name)));
+        out
+    }
+
+    /// Everything in it, for comparison with a plain rebuild.
+    pub fn contents(&self) -> BTreeMap<String, (String, String, bool, Spot)> {
+        let one = |(n, (p, s)): (&Rc<str>, &(usize, Spot))| {
+            let p = &self.pools[*p];
+            (n.to_string(), (p.kind.clone(), p.zone.to_string(), p.spot, s.clone()))
+        };
+        self.spots.iter().map(one).collect()
+    }
+}
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -4,6 +4,7 @@
 //! A task is *possibly somewhere* (`Job::active`) from the decision to start it until an owner
 //! shows that it is not. Only tasks in `Job::ready` are ever started.
 
+use crate::index::Index;
 use crate::part;
 use crate::place::Room;
 use crate::ranges::Ranges;
@@ -23,9 +24,9 @@
     Send(String, ToOwner),
     NewToken,
     Roster(String, Option<RosterRecord>),
-    /// Record that an array's tasks may be given out from now on.
+    /// Record that tasks of the arrays accepted up to a revision may be given out from now on.
     Begin {
-        job: String,
+        upto: u64,
     },
     Progress {
         job: String,
@@ -100,8 +101,6 @@
     pub uncertain: bool,
     /// Machines on which it may be, if it was started; none stands for any.
     pub suspects: Option<BTreeSet<String>>,
-    /// Whether the record that its tasks may be given out is durable.
-    pub begun: Begun,
     pub backoff_until: Secs,
     pub failures: u32,
     pub phase: Phase,
@@ -126,13 +125,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Begun {
-    No,
-    Writing,
-    Yes,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Rostered {
     No,
@@ -230,6 +222,16 @@
     pub(crate) types: BTreeMap<String, MachineType>,
     pub(crate) jobs: BTreeMap<String, Job>,
     pub(crate) machines: BTreeMap<String, Machine>,
+    /// Open jobs by creation.
+    pub(crate) by_age: BTreeSet<(u64, String)>,
+    /// Machines with room, as the pass looks at them, and those that changed since.
+    pub(crate) index: Index,
+    pub(crate) stale: BTreeSet<String>,
+    /// Machines of unknown content.
+    unknown: BTreeSet<String>,
+    /// Arrays accepted up to this revision are recorded as begun; asked for is more perhaps.
+    pub(crate) begun: u64,
+    begun_asked: u64,
     pub(crate) team_used: BTreeMap<String, Room>,
     groups: BTreeMap<u64, LimboGroup>,
     next_group: u64,
@@ -245,6 +247,7 @@
     last_display: Vec<(String, u32)>,
     display_at: Secs,
     placed_at: Secs,
+    pub(crate) preempted_at: Secs,
     pub(crate) classes: BTreeMap<String, ClassStats>,
 }
 
@@ -301,6 +304,7 @@
         value_kb: f64,
         jobs: Vec<OpenJob>,
         roster: &BTreeMap<String, RosterRecord>,
+        begun: u64,
         now: Secs,
     ) -> Leader {
         let mut l = Leader {
@@ -322,6 +326,12 @@
             types: BTreeMap::new(),
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
+            by_age: BTreeSet::new(),
+            index: Index::default(),
+            stale: BTreeSet::new(),
+            unknown: BTreeSet::new(),
+            begun,
+            begun_asked: begun,
             team_used: BTreeMap::new(),
             groups: BTreeMap::new(),
             next_group: 0,
@@ -336,6 +346,7 @@
             last_display: Vec::new(),
             display_at: now,
             placed_at: f64::MIN,
+            preempted_at: f64::MIN,
             classes: BTreeMap::new(),
         };
         for j in jobs {
@@ -345,6 +356,7 @@
             let mut m = l.new_machine(&r.kind, &r.zone, r.spot, now);
             m.rostered = Rostered::Yes;
             m.unknown = true;
+            l.unknown.insert(name.clone());
             l.machines.insert(name.clone(), m);
         }
         l
@@ -460,7 +472,6 @@
             ready,
             active: BTreeMap::new(),
             uncertain: j.earlier != Earlier::Untouched,
-            begun: if j.earlier == Earlier::Untouched { Begun::No } else { Begun::Yes },
             suspects: match j.earlier {
                 Earlier::Bound(machines) => Some(machines),
                 _ => None,
@@ -473,11 +484,10 @@
             spec: j.spec,
         };
         self.fleet.arrived(&job.spec);
-        let mut job = job;
-        if job.begun == Begun::No && !job.is_gang() {
-            job.begun = Begun::Writing;
-            self.deeds.push(Deed::Begin { job: job.spec.id.clone() });
+        if !job.is_gang() {
+            self.ask_begin(job.revision);
         }
+        self.by_age.insert((job.revision, job.spec.id.clone()));
         self.jobs.insert(job.spec.id.clone(), job);
         self.wake = true;
     }
@@ -501,7 +511,9 @@
     }
 
     fn forget_if_gone(&mut self, id: &str) {
-        if self.jobs.get(id).is_some_and(|j| j.over && j.active.is_empty()) {
+        if let Some(j) = self.jobs.get(id).filter(|j| j.over && j.active.is_empty()) {
+            self.by_age.remove(&(j.revision, id.to_string()));
+            self.fleet.forget_job(id);
             self.jobs.remove(id);
         }
     }
@@ -556,11 +568,12 @@
         };
         let room = job.room();
         job.ready.remove(index);
-        if let Place::Given(_, m) | Place::On(m) = &active.place {
-            if let Some(m) = self.machines.get_mut(m) {
+        if let Place::Given(_, name) | Place::On(name) = &active.place {
+            if let Some(m) = self.machines.get_mut(name) {
                 if m.tasks.insert((id.into(), index), active.attempt).is_none() {
                     m.used.add(room);
                 }
+                self.stale.insert(name.clone());
             }
         }
         self.team_used.entry(job.spec.team.clone()).or_default().add(room);
@@ -571,11 +584,16 @@
         let job = self.jobs.get_mut(id)?;
         let active = job.active.remove(&index)?;
         let room = job.room();
-        if let Place::Given(_, m) | Place::On(m) = &active.place {
-            if let Some(m) = self.machines.get_mut(m) {
+        if let Place::Given(_, name) | Place::On(name) = &active.place {
+            if let Some(m) = self.machines.get_mut(name) {
                 if m.tasks.remove(&(id.to_string(), index)).is_some() {
                     m.used.sub(room);
                 }
+                if m.tasks.is_empty() {
+                    // Sums of decimals drift; an empty machine is empty.
+                    m.used = Room::default();
+                }
+                self.stale.insert(name.clone());
             }
         }
         if let Some(u) = self.team_used.get_mut(&job.spec.team) {
@@ -801,6 +819,7 @@
             self.groups.insert(group, LimboGroup { machines, tasks });
         }
         let token = self.token;
+        self.stale.extend(self.machines.keys().cloned());
         for (name, m) in self.machines.iter_mut() {
             let owner = part::owner(name, &self.members).unwrap_or(&self.me).to_string();
             if owner != m.owner || broken.contains(&owner) {
@@ -825,7 +844,8 @@
         let catalog = ToOwner::Catalog { types: self.types.values().cloned().collect() };
         for member in self.members.clone() {
             let continues = old_members.contains(&member) && !broken.contains(&member);
-            let machines = cards.iter().filter(|c| part::owner(&c.name, &self.members) == Some(member.as_str())).cloned().collect();
+            let mine = |c: &&MachineCard| self.machines.get(&c.name).is_some_and(|m| m.owner == member);
+            let machines = cards.iter().filter(mine).cloned().collect();
             self.send(
                 &member,
                 ToOwner::Regime { token, prev: if continues { prev } else { 0 }, members: self.members.clone(), extra_ms, machines },
@@ -837,7 +857,7 @@
         if !self.members.contains(&me) {
             self.send(&me, ToOwner::Regime { token, prev: 0, members: self.members.clone(), extra_ms, machines: Vec::new() });
         }
-        self.settle(now);
+        self.settle();
         self.wake = true;
     }
 
@@ -846,7 +866,12 @@
     /// Takes a message of an owner.
     pub fn on_owner(&mut self, from: &str, message: ToLeader, now: Secs) {
         match message {
-            ToLeader::Machine(v) => self.apply_view(from, v, now),
+            ToLeader::Machines(views) => {
+                for v in views {
+                    self.apply_view(from, v, now);
+                }
+                self.settle();
+            }
             ToLeader::HandBack { job, attempt, tasks } => {
                 for i in tasks.iter().flat_map(|(a, n)| *a..a.saturating_add(*n)) {
                     let given = self.jobs.get(&job).and_then(|j| j.active.get(&i));
@@ -897,15 +922,17 @@
         // Only a view of this very regime proves that nothing else was placed there meanwhile.
         if v.token == token {
             m.accounted = true;
-            m.unknown = false;
+            if std::mem::take(&mut m.unknown) {
+                self.unknown.remove(&v.name);
+            }
         }
+        self.stale.insert(v.name.clone());
         self.roster(&v.name);
         if let Some(usable) = self.machines.get(&v.name).map(|m| m.usable_told).filter(|u| *u != v.usable && v.token == token) {
             // The owner began anew after it was told.
             self.send(from, ToOwner::Use { machine: v.name.clone(), usable });
         }
         self.apply_tasks(&v, now);
-        self.settle(now);
         self.wake = true;
     }
 
@@ -1071,7 +1098,7 @@
     }
 
     /// Settles what waited for machines to be accounted for.
-    fn settle(&mut self, _now: Secs) {
+    fn settle(&mut self) {
         let mut ready = Vec::new();
         let machines = &self.machines;
         self.groups.retain(|id, g| {
@@ -1092,7 +1119,7 @@
         if !self.start_open || !self.regime_set {
             return;
         }
-        let unknown: BTreeSet<&String> = self.machines.iter().filter(|(_, m)| m.unknown).map(|(n, _)| n).collect();
+        let unknown = &self.unknown;
         let all = unknown.is_empty();
         let known = |j: &Job| match &j.suspects {
             Some(machines) => machines.iter().all(|m| !unknown.contains(m)),
@@ -1132,12 +1159,23 @@
         }
     }
 
-    /// The record that an array has begun is durable, or could not be written.
-    pub fn begin_result(&mut self, id: &str, written: bool) {
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.begun = if written { Begun::Yes } else { Begun::No };
-            self.wake = true;
+    /// Has the record moved on that arrays up to a revision may have begun.
+    pub(crate) fn ask_begin(&mut self, upto: u64) {
+        if upto > self.begun_asked {
+            self.begun_asked = upto;
+            self.deeds.push(Deed::Begin { upto });
+        }
+    }
+
+    /// The record that arrays up to a revision have begun is durable, or could not be written
+    /// (the next pass asks again).
+    pub fn begin_result(&mut self, upto: u64, written: bool) {
+        if written {
+            self.begun = self.begun.max(upto);
+        } else {
+            self.begun_asked = self.begun;
         }
+        self.wake = true;
     }
 
     /// Teams whose tasks may be on unknown machines though their jobs are over.
@@ -1161,6 +1199,7 @@
             return;
         }
         m.rostered = if written { Rostered::Yes } else { Rostered::No };
+        self.stale.insert(machine.into());
         if written {
             self.tell_usable(machine);
             self.wake = true;
@@ -1175,6 +1214,7 @@
         let usable = m.rostered == Rostered::Yes && !m.drain && !m.releasing;
         if usable != m.usable_told {
             m.usable_told = usable;
+            self.stale.insert(machine.into());
             let owner = m.owner.clone();
             self.send(&owner, ToOwner::Use { machine: machine.into(), usable });
         }
@@ -1189,8 +1229,10 @@
             self.gone(&id, i);
         }
         self.machines.remove(name);
+        self.stale.insert(name.into());
+        self.unknown.remove(name);
         self.deeds.push(Deed::Roster(name.into(), None));
-        self.settle(0.0);
+        self.settle();
         self.wake = true;
     }
 
@@ -1220,7 +1262,8 @@
             self.preempt(now);
         }
         self.run_fleet(now);
-        if now - self.flushed > self.setup.report_s.min(2.0) / 2.0 {
+        // What is not recorded yet is still in the workers' reports, should this leader be lost.
+        if now - self.flushed > self.setup.lease_s / 12.0 {
             self.flushed = now;
             self.flush();
         }
@@ -1245,7 +1288,8 @@
             }
         }
         // A roster write that failed is tried again: an idle machine brings no new view.
-        for name in self.machines.keys().cloned().collect::<Vec<_>>() {
+        let missing: Vec<String> = self.machines.iter().filter(|(_, m)| m.rostered == Rostered::No).map(|(n, _)| n.clone()).collect();
+        for name in missing {
             self.roster(&name);
         }
         let retry: Vec<String> =
@@ -1313,6 +1357,10 @@
     pub fn catalog(&mut self, types: Vec<MachineType>) {
         let same = self.types.len() == types.len();
         self.types = types.into_iter().map(|t| (t.name.clone(), t)).collect();
+        if !same {
+            self.index.clear();
+            self.stale.extend(self.machines.keys().cloned());
+        }
         if !same && self.regime_set {
             let message = ToOwner::Catalog { types: self.types.values().cloned().collect() };
             for m in self.members.clone() {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decisions of ladderroute, sans I/O: time, random numbers and events are arguments.
 
 pub mod fleet;
+pub mod index;
 pub mod leader;
 pub mod owner;
 pub mod part;
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -5,8 +5,9 @@
 //! the orders of every earlier owner, and later ones are ordered by (session, seq). So a
 //! report that was held up in the network is never taken for the present.
 
+use crate::index::{Index, Spot};
 use crate::part;
-use crate::place::{rank, slow_above_gb, Candidate, Room};
+use crate::place::Room;
 use crate::setup::Setup;
 use crate::Secs;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -37,6 +38,10 @@
 const LEASES_REMEMBERED: f64 = 20.0;
 /// Images remembered for each machine.
 const IMAGES: usize = 8;
+/// Most machines in one message to the leader, so that it stays small.
+const VIEWS_AT_ONCE: usize = 64;
+/// Parts of a report interval for which changes that reports bring are collected.
+const VIEWS_PER_REPORT: f64 = 20.0;
 
 struct Machine {
     kind: String,
@@ -81,6 +86,12 @@
     machines: BTreeMap<String, Machine>,
     holds: BTreeMap<u64, Hold>,
     out: Vec<ToLeader>,
+    /// Machines as placement looks at them, and those that changed since.
+    index: Index,
+    stale: BTreeSet<String>,
+    /// What has changed is to be shown to the leader now.
+    show: bool,
+    shown_at: Secs,
 }
 
 impl Owner {
@@ -97,6 +108,10 @@
             machines: BTreeMap::new(),
             holds: BTreeMap::new(),
             out: Vec::new(),
+            index: Index::default(),
+            stale: BTreeSet::new(),
+            show: false,
+            shown_at: f64::MIN,
         }
     }
 
@@ -133,13 +148,21 @@
         now < self.authority
     }
 
-    /// What is to be told to the leader.
+    /// What is to be told to the leader. What reports change is collected for a short while;
+    /// what the leader's own messages change is shown at once, before any later report.
     pub fn drain(&mut self) -> Vec<ToLeader> {
-        let token = self.token;
-        for (name, m) in self.machines.iter_mut().filter(|(_, m)| m.dirty) {
-            m.dirty = false;
-            if m.known || m.lapsed {
-                self.out.push(ToLeader::Machine(view(token, name, m)));
+        if std::mem::take(&mut self.show) {
+            let token = self.token;
+            let mut views = Vec::new();
+            for (name, m) in self.machines.iter_mut().filter(|(_, m)| m.dirty) {
+                m.dirty = false;
+                if m.known || m.lapsed {
+                    views.push(view(token, name, m));
+                }
+            }
+            while !views.is_empty() {
+                let rest = views.split_off(views.len().min(VIEWS_AT_ONCE));
+                self.out.push(ToLeader::Machines(std::mem::replace(&mut views, rest)));
             }
         }
         std::mem::take(&mut self.out)
@@ -147,6 +170,7 @@
 
     /// Takes a message of the leader (its grants are the caller's business).
     pub fn on_leader(&mut self, message: ToOwner, now: Secs, jobs: &dyn Jobs) {
+        self.show = true;
         match message {
             ToOwner::Regime { token, prev, members, extra_ms, machines } => {
                 if token < self.token {
@@ -159,6 +183,7 @@
                 if let Some(m) = self.machines.get_mut(&machine) {
                     m.usable = usable;
                     m.dirty = true;
+                    self.stale.insert(machine);
                 }
             }
             ToOwner::Give { job, attempt, needs, tasks } => self.give(job, attempt, &needs, &tasks, jobs),
@@ -169,7 +194,9 @@
             }
             ToOwner::Bind { attempt } => self.bind(attempt, now),
             ToOwner::Release { attempt } => {
-                self.holds.remove(&attempt);
+                if let Some(h) = self.holds.remove(&attempt) {
+                    self.stale.extend(h.places.into_iter().map(|(m, _, _)| m));
+                }
             }
             ToOwner::Stop { machine, task, grace_s } => {
                 if let Some(m) = self.machines.get_mut(&machine) {
@@ -188,6 +215,8 @@
 
     fn catalog(&mut self, types: &[MachineType]) {
         self.types = types.iter().map(|t| (t.name.clone(), t.clone())).collect();
+        self.index.clear();
+        self.stale.extend(self.machines.keys().cloned());
     }
 
     fn regime(&mut self, token: u64, prev: u64, members: Vec<String>, extra_ms: u64, cards: Vec<wire::peers::MachineCard>, now: Secs) {
@@ -214,6 +243,8 @@
         for m in self.machines.values_mut() {
             m.dirty = true;
         }
+        self.index.clear();
+        self.stale = self.machines.keys().cloned().collect();
     }
 
     /// Decides the answer to a report; `now` must be read just before.
@@ -227,10 +258,11 @@
             None => return Answer::NotNow,
         }
         let (token, born) = (self.token, self.regime_at + self.extra_s);
-        let m = self
-            .machines
-            .entry(report.machine.clone())
-            .or_insert_with(|| new_machine(report.kind.clone(), report.zone.clone(), report.spot, token, born));
+        if !self.machines.contains_key(&report.machine) {
+            let new = new_machine(report.kind.clone(), report.zone.clone(), report.spot, token, born);
+            self.machines.insert(report.machine.clone(), new);
+        }
+        let Some(m) = self.machines.get_mut(&report.machine) else { return Answer::NotNow };
         let order = (report.session, report.seq);
         if m.known && order <= (m.session, m.seq) || m.lapsed && m.known && report.session <= m.session {
             // A copy that was held up; nobody waits for its answer any more.
@@ -260,12 +292,26 @@
         m.tasks = tasks;
         m.notice_s = report.notice_s;
         let orders = orders(m);
+        if m.dirty {
+            self.stale.insert(report.machine.clone());
+        }
         Answer::Orders(Orders { token, orders })
     }
 
     /// Lets holds and leases run out.
     pub fn tick(&mut self, now: Secs) {
-        self.holds.retain(|_, h| now < h.until);
+        if now - self.shown_at >= self.setup.report_s / VIEWS_PER_REPORT {
+            self.shown_at = now;
+            self.show = true;
+        }
+        let stale = &mut self.stale;
+        self.holds.retain(|_, h| {
+            let keep = now < h.until;
+            if !keep {
+                stale.extend(h.places.iter().map(|(m, _, _)| m.clone()));
+            }
+            keep
+        });
         let over = self.setup.lease_certainly_over_s();
         // A closed machine that was not heard for many leases is forgotten; should it report
         // again, it is taken up as a new one.
@@ -281,67 +327,74 @@
                 m.clears.clear();
                 m.images.clear();
                 m.dirty = true;
+                self.stale.insert(name.clone());
             }
         }
     }
 
-    fn free(&self, name: &str, m: &Machine, jobs: &dyn Jobs) -> Room {
-        let Some(mut free) = self.types.get(&m.kind).map(Room::of_type) else {
-            return Room::default();
-        };
-        for t in m.tasks.values().filter(|t| t.state != TaskState::Exited) {
-            match jobs.room(&t.task.job) {
-                Some(r) => free.sub(r),
-                None => return Room::default(),
+    /// Brings the index up to what has changed since it was last looked at.
+    fn refresh_index(&mut self, jobs: &dyn Jobs) {
+        for name in std::mem::take(&mut self.stale) {
+            let open = |m: &&Machine| m.usable && m.known && !m.lapsed && m.notice_s.is_none();
+            let found = self.machines.get(&name).filter(open).and_then(|m| Some((m, self.types.get(&m.kind)?)));
+            let Some((m, t)) = found else {
+                self.index.remove(&name);
+                continue;
+            };
+            let mut images: Vec<String> = m.images.iter().cloned().collect();
+            for image in m.tasks.keys().filter_map(|t| jobs.image(&t.job)) {
+                if !images.contains(&image) {
+                    images.push(image);
+                }
+            }
+            let empty = m.pending.is_empty() && m.tasks.values().all(|t| t.state == TaskState::Exited);
+            let free = self.free(&name, m, jobs);
+            let spot = Spot { owner: String::new(), free: free.unwrap_or_default(), images, empty };
+            self.index.put(&name, t, &m.zone, m.spot, self.setup.guarantee_s, spot);
+            if free.is_none() {
+                // A job that is not known here yet: look again next time.
+                self.stale.insert(name);
             }
         }
+    }
+
+    /// What is left of a machine's room; none while what a task takes there is not known.
+    fn free(&self, name: &str, m: &Machine, jobs: &dyn Jobs) -> Option<Room> {
+        let mut free = self.types.get(&m.kind).map(Room::of_type)?;
+        for t in m.tasks.values().filter(|t| t.state != TaskState::Exited) {
+            free.sub(jobs.room(&t.task.job)?);
+        }
         m.pending.values().for_each(|r| free.sub(*r));
         for h in self.holds.values() {
             for (machine, _, n) in &h.places {
                 if machine == name {
-                    (0..*n).for_each(|_| free.sub(h.room));
+                    free.sub(h.room.scaled(*n));
                 }
             }
         }
-        free
+        Some(free)
     }
 
     fn give(&mut self, job: String, attempt: u64, needs: &Needs, runs: &[(u32, u32)], jobs: &dyn Jobs) {
         let room = Room::of(needs);
-        let mut spots: Vec<(String, Room, bool, bool, bool)> = self
-            .machines
-            .iter()
-            .filter(|(_, m)| m.usable && m.known && !m.lapsed && m.notice_s.is_none())
-            .filter_map(|(n, m)| {
-                let slow = needs.image_gb > slow_above_gb(self.types.get(&m.kind)?, self.setup.guarantee_s);
-                let idle = m.pending.is_empty() && m.tasks.values().all(|t| t.state == TaskState::Exited);
-                Some((n.clone(), self.free(n, m, jobs), has_image(m, &needs.image, jobs), slow, idle))
-            })
-            .collect();
-        let mut back = Vec::new();
-        for index in runs.iter().flat_map(|(a, n)| *a..a + n) {
-            let best = spots
-                .iter_mut()
-                .filter_map(|s| {
-                    let m = self.machines.get(&s.0)?;
-                    let c =
-                        Candidate { kind: &m.kind, zone: &m.zone, spot: m.spot, free: s.1, has_image: s.2, slow_fetch: s.3, empty: s.4 };
-                    Some((rank(needs, &c)?, s))
-                })
-                .min_by_key(|(rank, _)| *rank);
-            let Some((_, spot)) = best else {
-                back.push(index);
-                continue;
-            };
-            spot.1.sub(room);
-            spot.2 = true;
-            spot.4 = false;
-            if let Some(m) = self.machines.get_mut(&spot.0) {
+        self.refresh_index(jobs);
+        let mut indexes = runs.iter().flat_map(|(a, n)| *a..a.saturating_add(*n)).peekable();
+        for f in self.index.fits(needs) {
+            if indexes.peek().is_none() {
+                break;
+            }
+            let Some(m) = self.machines.get_mut(&*f.name) else { continue };
+            let mut n = 0;
+            for index in indexes.by_ref().take(f.times as usize) {
                 m.pending.insert(TaskRef { job: job.clone(), index, attempt }, room);
-                remember(m, &needs.image);
-                m.dirty = true;
+                n += 1;
             }
+            remember(m, &needs.image);
+            m.dirty = true;
+            self.index.take(&f.name, room, n, &needs.image);
+            self.stale.insert(f.name.to_string());
         }
+        let back: Vec<u32> = indexes.collect();
         if !back.is_empty() {
             self.out.push(ToLeader::HandBack { job, attempt, tasks: crate::ranges::runs(back) });
         }
@@ -353,10 +406,12 @@
             let Some(m) = self.machines.get(name) else {
                 return false;
             };
-            if !m.usable || !m.known || m.lapsed || m.notice_s.is_some() || self.free(name, m, jobs).times(room) < *n {
+            let fits = || self.free(name, m, jobs).is_some_and(|f| f.times(room) >= *n);
+            if !m.usable || !m.known || m.lapsed || m.notice_s.is_some() || !fits() {
                 return false;
             }
         }
+        self.stale.extend(places.iter().map(|(m, _, _)| m.clone()));
         self.holds.insert(attempt, Hold { job, room, image: needs.image.clone(), places, until });
         true
     }
@@ -366,6 +421,7 @@
             self.out.push(ToLeader::HoldAnswer { attempt, held: false });
             return;
         };
+        self.stale.extend(h.places.iter().map(|(m, _, _)| m.clone()));
         // A machine that was lost while it held room would never start the task, nor show it gone.
         let here = |name: &String| self.machines.get(name).is_some_and(|m| m.usable && !m.lapsed && m.notice_s.is_none());
         if now >= h.until || !h.places.iter().all(|(m, _, _)| here(m)) {
@@ -412,10 +468,6 @@
     m.images.truncate(IMAGES);
 }
 
-fn has_image(m: &Machine, image: &str, jobs: &dyn Jobs) -> bool {
-    m.images.iter().any(|i| i == image) || m.tasks.keys().any(|t| jobs.image(&t.job).as_deref() == Some(image))
-}
-
 fn view(token: u64, name: &str, m: &Machine) -> MachineView {
     MachineView {
         token,
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -36,6 +36,12 @@
         self.memory_gb -= o.memory_gb;
     }
 
+    /// The same for `n` tasks.
+    pub fn scaled(&self, n: u32) -> Room {
+        let n = f64::from(n);
+        Room { cpus: self.cpus * n, gpus: self.gpus * n, memory_gb: self.memory_gb * n }
+    }
+
     pub fn holds(&self, o: Room) -> bool {
         o.cpus <= self.cpus + SLACK && o.gpus <= self.gpus + SLACK && o.memory_gb <= self.memory_gb + SLACK
     }
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -4,11 +4,12 @@
 //! and work of lower priority. Those that began last lose least, so they go first, and no
 //! more than the guarantee lacks.
 
-use crate::leader::{Leader, Place};
+use crate::leader::{Job, Leader, Place};
 use crate::place::{tier, Room, SLACK};
 use crate::Secs;
 use std::collections::BTreeMap;
 use wire::peers::Needs;
+use wire::users::Priority;
 
 /// Part of the time allowed for a guaranteed start that is left to room freed by itself.
 const PATIENCE: f64 = 0.2;
@@ -22,127 +23,169 @@
 const MOST_LOST: f64 = 0.25;
 
 /// A task that may be stopped.
+#[derive(Clone)]
 struct Victim {
     job: String,
     index: u32,
     room: Room,
     lost_s: f64,
     team: String,
-    borrowed: bool,
+    priority: Priority,
+    within: bool,
+    /// Stopping it loses more than waiting for its end, unless its priority is lower.
+    costly: bool,
+}
+
+/// A machine with what may be stopped there, what loses least first.
+struct Field {
+    name: String,
+    kind: String,
+    zone: String,
+    spot: bool,
+    /// Its room once the tasks that were told to stop are gone.
+    free: Room,
+    victims: Vec<Victim>,
 }
 
 impl Leader {
-    /// Stops what the protocol allows for entries that the pass could not place.
+    /// Stops what the protocol allows for entries that the pass could not place. The look at
+    /// all tasks is made only when there is somebody who may have others stopped.
     pub(crate) fn preempt(&mut self, now: Secs) {
-        let patience = self.setup.guarantee_s * PATIENCE;
-        let unmet: Vec<(String, u32)> = self.fleet.unmet.clone();
-        let mut spare = self.spare_after_stops();
-        for (id, n) in unmet {
-            let Some(job) = self.jobs.get(&id) else { continue };
+        if now - self.preempted_at < self.setup.guarantee_s * PATIENCE / 2.0 {
+            return;
+        }
+        let due = |(id, n): &(String, u32)| {
+            let job = self.jobs.get(id)?;
             let waited = now - job.seen;
-            let in_time = waited >= patience && waited <= self.setup.guarantee_s;
+            let in_time = waited >= self.setup.guarantee_s * PATIENCE && waited <= self.setup.guarantee_s;
             let starved = waited > self.setup.guarantee_s * STARVED;
-            if !in_time && !starved || job.is_gang() && job.spec.tasks > 1 {
-                continue;
-            }
-            let (needs, room) = (self.needs(job, None), job.room());
+            let whole = !job.is_gang() || job.spec.tasks == 1;
+            ((in_time || starved) && whole && (job.within || self.lower(job.spec.priority))).then(|| (id.clone(), *n))
+        };
+        let due: Vec<(String, u32)> = self.fleet.unmet.iter().filter_map(due).collect();
+        let mut used = self.used_after_stops();
+        let over = |(team, used): (&String, &Room)| self.setup.teams.get(team).is_some_and(|t| used.cpus > t.cpus + SLACK);
+        if due.is_empty() || !used.iter().any(over) && !due.iter().any(|(id, _)| self.lower(self.jobs[id].spec.priority)) {
+            return;
+        }
+        self.preempted_at = now;
+        let mut fields = self.fields(now);
+        for (id, n) in due {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let needs = self.needs(job, None);
             for _ in 0..n {
-                if !self.make_room(&id, &needs, room, &mut spare, now) {
-                    break;
+                let Some(job) = self.jobs.get(&id) else { break };
+                let Some((at, victims)) = self.make_room(job, &needs, &mut fields, &mut used) else { break };
+                for v in victims {
+                    log::info!("event=preempt task={}/{} machine={} for={id}", v.job, v.index, fields[at].name);
+                    let grace =
+                        self.jobs.get(&v.job).map_or(0.0, |j| if j.spec.checkpoint_s > 0.0 { j.spec.save_s * 1.2 + 0.5 } else { 0.0 });
+                    self.stop_task(&v.job, v.index, grace);
                 }
             }
         }
     }
 
-    /// Room of each usable machine once the tasks that were told to stop are gone.
-    fn spare_after_stops(&self) -> BTreeMap<String, Room> {
-        let mut out = BTreeMap::new();
+    /// Whether work of a lower priority than this runs.
+    fn lower(&self, priority: Priority) -> bool {
+        self.jobs.values().any(|j| j.spec.priority > priority && !j.active.is_empty())
+    }
+
+    /// What each team uses once the tasks that were told to stop are gone.
+    fn used_after_stops(&self) -> BTreeMap<String, Room> {
+        let mut used = self.team_used.clone();
+        for j in self.jobs.values() {
+            let stopped = j.active.values().filter(|a| a.stop_sent).count() as u32;
+            if let Some(u) = used.get_mut(&j.spec.team) {
+                u.sub(j.room().scaled(stopped));
+            }
+        }
+        used
+    }
+
+    fn fields(&self, now: Secs) -> Vec<Field> {
+        let mut out = Vec::new();
         for (name, m) in self.machines.iter().filter(|(_, m)| m.open()) {
             let Some(mut free) = self.cap(&m.kind).map(|c| m.free(c)) else { continue };
+            let mut victims = Vec::new();
             for (id, i) in m.tasks.keys() {
-                if let Some(job) = self.jobs.get(id).filter(|j| j.active.get(i).is_some_and(|a| a.stop_sent)) {
+                let Some((job, a)) = self.jobs.get(id).and_then(|j| Some((j, j.active.get(i)?))) else { continue };
+                if a.stop_sent {
                     free.add(job.room());
+                } else if !job.over && matches!(a.place, Place::On(_)) && (!job.is_gang() || job.spec.tasks == 1) {
+                    let lost_s = if a.running { now - a.since } else { 0.0 };
+                    victims.push(Victim {
+                        job: id.clone(),
+                        index: *i,
+                        room: job.room(),
+                        lost_s,
+                        team: job.spec.team.clone(),
+                        priority: job.spec.priority,
+                        within: job.within,
+                        costly: job.spec.checkpoint_s <= 0.0 && lost_s > self.run_s(job) * MOST_LOST,
+                    });
                 }
             }
-            out.insert(name.clone(), free);
+            victims.sort_by(|a, b| a.lost_s.total_cmp(&b.lost_s));
+            out.push(Field { name: name.clone(), kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot, free, victims });
         }
         out
     }
 
-    /// Makes room for one task on the machine where that costs least; false if it can't be.
-    fn make_room(&mut self, id: &str, needs: &Needs, room: Room, spare: &mut BTreeMap<String, Room>, now: Secs) -> bool {
-        let allowed = |name: &String| self.machines.get(name).is_some_and(|m| tier(needs, &m.kind, &m.zone, m.spot).is_some());
-        if let Some(free) = spare.iter_mut().find(|(n, f)| allowed(n) && f.holds(room)).map(|(_, f)| f) {
-            // Room that earlier stops will free is enough.
-            free.sub(room);
-            return true;
+    /// Finds room for one task where that costs least: the machine and what is to be stopped
+    /// there (nothing if earlier stops will free enough). None if it can't be had.
+    fn make_room(&self, job: &Job, needs: &Needs, fields: &mut [Field], used: &mut BTreeMap<String, Room>) -> Option<(usize, Vec<Victim>)> {
+        let room = job.room();
+        let allowed = |f: &Field| tier(needs, &f.kind, &f.zone, f.spot).is_some();
+        if let Some((at, f)) = fields.iter_mut().enumerate().find(|(_, f)| f.free.holds(room) && allowed(f)) {
+            f.free.sub(room);
+            return Some((at, Vec::new()));
         }
-        let mut best: Option<(f64, String, Vec<Victim>)> = None;
-        for (name, free) in spare.iter().filter(|(n, _)| allowed(n)) {
-            let (mut have, mut lost, mut chosen) = (*free, 0.0, Vec::new());
-            for v in self.victims(id, name, now) {
+        let may = |v: &&Victim| {
+            let lower = v.priority > job.spec.priority;
+            lower || job.within && !v.within && v.team != job.spec.team && !v.costly
+        };
+        let mut best: Option<(f64, usize, Vec<usize>)> = None;
+        for (at, f) in fields.iter().enumerate().filter(|(_, f)| !f.victims.is_empty() && allowed(f)) {
+            let (mut have, mut lost, mut chosen) = (f.free, 0.0, Vec::new());
+            for (i, v) in f.victims.iter().enumerate().filter(|(_, v)| may(v)) {
+                have.add(v.room);
+                lost += v.lost_s * v.room.cpus;
+                chosen.push(i);
                 if have.holds(room) {
                     break;
                 }
-                have.add(v.room);
-                lost += v.lost_s * v.room.cpus;
-                chosen.push(v);
             }
-            if have.holds(room) && best.as_ref().is_none_or(|(l, _, _)| lost < *l) && self.within_borrowed(&chosen) {
-                best = Some((lost, name.clone(), chosen));
+            let better = have.holds(room) && best.as_ref().is_none_or(|(l, _, _)| lost < *l);
+            if better && self.within_borrowed(job, chosen.iter().map(|i| &f.victims[*i]), used) {
+                best = Some((lost, at, chosen));
             }
         }
-        let Some((_, machine, victims)) = best else { return false };
-        for v in victims {
-            log::info!("event=preempt task={}/{} machine={machine} for={id}", v.job, v.index);
-            if let Some(free) = spare.get_mut(&machine) {
-                free.add(v.room);
+        let (_, at, chosen) = best?;
+        let f = &mut fields[at];
+        let mut out = Vec::new();
+        for i in chosen.into_iter().rev() {
+            let v = f.victims.remove(i);
+            f.free.add(v.room);
+            if let Some(u) = used.get_mut(&v.team) {
+                u.sub(v.room);
             }
-            let grace = self.jobs.get(&v.job).map_or(0.0, |j| if j.spec.checkpoint_s > 0.0 { j.spec.save_s * 1.2 + 0.5 } else { 0.0 });
-            self.stop_task(&v.job, v.index, grace);
-        }
-        if let Some(free) = spare.get_mut(&machine) {
-            free.sub(room);
+            out.push(v);
         }
-        true
-    }
-
-    /// Tasks on a machine that may be stopped for a job, those that lose least first.
-    fn victims(&self, id: &str, machine: &str, now: Secs) -> Vec<Victim> {
-        let (Some(job), Some(m)) = (self.jobs.get(id), self.machines.get(machine)) else { return Vec::new() };
-        let mut out: Vec<Victim> = m
-            .tasks
-            .keys()
-            .filter_map(|(other, index)| {
-                let o = self.jobs.get(other)?;
-                let a = o.active.get(index).filter(|a| !a.stop_sent && matches!(a.place, Place::On(_)))?;
-                let borrowed = job.within && !o.within && o.spec.team != job.spec.team;
-                if o.over || o.is_gang() && o.spec.tasks > 1 || !(borrowed || o.spec.priority > job.spec.priority) {
-                    return None;
-                }
-                let lost_s = if a.running { now - a.since } else { 0.0 };
-                if o.spec.priority <= job.spec.priority && o.spec.checkpoint_s <= 0.0 && lost_s > self.run_s(o) * MOST_LOST {
-                    return None;
-                }
-                Some(Victim { job: other.clone(), index: *index, room: o.room(), lost_s, team: o.spec.team.clone(), borrowed })
-            })
-            .collect();
-        out.sort_by(|a, b| a.lost_s.total_cmp(&b.lost_s));
-        out
+        f.free.sub(room);
+        Some((at, out))
     }
 
     /// Whether stopping these leaves every team what its guarantee gives it.
-    fn within_borrowed(&self, victims: &[Victim]) -> bool {
-        let mut used = self.team_used.clone();
-        for j in self.jobs.values() {
-            for _ in j.active.values().filter(|a| a.stop_sent) {
-                used.entry(j.spec.team.clone()).or_default().sub(j.room());
-            }
+    fn within_borrowed<'a>(&self, job: &Job, victims: impl Iterator<Item = &'a Victim>, used: &BTreeMap<String, Room>) -> bool {
+        let mut taken: BTreeMap<&str, Room> = BTreeMap::new();
+        for v in victims.filter(|v| v.priority <= job.spec.priority) {
+            taken.entry(&v.team).or_default().add(v.room);
         }
-        victims.iter().filter(|v| v.borrowed).all(|v| {
-            let Some(team) = self.setup.teams.get(&v.team) else { return false };
-            let u = used.entry(v.team.clone()).or_default();
-            u.sub(v.room);
+        taken.into_iter().all(|(name, room)| {
+            let Some(team) = self.setup.teams.get(name) else { return false };
+            let mut u = used.get(name).copied().unwrap_or_default();
+            u.sub(room);
             u.cpus >= team.cpus - SLACK && u.gpus >= team.gpus.min(u.gpus) - SLACK
         })
     }
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -4,97 +4,83 @@
 //! revision), id. A gang is one entry. An entry that backs off or does not fit is passed over
 //! and does not block those behind it.
 
-use crate::leader::{Active, Begun, Deed, Job, Leader, Machine, Phase, Place};
-use crate::place::{rank, slow_above_gb, tier, Candidate, Room, SLACK};
+use crate::index::{Found, Spot};
+use crate::leader::{Active, Deed, Job, Leader, Machine, Phase, Place};
+use crate::place::{Room, SLACK};
 use crate::ranges::runs;
-use crate::setup::Team;
 use crate::Secs;
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use wire::cloud::MachineType;
 use wire::peers::{Allowed, Needs, ToOwner};
 
-/// Most array tasks given out in one pass; the rest follows in the next.
-const TASKS_AT_ONCE: u32 = 400;
-
-/// A machine as the pass sees it.
-struct Spot {
-    kind: String,
-    zone: String,
-    spot: bool,
-    owner: String,
-    free: Room,
-    images: Vec<String>,
-    empty: bool,
-    /// Images above this size take long to fetch.
-    slow_above_gb: f64,
-}
-
-type Spots = BTreeMap<String, Spot>;
-
-fn candidate<'a>(s: &'a Spot, needs: &Needs) -> Candidate<'a> {
-    Candidate {
-        kind: &s.kind,
-        zone: &s.zone,
-        spot: s.spot,
-        free: s.free,
-        has_image: s.images.contains(&needs.image),
-        slow_fetch: needs.image_gb > s.slow_above_gb,
-        empty: s.empty,
-    }
-}
-
-fn best(spots: &Spots, needs: &Needs) -> Option<String> {
-    spots.iter().filter_map(|(n, s)| Some((rank(needs, &candidate(s, needs))?, n))).min().map(|(_, n)| n.clone())
+/// What one pass keeps for itself.
+struct Pass {
+    /// What each team may still use beside what is and may be in use.
+    limits: BTreeMap<String, Room>,
+    /// A gang that has waited long, and the machines set aside for it.
+    aside: Option<(String, Needs)>,
 }
 
 impl Leader {
     pub(crate) fn schedule(&mut self, now: Secs) {
+        self.refresh_index();
         self.mark_within();
         let scarce = self.scarce();
-        let mut spots = self.spots();
+        let mut pass = Pass { limits: self.limits(), aside: self.set_aside(&scarce, now) };
         let mut order: Vec<_> = self
             .jobs
             .iter()
-            .filter(|(_, j)| !j.ready.is_empty() && !j.uncertain && !j.over)
+            .filter(|(_, j)| !j.ready.is_empty() && !j.uncertain && !j.over && now >= j.backoff_until)
             .map(|(id, j)| (!j.within, j.spec.priority, j.revision, id.clone()))
             .collect();
-        order.sort();
+        order.sort_unstable();
         // Machines kept for gangs take array tasks, last of all, while no gang waits for room.
         let gang_waits = self.fleet.unmet.iter().any(|(id, _)| self.jobs.get(id).is_some_and(|j| j.is_gang()));
         self.fleet.unmet.clear();
-        let mut left = TASKS_AT_ONCE;
         for (_, _, _, id) in order {
             let Some(job) = self.jobs.get(&id) else { continue };
-            if now < job.backoff_until {
-                continue;
-            }
-            let quota = self.quota(job);
+            let quota = pass.quota(job);
             if quota == 0 {
                 continue;
             }
-            let all = self.needs(job, None);
             let mut needs = self.needs_sparing(job, &scarce);
             if !job.is_gang() && !gang_waits {
+                let all = self.needs(job, None);
                 let last = all.kinds.into_iter().filter(|a| !needs.kinds.iter().any(|n| n.kind == a.kind && n.spot == a.spot));
                 needs.kinds.extend(last.map(|a| Allowed { tier: 2, ..a }).collect::<Vec<_>>());
             }
             if job.is_gang() {
-                self.place_gang(&id, &needs, quota, &mut spots, now);
+                self.place_gang(&id, &needs, quota, &mut pass, now);
             } else {
-                self.place_array(&id, &needs, quota, &mut spots, &mut left, now);
+                self.place_array(&id, &needs, quota, &mut pass, now);
             }
         }
     }
 
+    /// The gang of several tasks that has waited longest, if too long, and where machines are left
+    /// to it: all that it may use of one zone. Without this, smaller gangs and arrays take each
+    /// machine that becomes free, for ever.
+    fn set_aside(&self, scarce: &BTreeSet<(String, bool)>, now: Secs) -> Option<(String, Needs)> {
+        let waits = |job: &Job| {
+            let whole = job.is_gang() && job.spec.tasks > 1 && job.phase == Phase::Idle && !job.over && !job.ready.is_empty();
+            whole && self.waits_long(&job.spec.id, now)
+        };
+        let unmet = self.fleet.unmet.iter().filter_map(|(id, _)| Some((self.jobs.get(id)?, id)));
+        let (_, id) = unmet.filter(|(job, _)| waits(job)).min_by_key(|(job, _)| job.revision)?;
+        let needs = self.needs_sparing(self.jobs.get(id)?, scarce);
+        let zone = needs.zone.clone().or_else(|| self.fleet.gang_zone(id).cloned());
+        Some((id.clone(), Needs { zone, ..needs }))
+    }
+
     /// Marks the jobs that fit into their team's guarantee together with its earlier ones.
     fn mark_within(&mut self) {
-        let mut order: Vec<(u64, String)> = self.jobs.iter().filter(|(_, j)| !j.over).map(|(id, j)| (j.revision, id.clone())).collect();
-        order.sort();
-        let mut sums: BTreeMap<String, (f64, f64)> = BTreeMap::new();
-        for (_, id) in order {
-            let Some(job) = self.jobs.get_mut(&id) else { continue };
-            let Some(team) = self.setup.teams.get(&job.spec.team) else { continue };
+        let mut sums: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+        for (_, id) in &self.by_age {
+            let Some(job) = self.jobs.get_mut(id).filter(|j| !j.over) else { continue };
+            let Some((name, team)) = self.setup.teams.get_key_value(&job.spec.team) else { continue };
             let n = f64::from(job.spec.tasks - job.done.len().min(job.spec.tasks));
-            let sum = sums.entry(job.spec.team.clone()).or_default();
+            let sum = sums.entry(name).or_default();
             let cap = |n: f64, each: f64, most: f64| if each > 0.0 { n.min((most / each).floor()) * each } else { 0.0 };
             sum.0 += cap(n, job.spec.cpus, team.cpus_max);
             sum.1 += cap(n, job.spec.gpus, team.gpus_max);
@@ -104,7 +90,7 @@
 
     /// What machines of unknown content may take from a team's limit: all they have, but no
     /// more than the team's jobs that may be there could use.
-    fn unknown_room(&self, team: &str) -> Room {
+    pub(crate) fn unknown_room(&self, team: &str) -> Room {
         let sum = |out: &mut Room, m: &Machine| out.add(self.cap(&m.kind).unwrap_or_default());
         let (mut foreign, mut unknown) = (Room::default(), Room::default());
         self.machines.values().filter(|m| m.foreign && !m.unknown).for_each(|m| sum(&mut foreign, m));
@@ -123,25 +109,25 @@
         foreign
     }
 
-    /// How many more tasks of a job its team's limit allows (all or nothing for a gang).
-    fn quota(&self, job: &Job) -> u32 {
-        let Some(Team { cpus_max, gpus_max, .. }) = self.setup.teams.get(&job.spec.team) else {
-            return 0;
-        };
-        let mut free = Room { cpus: *cpus_max, gpus: *gpus_max, memory_gb: f64::MAX };
-        free.sub(Room { memory_gb: 0.0, ..self.unknown_room(&job.spec.team) });
-        free.sub(Room { memory_gb: 0.0, ..self.team_used.get(&job.spec.team).copied().unwrap_or_default() });
-        for j in self.jobs.values().filter(|j| j.spec.team == job.spec.team) {
-            if let Phase::Holding { .. } | Phase::Binding { .. } = j.phase {
-                (0..j.spec.tasks).for_each(|_| free.sub(Room { memory_gb: 0.0, ..j.room() }));
+    /// What each team may still use, beside what its tasks use, hold, or may use unseen.
+    fn limits(&self) -> BTreeMap<String, Room> {
+        let unseen = self.machines.values().any(|m| m.unknown || m.foreign);
+        let mut out: BTreeMap<String, Room> = BTreeMap::new();
+        for (name, t) in &self.setup.teams {
+            let mut free = Room { cpus: t.cpus_max, gpus: t.gpus_max, memory_gb: f64::MAX };
+            let charge = |free: &mut Room, r: Room| free.sub(Room { memory_gb: 0.0, ..r });
+            if unseen {
+                charge(&mut free, self.unknown_room(name));
             }
+            charge(&mut free, self.team_used.get(name).copied().unwrap_or_default());
+            out.insert(name.clone(), free);
         }
-        let n = free.times(Room { memory_gb: 0.0, ..job.room() }).min(job.ready.len());
-        if job.is_gang() && n < job.spec.tasks {
-            0
-        } else {
-            n
+        for j in self.jobs.values().filter(|j| matches!(j.phase, Phase::Holding { .. } | Phase::Binding { .. })) {
+            if let Some(free) = out.get_mut(&j.spec.team) {
+                free.sub(Room { memory_gb: 0.0, ..j.room().scaled(j.spec.tasks) });
+            }
         }
+        out
     }
 
     /// Machine types that are the only ones on which some class's tasks fit: kept for those.
@@ -189,28 +175,26 @@
         needs
     }
 
-    fn spots(&self) -> Spots {
-        self.machines
-            .iter()
-            .filter(|(_, m)| m.open())
-            .filter_map(|(n, m)| {
-                let t = self.types.get(&m.kind)?;
-                let free = m.free(Room::of_type(t));
-                Some((
-                    n.clone(),
-                    Spot {
-                        kind: m.kind.clone(),
-                        zone: m.zone.clone(),
-                        spot: m.spot,
-                        owner: m.owner.clone(),
-                        free,
-                        images: m.images.clone(),
-                        empty: m.tasks.is_empty(),
-                        slow_above_gb: slow_above_gb(t, self.setup.guarantee_s),
-                    },
-                ))
-            })
-            .collect()
+    /// Brings the index up to what has changed since the last pass.
+    fn refresh_index(&mut self) {
+        for name in std::mem::take(&mut self.stale) {
+            let found = self.machines.get(&name).filter(|m| m.open()).and_then(|m| Some((m, self.types.get(&m.kind)?)));
+            match found {
+                Some((m, t)) => self.index.put(&name, t, &m.zone, m.spot, self.setup.guarantee_s, spot_of(m, t)),
+                None => self.index.remove(&name),
+            }
+        }
+    }
+
+    /// Whether the index is what a plain rebuild from the picture gives; for tests.
+    pub fn index_agrees(&mut self) -> bool {
+        self.refresh_index();
+        let one = |(n, m): (&String, &Machine)| {
+            let t = self.types.get(&m.kind)?;
+            Some((n.clone(), (m.kind.clone(), m.zone.clone(), m.spot, spot_of(m, t))))
+        };
+        let plain: BTreeMap<_, _> = self.machines.iter().filter(|(_, m)| m.open()).filter_map(one).collect();
+        plain == self.index.contents()
     }
 
     /// Tasks of a job by zone, leftovers included; none while the place of one is not known.
@@ -225,80 +209,70 @@
         Some(out)
     }
 
-    /// Where an array's next task may go, zone by zone, when zones matter to its job.
-    fn zone_limits(&self, job: &Job, spots: &Spots) -> Option<BTreeMap<String, u32>> {
+    /// How many more tasks of an array each zone may take, when zones matter to its job.
+    fn zone_limits(&self, job: &Job, found: &[Found]) -> Option<BTreeMap<Rc<str>, u32>> {
         let used = self.zones_in_use(job)?;
         let half = job.spec.tasks.div_ceil(2);
-        let zones: BTreeSet<&String> = spots.values().map(|s| &s.zone).collect();
-        let one = job.spec.one_zone.then(|| used.keys().next().cloned().or_else(|| self.roomiest_zone(job, spots))).flatten();
-        Some(
-            zones
-                .into_iter()
-                .filter(|z| !job.spec.one_zone || one.as_ref() == Some(*z))
-                .map(|z| (z.clone(), if job.spec.spread { half.saturating_sub(used.get(z).copied().unwrap_or(0)) } else { u32::MAX }))
-                .collect(),
-        )
-    }
-
-    fn roomiest_zone(&self, job: &Job, spots: &Spots) -> Option<String> {
-        let needs = self.needs(job, None);
-        let mut room: BTreeMap<&String, u32> = BTreeMap::new();
-        for s in spots.values().filter(|s| tier(&needs, &s.kind, &s.zone, s.spot).is_some()) {
-            *room.entry(&s.zone).or_default() += s.free.times(job.room());
-        }
-        room.into_iter().filter(|(_, n)| *n > 0).max_by_key(|(_, n)| *n).map(|(z, _)| z.clone())
+        let one: Option<Rc<str>> = match used.keys().next() {
+            _ if !job.spec.one_zone => None,
+            Some(zone) => Some(zone.as_str().into()),
+            None => {
+                let mut room: BTreeMap<&Rc<str>, u32> = BTreeMap::new();
+                found.iter().for_each(|f| *room.entry(&f.zone).or_default() += f.times);
+                room.into_iter().max_by_key(|(_, n)| *n).map(|(z, _)| z.clone())
+            }
+        };
+        let limit = |z: &str| if job.spec.spread { half.saturating_sub(used.get(z).copied().unwrap_or(0)) } else { u32::MAX };
+        let zones: BTreeSet<&Rc<str>> = found.iter().map(|f| &f.zone).collect();
+        let zones = zones.into_iter().filter(|z| !job.spec.one_zone || one.as_ref() == Some(z));
+        Some(zones.map(|z| (z.clone(), limit(z))).collect())
     }
 
-    fn place_array(&mut self, id: &str, needs: &Needs, quota: u32, spots: &mut Spots, left: &mut u32, now: Secs) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        // Recorded once before its first start, so that a later leader knows which jobs an
-        // earlier one has never touched and need not wait for every machine with them.
-        if job.begun != Begun::Yes {
-            if job.begun == Begun::No {
-                job.begun = Begun::Writing;
-                self.deeds.push(Deed::Begin { job: id.into() });
-            }
+    fn place_array(&mut self, id: &str, needs: &Needs, quota: u32, pass: &mut Pass, now: Secs) {
+        let Some(job) = self.jobs.get(id) else { return };
+        // Recorded before its first start, so that a later leader knows which jobs an earlier
+        // one has never touched and need not wait for every machine with them.
+        if job.revision > self.begun {
+            self.ask_begin(job.revision);
             return;
         }
+        let found = self.index.fits_beside(needs, pass.aside_for(id));
         let Some(job) = self.jobs.get(id) else { return };
         let zoned = job.spec.one_zone || job.spec.spread;
-        let mut limits = if zoned { self.zone_limits(job, spots) } else { Some(BTreeMap::new()) };
+        let mut limits = if zoned { self.zone_limits(job, &found) } else { Some(BTreeMap::new()) };
         let Some(limits) = limits.as_mut() else { return };
-        let room = job.room();
-        let indexes: Vec<u32> = job.ready.iter().take(quota.min(*left) as usize).collect();
-        let mut given: BTreeMap<(String, Option<String>), Vec<u32>> = BTreeMap::new();
+        let (room, team) = (job.room(), job.spec.team.clone());
+        let mut indexes = job.ready.iter().take(quota as usize).collect::<Vec<u32>>().into_iter();
+        let mut given: BTreeMap<(String, Option<Rc<str>>), Vec<u32>> = BTreeMap::new();
         let attempt = self.next_attempt();
         let mut placed = 0;
-        for index in indexes {
-            let machine = if zoned {
-                limits.iter().filter(|(_, n)| **n > 0).find_map(|(z, _)| best(spots, &Needs { zone: Some(z.clone()), ..needs.clone() }))
-            } else {
-                best(spots, needs)
-            };
-            let Some(machine) = machine else { break };
-            let Some(s) = spots.get_mut(&machine) else { break };
-            s.free.sub(room);
-            s.empty = false;
-            if !s.images.contains(&needs.image) {
-                s.images.push(needs.image.clone());
-            }
-            if zoned {
-                if let Some(n) = limits.get_mut(&s.zone) {
-                    *n = n.saturating_sub(1);
+        for f in found {
+            let most = if zoned { limits.get(&f.zone).copied().unwrap_or(0) } else { u32::MAX };
+            let mine: Vec<u32> = indexes.by_ref().take(f.times.min(most) as usize).collect();
+            if mine.is_empty() {
+                if indexes.len() == 0 {
+                    break;
                 }
+                continue;
             }
-            let zone = zoned.then(|| s.zone.clone());
-            let owner = s.owner.clone();
-            given.entry((owner.clone(), zone)).or_default().push(index);
-            self.see_image(&machine, &needs.image);
-            self.give_active(id, index, attempt, owner, machine, now);
-            placed += 1;
+            let n = mine.len() as u32;
+            if let Some(left) = limits.get_mut(&f.zone) {
+                *left = left.saturating_sub(n);
+            }
+            let Some(owner) = self.index.get(&f.name).map(|s| s.owner.clone()) else { continue };
+            self.index.take(&f.name, room, n, &needs.image);
+            self.see_image(&f.name, &needs.image);
+            for index in &mine {
+                self.give_active(id, *index, attempt, owner.clone(), f.name.to_string(), now);
+            }
+            given.entry((owner, zoned.then(|| f.zone.clone()))).or_default().extend(mine);
+            placed += n;
         }
-        *left -= placed;
+        pass.charge(&team, room, placed);
         for ((owner, zone), indexes) in given {
             let mut needs = needs.clone();
-            if zone.is_some() {
-                needs.zone = zone;
+            if let Some(zone) = zone {
+                needs.zone = Some(zone.to_string());
             }
             self.deeds.push(Deed::Send(owner, ToOwner::Give { job: id.into(), attempt, needs, tasks: runs(indexes) }));
         }
@@ -313,6 +287,7 @@
             m.images.insert(0, image.to_string());
             m.images.truncate(8);
         }
+        self.stale.insert(machine.into());
     }
 
     fn give_active(&mut self, id: &str, index: u32, attempt: u64, owner: String, machine: String, now: Secs) {
@@ -320,7 +295,7 @@
     }
 
     /// Finds room for a whole gang in the picture; only then are the owners asked to hold it.
-    fn place_gang(&mut self, id: &str, needs: &Needs, quota: u32, spots: &mut Spots, now: Secs) {
+    fn place_gang(&mut self, id: &str, needs: &Needs, quota: u32, pass: &mut Pass, now: Secs) {
         let Some(job) = self.jobs.get(id) else { return };
         let here = job.ready.len() + job.active.len() as u32;
         // The count check: a group with fewer tasks than its minimum is turned away.
@@ -329,33 +304,33 @@
         }
         let n = job.spec.tasks;
         let zones: Vec<Option<String>> = match (&needs.zone, job.spec.one_zone) {
-            (None, true) => spots.values().map(|s| s.zone.clone()).collect::<BTreeSet<_>>().into_iter().map(Some).collect(),
+            (None, true) => self.index.zones().iter().map(|z| Some(z.to_string())).collect(),
             (zone, _) => vec![zone.clone()],
         };
         let most_in_zone = if job.spec.spread { n.div_ceil(2) } else { n };
-        let found = zones.into_iter().find_map(|zone| fit(spots, &Needs { zone, ..needs.clone() }, n, most_in_zone));
+        let found = zones.into_iter().find_map(|zone| {
+            let needs = Needs { zone, ..needs.clone() };
+            fit(self.index.fits_beside(&needs, pass.aside_for(id)), n, most_in_zone)
+        });
         let Some(counts) = found else {
             self.fleet.unmet.push((id.into(), n));
             return;
         };
         let room = job.room();
+        pass.charge(&job.spec.team, room, n);
         let attempt = self.next_attempt();
         let mut places = Vec::new();
         let mut by_owner: BTreeMap<String, Vec<(String, u32, u32)>> = BTreeMap::new();
         let mut first = 0;
         for (machine, count) in counts {
-            let Some(s) = spots.get_mut(&machine) else { continue };
-            let mut sum = Room::default();
-            (0..count).for_each(|_| sum.add(room));
-            s.free.sub(sum);
-            s.empty = false;
+            let Some(owner) = self.index.get(&machine).map(|s| s.owner.clone()) else { continue };
+            self.index.take(&machine, room, count, &needs.image);
             if let Some(m) = self.machines.get_mut(&machine) {
-                m.held.insert(attempt, sum);
+                m.held.insert(attempt, room.scaled(count));
             }
             self.see_image(&machine, &needs.image);
-            let Some(s) = spots.get(&machine) else { continue };
             places.push((machine.clone(), first, count));
-            by_owner.entry(s.owner.clone()).or_default().push((machine, first, count));
+            by_owner.entry(owner).or_default().push((machine, first, count));
             first += count;
         }
         // Jitter, so that gangs held in one burst don't lapse in step.
@@ -422,6 +397,7 @@
         for (machine, first, n) in &places {
             let Some(m) = self.machines.get_mut(machine) else { continue };
             m.held.remove(&attempt);
+            self.stale.insert(machine.clone());
             let owner = m.owner.clone();
             owners.insert(owner.clone());
             for i in *first..first + n {
@@ -455,6 +431,7 @@
         for (machine, _, _) in places {
             if let Some(m) = self.machines.get_mut(machine) {
                 m.held.remove(attempt);
+                self.stale.insert(machine.clone());
                 owners.insert(m.owner.clone());
             }
         }
@@ -465,21 +442,45 @@
     }
 }
 
+impl Pass {
+    /// How many more tasks of a job its team's limit allows (all or nothing for a gang).
+    fn quota(&self, job: &Job) -> u32 {
+        let Some(free) = self.limits.get(&job.spec.team) else { return 0 };
+        let n = free.times(Room { memory_gb: 0.0, ..job.room() }).min(job.ready.len());
+        if job.is_gang() && n < job.spec.tasks {
+            0
+        } else {
+            n
+        }
+    }
+
+    /// What is set aside for another job than this.
+    fn aside_for(&self, id: &str) -> Option<&Needs> {
+        self.aside.as_ref().filter(|(job, _)| job != id).map(|(_, needs)| needs)
+    }
+
+    fn charge(&mut self, team: &str, room: Room, n: u32) {
+        if let Some(free) = self.limits.get_mut(team) {
+            free.sub(Room { memory_gb: 0.0, ..room.scaled(n) });
+        }
+    }
+}
+
+fn spot_of(m: &Machine, t: &MachineType) -> Spot {
+    Spot { owner: m.owner.clone(), free: m.free(Room::of_type(t)), images: m.images.clone(), empty: m.tasks.is_empty() }
+}
+
 /// Machines for `n` tasks, at most `most_in_zone` in one zone; none if they don't all fit.
-fn fit(spots: &Spots, needs: &Needs, n: u32, most_in_zone: u32) -> Option<Vec<(String, u32)>> {
-    let room = Room::of(needs);
-    let mut fits: Vec<_> =
-        spots.iter().filter_map(|(name, s)| Some((rank(needs, &candidate(s, needs))?, name, s.free.times(room), &s.zone))).collect();
-    fits.sort();
-    let mut in_zone: BTreeMap<&String, u32> = BTreeMap::new();
+fn fit(found: Vec<Found>, n: u32, most_in_zone: u32) -> Option<Vec<(String, u32)>> {
+    let mut in_zone: BTreeMap<Rc<str>, u32> = BTreeMap::new();
     let (mut left, mut out) = (n, Vec::new());
-    for (_, name, times, zone) in fits {
-        let used = in_zone.entry(zone).or_default();
-        let take = times.min(left).min(most_in_zone - *used);
+    for f in found {
+        let used = in_zone.entry(f.zone).or_default();
+        let take = f.times.min(left).min(most_in_zone - *used);
         if take > 0 {
             *used += take;
             left -= take;
-            out.push((name.clone(), take));
+            out.push((f.name.to_string(), take));
         }
     }
     (left == 0).then_some(out)
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use wire::cbor;
-use wire::store::{Changes, Item, LeaseAsk, LeaseId, Page, Revision, Txn, Value};
+use wire::store::{Changes, Conflict, Item, LeaseAsk, LeaseId, Page, Revision, Txn, Value};
 
 /// Why a request to the store did not give what was asked.
 #[derive(Debug, thiserror::Error, PartialEq)]
@@ -27,7 +27,8 @@
 #[derive(Debug, PartialEq)]
 pub enum Decided {
     Applied(u64),
-    Conflict(u64),
+    /// The keys whose versions were not as the conditions say.
+    Conflict(Vec<String>),
 }
 
 /// A client of the state service with this controller's budget.
@@ -117,7 +118,7 @@
         }
         match self.ask("POST", "/txn", &cbor::encode(txn)).await? {
             (200, body) => Ok(Decided::Applied(Self::read::<Revision>(&body)?.revision)),
-            (409, body) => Ok(Decided::Conflict(Self::read::<Revision>(&body)?.revision)),
+            (409, body) => Ok(Decided::Conflict(Self::read::<Conflict>(&body)?.failed)),
             (400, body) => {
                 let text = cbor::decode::<Value>(&body).map(|v| format!("{v:?}")).unwrap_or_default();
                 if text.contains("no such lease") {
--- a/crates/store/src/keys.rs
+++ b/crates/store/src/keys.rs
@@ -8,25 +8,23 @@
 pub const PROGRESS: &str = "lr/progress/";
 pub const ROSTER: &str = "lr/roster/";
 pub const BINDING: &str = "lr/binding/";
-pub const BEGUN: &str = "lr/begun/";
+/// Up to which revision arrays may have begun.
+pub const BEGUN: &str = "lr/begun";
 
 pub fn job(id: &str) -> String {
     format!("{JOBS}{id}")
 }
 
-/// Progress is kept in chunks, so that no value exceeds the store's limit.
-pub fn progress(id: &str, chunk: u32) -> String {
-    format!("{PROGRESS}{id}/{chunk}")
+/// Progress of many jobs, by page.
+pub fn progress(page: u32) -> String {
+    format!("{PROGRESS}{page}")
 }
 
-pub fn roster(machine: &str) -> String {
-    format!("{ROSTER}{machine}")
+/// Rostered machines, by page.
+pub fn roster(page: u32) -> String {
+    format!("{ROSTER}{page}")
 }
 
 pub fn binding(id: &str, chunk: u32) -> String {
     format!("{BINDING}{id}/{chunk}")
 }
-
-pub fn begun(id: &str) -> String {
-    format!("{BEGUN}{id}")
-}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod client;
 pub mod keys;
 pub mod leadership;
+pub mod pages;
 pub mod replica;
--- a/crates/store/src/replica.rs
+++ b/crates/store/src/replica.rs
@@ -5,7 +5,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use wire::store::{
-    from_value, BindingRecord, Changes, JobRecord, LeaderRecord, Page, ProgressRecord, Recorded, RosterRecord, TermRecord, Value,
+    from_value, BegunRecord, BindingRecord, Changes, JobRecord, LeaderRecord, Page, ProgressPage, Recorded, RosterPage, RosterRecord,
+    TermRecord, Value,
 };
 use wire::users::Job;
 
@@ -49,10 +50,13 @@
     pub leader: Option<(LeaderRecord, u64)>,
     pub term: (u64, u64),
     pub roster: BTreeMap<String, RosterRecord>,
+    /// The pages in which the roster and the jobs' progress are kept.
+    pub roster_pages: BTreeMap<u32, RosterPage>,
+    pub progress_pages: BTreeMap<u32, ProgressPage>,
     /// Machines of each gang's newest binding, by record.
     pub bindings: BTreeMap<String, BTreeMap<u32, BindingRecord>>,
-    /// Arrays whose tasks may have been given out.
-    pub begun: BTreeSet<String>,
+    /// Arrays accepted up to this revision may have begun.
+    pub begun: u64,
     /// Progress that came before its job's record while loading.
     early: BTreeMap<String, BTreeMap<u32, Vec<u8>>>,
 }
@@ -62,6 +66,10 @@
     text.as_bytes().chunks(2).filter_map(|c| std::str::from_utf8(c).ok().and_then(|t| u8::from_str_radix(t, 16).ok())).collect()
 }
 
+fn page_number(key: &str, prefix: &str) -> Option<u32> {
+    key.strip_prefix(prefix)?.parse().ok()
+}
+
 impl Replica {
     /// Takes a page of the first load; `revision` becomes that of the first page.
     pub fn load(&mut self, page: &Page, first: bool) {
@@ -98,26 +106,27 @@
             }
             return Changed::Job(id.to_string());
         }
-        if let Some((id, chunk)) = key.strip_prefix(keys::PROGRESS).and_then(|k| k.rsplit_once('/')) {
-            if let (Ok(chunk), Some(p)) = (chunk.parse(), from_value::<ProgressRecord>(value)) {
-                match self.jobs.get_mut(id) {
-                    Some(e) if e.state == Recorded::Open => e.progress.insert(chunk, bits(&p.bits)),
-                    Some(_) => None,
-                    None => self.early.entry(id.to_string()).or_default().insert(chunk, bits(&p.bits)),
-                };
+        if let Some(n) = page_number(key, keys::PROGRESS) {
+            if let Some(page) = from_value::<ProgressPage>(value) {
+                self.put_progress(&page);
+                self.progress_pages.insert(n, page);
             }
-            return Changed::Other;
-        }
-        if let Some(name) = key.strip_prefix(keys::ROSTER) {
-            if let Some(r) = from_value(value) {
-                self.roster.insert(name.to_string(), r);
+        } else if let Some(n) = page_number(key, keys::ROSTER) {
+            if let Some(page) = from_value::<RosterPage>(value) {
+                self.drop_roster(n);
+                for (record, machines) in &page.groups {
+                    self.roster.extend(machines.iter().map(|m| (m.clone(), record.clone())));
+                }
+                self.roster_pages.insert(n, page);
             }
         } else if let Some((id, chunk)) = key.strip_prefix(keys::BINDING).and_then(|k| k.rsplit_once('/')) {
             if let (Ok(chunk), Some(b)) = (chunk.parse(), from_value(value)) {
                 self.bindings.entry(id.to_string()).or_default().insert(chunk, b);
             }
-        } else if let Some(id) = key.strip_prefix(keys::BEGUN) {
-            self.begun.insert(id.to_string());
+        } else if key == keys::BEGUN {
+            if let Some(b) = from_value::<BegunRecord>(value) {
+                self.begun = b.upto;
+            }
         } else if key == keys::LEADER {
             self.leader = from_value(value).map(|l| (l, version));
             return Changed::Leader;
@@ -129,6 +138,22 @@
         Changed::Other
     }
 
+    fn put_progress(&mut self, page: &ProgressPage) {
+        for (id, chunk, text) in &page.chunks {
+            match self.jobs.get_mut(id) {
+                Some(e) if e.state == Recorded::Open => e.progress.insert(*chunk, bits(text)),
+                Some(_) => None,
+                None => self.early.entry(id.clone()).or_default().insert(*chunk, bits(text)),
+            };
+        }
+    }
+
+    fn drop_roster(&mut self, page: u32) {
+        for m in self.roster_pages.remove(&page).into_iter().flat_map(|p| p.groups).flat_map(|(_, machines)| machines) {
+            self.roster.remove(&m);
+        }
+    }
+
     /// Teams with a job of which it became known within `span` that it is cancelled.
     pub fn lately_cancelled(&self, span: Duration) -> BTreeSet<String> {
         let lately = |e: &&JobEntry| e.state == Recorded::Cancelled && e.over_since.is_some_and(|t| t.elapsed() < span);
@@ -164,8 +189,10 @@
     }
 
     fn remove(&mut self, key: &str) -> Changed {
-        if let Some(name) = key.strip_prefix(keys::ROSTER) {
-            self.roster.remove(name);
+        if let Some(n) = page_number(key, keys::ROSTER) {
+            self.drop_roster(n);
+        } else if let Some(n) = page_number(key, keys::PROGRESS) {
+            self.progress_pages.remove(&n);
         } else if key == keys::LEADER {
             self.leader = None;
             return Changed::Leader;
@@ -176,12 +203,6 @@
                     self.bindings.remove(id);
                 }
             }
-        } else if let Some(id) = key.strip_prefix(keys::BEGUN) {
-            self.begun.remove(id);
-        } else if let Some((id, chunk)) = key.strip_prefix(keys::PROGRESS).and_then(|k| k.rsplit_once('/')) {
-            if let (Some(e), Ok(chunk)) = (self.jobs.get_mut(id), chunk.parse::<u32>()) {
-                e.progress.remove(&chunk);
-            }
         }
         Changed::Other
     }
@@ -208,9 +229,10 @@
     #[test]
     fn an_older_answer_does_not_undo_a_newer_one() {
         let mut r = Replica::default();
-        let machine = to_value(&RosterRecord { kind: "small".into(), zone: "a".into(), spot: false });
-        let newer = Changes { revision: 5, changes: vec![put("lr/roster/host-1", machine.clone(), 3), dropped("lr/roster/host-1", 5)] };
-        let older = Changes { revision: 3, changes: vec![put("lr/roster/host-1", machine, 3)] };
+        let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
+        let page = to_value(&RosterPage { groups: vec![(record, vec!["host-1".into(), "host-2".into()])] });
+        let newer = Changes { revision: 5, changes: vec![put("lr/roster/0", page.clone(), 3), dropped("lr/roster/0", 5)] };
+        let older = Changes { revision: 3, changes: vec![put("lr/roster/0", page, 3)] };
         r.apply(&newer);
         r.apply(&older);
         assert!(r.roster.is_empty());
@@ -256,7 +278,8 @@
             save_s: 0.0,
             deadline_s: None,
         };
-        let progress = Item { key: "lr/progress/wk-1/0".into(), value: to_value(&ProgressRecord { bits: "0501".into() }), version: 4 };
+        let page = ProgressPage { chunks: vec![("wk-1".into(), 0, "0501".into())] };
+        let progress = Item { key: "lr/progress/0".into(), value: to_value(&page), version: 4 };
         let record = JobRecord { state: Recorded::Open, created_ms: 0, job };
         let record = Item { key: "lr/job/wk-1".into(), value: to_value(&record), version: 2 };
         let mut r = Replica::default();
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -144,11 +144,25 @@
 /// From an owner (or a controller that wants to be one) to the leader.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum ToLeader {
-    Hello { member: String, start: u64, count: u64 },
-    Ping { n: u64 },
-    Machine(MachineView),
-    HandBack { job: String, attempt: u64, tasks: Vec<(u32, u32)> },
-    HoldAnswer { attempt: u64, held: bool },
+    Hello {
+        member: String,
+        start: u64,
+        count: u64,
+    },
+    Ping {
+        n: u64,
+    },
+    /// Machines of which something has changed.
+    Machines(Vec<MachineView>),
+    HandBack {
+        job: String,
+        attempt: u64,
+        tasks: Vec<(u32, u32)>,
+    },
+    HoldAnswer {
+        attempt: u64,
+        held: bool,
+    },
 }
 
 /// Writes a message as a frame.
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -64,6 +64,13 @@
     pub revision: u64,
 }
 
+/// Why a transaction was not applied.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Conflict {
+    #[serde(default)]
+    pub failed: Vec<String>,
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct LeaseAsk {
     pub ttl_ms: u64,
@@ -116,10 +123,10 @@
     pub job: Job,
 }
 
-/// Which of a job's tasks are done: a bitmap in hexadecimal, one record for each chunk.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct ProgressRecord {
-    pub bits: String,
+/// Which tasks of some jobs are done: job, number of the chunk, bitmap in hexadecimal.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ProgressPage {
+    pub chunks: Vec<(String, u32, String)>,
 }
 
 /// The leader's key, attached to its lease.
@@ -136,17 +143,24 @@
 }
 
 /// A machine on which tasks may have been started.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RosterRecord {
     pub kind: String,
     pub zone: String,
     pub spot: bool,
 }
 
-/// An array whose tasks may have been given out, by a leader of this token or a later one.
+/// Many such machines in one record, by what they share.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RosterPage {
+    pub groups: Vec<(RosterRecord, Vec<String>)>,
+}
+
+/// Tasks of the arrays accepted up to this revision may have been given out; of later ones
+/// certainly none.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BegunRecord {
-    pub token: u64,
+    pub upto: u64,
 }
 
 /// Where a gang was bound: machine, first task, number of tasks.
