Pace the watches and give submissions more of the store's rates

Each long watch returned with every change and was asked again at once, so that watches alone used up a controller's 8 requests a second; writes of the leader, packed now, left half of its part unused.

Ruled out: the store's own limits; it refused nothing outside its outages.

--- a/crates/ladderroute/src/fresh.rs
+++ b/crates/ladderroute/src/fresh.rs
@@ -10,8 +10,11 @@
 use store::client::StoreError;
 use store::keys;
 
-/// Quick looks take at most this part of the controller's share of the request rate.
+/// Quick looks of all controllers take at most this part of the request rate.
 const LOOKS_SHARE: f64 = 0.35;
+/// The long watches take at most this part: each returns with the first change, and under load
+/// there is always one.
+const WATCH_SHARE: f64 = 0.2;
 
 #[derive(Default)]
 pub struct Fresh {
@@ -30,8 +33,13 @@
     result.recv().await.unwrap_or(false)
 }
 
+/// Time between two requests of this controller when all together take a part of the rate.
+fn pace(node: &Node, share: f64) -> Duration {
+    Duration::from_secs_f64((node.settings.known.len() + 1) as f64 / (node.settings.settings.state.rps * share))
+}
+
 async fn look(node: Rc<Node>) {
-    let pace = Duration::from_secs_f64((node.settings.known.len() + 1) as f64 / (node.settings.settings.state.rps * LOOKS_SHARE));
+    let pace = pace(&node, LOOKS_SHARE);
     loop {
         let waiting = node.fresh.waiting.take();
         if waiting.is_empty() {
@@ -80,6 +88,7 @@
 pub async fn follow(node: Rc<Node>) {
     let wait = Duration::from_secs_f64(wire::ANSWER_DROPPED_S);
     let pause = Duration::from_secs_f64(node.setup.report_s.min(1.0) / 5.0);
+    let pace = pace(&node, WATCH_SHARE);
     loop {
         if !node.lock().shared.loaded {
             match load(&node).await {
@@ -99,6 +108,8 @@
             Ok(changes) => {
                 node.take_changes(&changes);
                 node.store_ok(true);
+                // More changes gather meanwhile; the next request brings them together.
+                smol::Timer::after(pace).await;
             }
             Err(StoreError::TooOld) => node.lock().shared.loaded = false,
             Err(e) => {
--- a/crates/ladderroute/src/lead.rs
+++ b/crates/ladderroute/src/lead.rs
@@ -11,15 +11,26 @@
 use store::leadership::{take, usable, Won};
 use wire::users::Shape;
 
-/// Part of the store's rates that the leader takes; the others share the rest.
-const LEADER_SHARE: f64 = 0.5;
-const ALL_SHARE: f64 = 0.9;
+/// Parts of the store's request and write rates that the leader takes; the others share the
+/// rest. Its decisions are packed, so that submissions get most of the writes.
+const LEADER_SHARES: (f64, f64) = (0.3, 0.4);
+const ALL_SHARE: f64 = 0.95;
+
+/// A controller's parts of the store's request and write rates, with so many others.
+pub fn store_shares(leading: bool, others: usize) -> (f64, f64) {
+    let part = |leader: f64| match (others, leading) {
+        (0, _) => ALL_SHARE,
+        (_, true) => leader,
+        (n, false) => (ALL_SHARE - leader) / n as f64,
+    };
+    (part(LEADER_SHARES.0), part(LEADER_SHARES.1))
+}
 
 /// Tries to become the leader whenever there is none.
 pub async fn campaign(node: Rc<Node>) {
     let ttl = node.leader_ttl();
     let pause = ttl / 40;
-    let others = node.settings.known.len().max(1) as f64;
+    let others = node.settings.known.len();
     loop {
         smol::Timer::after(pause).await;
         let free = {
@@ -32,9 +43,9 @@
         smol::Timer::after(ttl.mul_f64(0.03 * fastrand::f64())).await;
         match take(&node.store, &node.settings.member, ttl).await {
             Ok(Some(won)) => {
-                node.store.set_share(if node.settings.known.is_empty() { ALL_SHARE } else { LEADER_SHARE });
+                node.store.set_shares(store_shares(true, others));
                 lead(&node, won, ttl).await;
-                node.store.set_share(if node.settings.known.is_empty() { ALL_SHARE } else { (ALL_SHARE - LEADER_SHARE) / others });
+                node.store.set_shares(store_shares(false, others));
             }
             Ok(None) => {
                 crate::fresh::once(&node).await;
--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -220,10 +220,10 @@
     let setup = settings.setup(&tuning);
     let p = settings.settings.clone();
     let ex = Rc::new(smol::LocalExecutor::new());
-    let share = 0.9 / (settings.known.len() + 1) as f64;
+    let shares = crate::lead::store_shares(false, settings.known.len());
     let limit = Duration::from_secs_f64((setup.lease_s * 0.1).clamp(0.5, 1.5));
     let node = Rc::new(Node {
-        store: Store::new(settings.services.state, p.state.rps, p.state.write_rps, share, limit),
+        store: Store::new(settings.services.state, p.state.rps, p.state.write_rps, shares, limit),
         cloud: http::client::Client::new(settings.services.cloud, 2, 4 << 20),
         ex: ex.clone(),
         began: Instant::now(),
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -56,16 +56,16 @@
 }
 
 impl Budget {
-    /// `share` of the rates that the settings give for all controllers.
-    pub fn new(rps: f64, write_rps: f64, share: f64) -> Budget {
-        Budget { requests: Bucket::new(rps * share), writes: Bucket::new(write_rps * share) }
+    /// This controller's parts of the rates that the settings give for all.
+    pub fn new(rps: f64, write_rps: f64) -> Budget {
+        Budget { requests: Bucket::new(rps), writes: Bucket::new(write_rps) }
     }
 
-    /// Changes the share, e.g. when this controller becomes the leader.
-    pub fn set_share(&mut self, rps: f64, write_rps: f64, share: f64, now: f64) {
+    /// Changes the parts, e.g. when this controller becomes the leader.
+    pub fn set_shares(&mut self, rps: f64, write_rps: f64, now: f64) {
         for (bucket, rate) in [(&mut self.requests, rps), (&mut self.writes, write_rps)] {
             bucket.fill(now);
-            bucket.rate = rate * share;
+            bucket.rate = rate;
             bucket.level = bucket.level.min(bucket.rate);
         }
     }
@@ -90,7 +90,7 @@
 
     #[test]
     fn ranks_leave_room_for_the_ranks_before_them() {
-        let mut b = Budget::new(20.0, 10.0, 1.0);
+        let mut b = Budget::new(20.0, 10.0);
         let mut taken = [0; 3];
         for (i, rank) in [Rank::Submission, Rank::Decision, Rank::Renewal].into_iter().enumerate() {
             while b.take(0.0, 0, rank).is_ok() {
@@ -104,7 +104,7 @@
 
     #[test]
     fn never_more_than_rate_and_burst() {
-        let mut b = Budget::new(20.0, 10.0, 0.5);
+        let mut b = Budget::new(10.0, 5.0);
         let (mut now, mut writes) = (0.0, 0);
         while now < 10.0 {
             if b.take(now, 1, Rank::Renewal).is_ok() {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -42,20 +42,21 @@
 }
 
 impl Store {
-    pub fn new(addr: SocketAddr, rps: f64, write_rps: f64, share: f64, limit: Duration) -> Store {
+    pub fn new(addr: SocketAddr, rps: f64, write_rps: f64, shares: (f64, f64), limit: Duration) -> Store {
         Store {
             quick: Client::new(addr, 4, 2 << 20),
             watch: Client::new(addr, 2, 8 << 20),
-            budget: RefCell::new(Budget::new(rps, write_rps, share)),
+            budget: RefCell::new(Budget::new(rps * shares.0, write_rps * shares.1)),
             rates: (rps, write_rps),
             start: Instant::now(),
             limit,
         }
     }
 
-    pub fn set_share(&self, share: f64) {
+    /// Changes the parts of the request and write rates that this controller may take.
+    pub fn set_shares(&self, shares: (f64, f64)) {
         let now = self.start.elapsed().as_secs_f64();
-        self.budget.borrow_mut().set_share(self.rates.0, self.rates.1, share, now);
+        self.budget.borrow_mut().set_shares(self.rates.0 * shares.0, self.rates.1 * shares.1, now);
     }
 
     fn take(&self, writes: usize, rank: Rank) -> Result<(), StoreError> {
