--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -198,6 +198,9 @@
     pub machines: usize,
     pub booting: usize,
     pub unaccounted: usize,
+    /// CPUs of machines that are up, and what possibly runs of them: ordinary and cheap ones.
+    pub cpus: [u32; 2],
+    pub cpus_used: [u32; 2],
 }
 
 pub struct Leader {
@@ -287,8 +290,16 @@
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         write!(
             f,
-            "queued={} running={} machines={} booting={} unaccounted={}",
-            self.queued, self.running, self.machines, self.booting, self.unaccounted
+            "queued={} running={} machines={} booting={} unaccounted={} cpus={} cpus_used={} spot_cpus={} spot_cpus_used={}",
+            self.queued,
+            self.running,
+            self.machines,
+            self.booting,
+            self.unaccounted,
+            self.cpus[0],
+            self.cpus_used[0],
+            self.cpus[1],
+            self.cpus_used[1]
         )
     }
 }
@@ -415,6 +426,10 @@
             machines: self.machines.len(),
             booting: self.fleet.booting.len(),
             unaccounted: self.machines.values().filter(|m| !m.accounted).count(),
+            cpus: [false, true].map(|spot| {
+                self.machines.values().filter(|m| m.spot == spot).map(|m| self.cap(&m.kind).map_or(0.0, |c| c.cpus)).sum::<f64>() as u32
+            }),
+            cpus_used: [false, true].map(|spot| self.machines.values().filter(|m| m.spot == spot).map(|m| m.used.cpus).sum::<f64>() as u32),
         }
     }
 
