--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -12,6 +12,8 @@
 const LEAST_CHARGE_S: f64 = 60.0;
 /// A machine that takes this many times its nominal boot time is given up.
 const BOOTS_TO_WAIT: f64 = 3.5;
+/// What a slow boot takes of the nominal time, with the start of the gang's tasks.
+const SLOW_BOOT: f64 = 1.25;
 /// Most machines of one request (a figure of the protocol).
 const MOST_AT_ONCE: u32 = 50;
 /// Most names of one release (a figure of the protocol).
@@ -36,6 +38,7 @@
     room: Room,
     types: Option<Vec<String>>,
     pub spot: bool,
+    gang: bool,
 }
 
 impl ClassShape {
@@ -77,7 +80,12 @@
 
     pub fn arrived(&mut self, job: &Spec) {
         let room = Room { cpus: job.cpus, gpus: job.gpus, memory_gb: job.memory_gb };
-        let shape = self.shapes.entry(job.class.clone()).or_insert_with(|| ClassShape { room, types: job.types.clone(), spot: job.spot });
+        let shape = self.shapes.entry(job.class.clone()).or_insert_with(|| ClassShape {
+            room,
+            types: job.types.clone(),
+            spot: job.spot,
+            gang: job.shape == Shape::Gang,
+        });
         // The largest task seen stands for its class.
         if room.cpus > shape.room.cpus {
             shape.room = room;
@@ -169,6 +177,7 @@
         // Running tasks free their room again and again while a machine boots.
         let turnover = self.turnover();
         let mut ahead = 0.0;
+        let gang_waits = self.fleet.unmet.iter().any(|(id, _)| self.jobs.get(id).is_some_and(|j| j.is_gang()));
         let mut busy: Option<Busy> = None;
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
         self.fleet.kept.clear();
@@ -184,9 +193,15 @@
                 busy = Some(slots);
                 continue;
             }
-            let mut left = take_coming(&mut coming, |o| allows(&needs, &needs.zone, o), room, n);
+            let all = self.needs(job, None);
+            let mut left = take_coming(&mut coming, |o| allows(&all, &needs.zone, o), room, n);
             while left > 0 {
-                let Some((offer, cap)) = self.cheapest(&needs.kinds, needs.zone.as_deref(), room, left, &wanted, now) else { break };
+                let mut found = self.cheapest(&needs.kinds, needs.zone.as_deref(), room, left, &wanted, now);
+                if found.is_none() && !gang_waits && self.refused_all(&needs, now) {
+                    // Types kept for gangs, while none waits and the others are used up.
+                    found = self.cheapest(&all.kinds, needs.zone.as_deref(), room, left, &wanted, now);
+                }
+                let Some((offer, cap)) = found else { break };
                 let boot = self.types.get(&offer.0).map_or(LEAST_CHARGE_S, |t| t.boot_s);
                 let served = ((turnover * boot - ahead) / room.cpus.max(0.01)).floor().clamp(0.0, f64::from(left));
                 ahead += served * room.cpus;
@@ -215,6 +230,15 @@
         }
     }
 
+    /// Whether the cloud has lately refused every offer on which these tasks may run.
+    fn refused_all(&self, needs: &Needs, now: Secs) -> bool {
+        needs.kinds.iter().all(|a| {
+            let zones = self.types.get(&a.kind).map_or(&[][..], |t| &t.zones);
+            let mut offers = zones.iter().map(|z| (a.kind.clone(), z.clone(), a.spot));
+            offers.all(|o| !allows(needs, &needs.zone, &o) || !self.fleet.available(&o, now))
+        })
+    }
+
     /// How many more machines of an offer may be asked for at present: what is refused shows
     /// only in the answers, and requests are few.
     fn most_wanted(&self, offer: &Offer, wanted: &BTreeMap<Offer, u32>) -> u32 {
@@ -332,7 +356,9 @@
     fn can_wait(&self, id: &str, needs: &Needs, busy: &mut Busy, now: Secs) -> bool {
         let Some(job) = self.jobs.get(id) else { return false };
         let Some(within) = self.setup.wait_s.get(&job.spec.class) else { return false };
-        let latest = job.seen + within * self.setup.patience;
+        // What is rented at once must still be up in time, slow boots included.
+        let boot = needs.kinds.iter().filter_map(|a| self.types.get(&a.kind)).map(|t| t.boot_s).fold(f64::MAX, f64::min);
+        let latest = job.seen + (within * self.setup.patience).min(within - boot * SLOW_BOOT);
         let mut slots: BTreeMap<&str, (u32, Vec<usize>)> = BTreeMap::new();
         let mut found = None;
         for (at, (until, name)) in busy.iter().enumerate() {
@@ -401,8 +427,26 @@
         best.filter(|(price, _, _)| *price <= least * MUCH_DEARER).map(|(_, offer, cap)| (offer, cap))
     }
 
+    /// How long machines are kept for the next gang of a class that has no other type, and that
+    /// could hardly start in time on a machine that must boot first.
+    fn kept_warm(&self) -> BTreeMap<(String, bool), f64> {
+        let scarce = self.scarce();
+        let mut out: BTreeMap<(String, bool), f64> = BTreeMap::new();
+        for (class, shape) in self.fleet.shapes.iter().filter(|(_, s)| s.gang) {
+            let Some(within) = self.setup.wait_s.get(class) else { continue };
+            for t in self.types.values().filter(|t| shape.fits(t) && t.boot_s * SLOW_BOOT > within / 2.0) {
+                for spot in [true, false].into_iter().filter(|spot| scarce.contains(&(t.name.clone(), *spot))) {
+                    let keep = out.entry((t.name.clone(), spot)).or_default();
+                    *keep = keep.max(*within);
+                }
+            }
+        }
+        out
+    }
+
     fn return_idle(&mut self, now: Secs) {
         let mut release: Vec<String> = Vec::new();
+        let warm = self.kept_warm();
         let names: Vec<String> = self.machines.keys().cloned().collect();
         for name in names {
             let Some(m) = self.machines.get_mut(&name) else { continue };
@@ -414,7 +458,8 @@
             if !m.tasks.is_empty() || !m.held.is_empty() || !m.quiet || self.fleet.kept.contains(&name) {
                 m.idle_since = now;
             }
-            let keep = boot * self.setup.keep_boots * cheapness;
+            let for_gangs = warm.get(&(m.kind.clone(), m.spot)).copied().unwrap_or(0.0);
+            let keep = (boot * self.setup.keep_boots * cheapness).max(for_gangs);
             let faulty = m.failed_jobs.len() >= 2;
             let lost = m.lapsed_at.is_some_and(|at| now - at > boot);
             if (lost || m.rostered == Rostered::Yes && (now - m.idle_since > keep || faulty)) && !m.drain {
