Take back what a machine that gets no answers was to start; more troubles in the simulated world

Cause: the simulated world with answers lost to one machine, leases long enough that its worker comes round to its owner within one: what was to start there was ordered again and again, and its jobs waited for ever.

Change: a worker that gets its answer stays, so its next report has the next number; two reports in a row without that make its owner take back what it was to start (the report lacks it, later answers do not repeat it), and place nothing there until an answer has reached it again. A machine known only by a late copy of a report is not taken up.

Tests: a_machine_that_gets_no_answers_traps_no_work fails without the guard.

--- a/crates/model/src/plain.rs
+++ b/crates/model/src/plain.rs
@@ -78,6 +78,7 @@
                 tasks: Vec::new(),
                 pending: Vec::new(),
                 usable: false,
+                deaf: false,
             };
             l.on_owner("rung-0", ToLeader::Machines(vec![v]), 5.0);
             l.roster_result(name, true, true);
@@ -206,6 +207,7 @@
                 tasks,
                 pending: Vec::new(),
                 usable: true,
+                deaf: false,
             }])
         };
         l.on_owner("rung-0", view(Vec::new()), 5.0);
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -29,6 +29,12 @@
     IgnoreCancel,
     /// A job is called done when half of its tasks are.
     HalfDone,
+    /// A new leader does not learn of half of the open jobs.
+    LoseJobs,
+    /// The leader never gets to know the largest gangs.
+    NeverLarge,
+    /// Arrays of one team are kept from the leader.
+    NeverRed,
 }
 
 const STEP: f64 = 0.1;
@@ -55,6 +61,8 @@
     up_at: f64,
     gone: bool,
     hung_until: f64,
+    /// Until then its reports arrive, but no answer reaches it.
+    deaf_until: f64,
     session: u64,
     seq: u64,
     token: u64,
@@ -84,6 +92,9 @@
 
 struct JobState {
     spec: Rc<Job>,
+    accepted: f64,
+    /// When its first task began to run.
+    begun_at: Option<f64>,
     revision: u64,
     done: Ranges,
     over: Option<f64>,
@@ -124,6 +135,10 @@
     writes: Vec<(f64, u64, Deed)>,
     hosts: u64,
     store_down_until: f64,
+    /// A controller without the store and the other controllers, but with its workers.
+    alone: Option<(usize, f64)>,
+    /// Troubles so far by kind, to see that all happened.
+    pub troubles: BTreeMap<&'static str, u32>,
     /// Messages in a hundred that are held up for long.
     pub held_up: u32,
     completed: BTreeSet<(String, u32)>,
@@ -134,6 +149,11 @@
 }
 
 const TTL: f64 = 2.0;
+/// After this long without an answer about it a job is forgotten (a figure of the users).
+const FORGOTTEN_S: f64 = 75.0;
+/// Within this time also the largest jobs must begin (a figure of the users).
+const BEGIN_S: f64 = 240.0;
+const LARGEST_GANG: u32 = 3;
 
 pub fn machine_type(name: &str, cpus: f64, memory_gb: f64, price: f64) -> MachineType {
     MachineType {
@@ -168,7 +188,10 @@
 
 impl World {
     pub fn new(seed: u64, defect: Defect) -> World {
-        let setup = setup();
+        World::with(seed, defect, setup())
+    }
+
+    pub fn with(seed: u64, defect: Defect, setup: Setup) -> World {
         let mut believed = setup.clone();
         if defect == Defect::DoubleLimit {
             believed.teams.values_mut().for_each(|t| t.cpus_max *= 2.0);
@@ -194,6 +217,8 @@
             writes: Vec::new(),
             hosts: 0,
             store_down_until: 0.0,
+            alone: None,
+            troubles: BTreeMap::new(),
             held_up: 3,
             completed: BTreeSet::new(),
             broken: BTreeSet::new(),
@@ -216,6 +241,8 @@
                 id.clone(),
                 JobState {
                     spec: real,
+                    accepted: self.now,
+                    begun_at: None,
                     revision: self.revision,
                     done: Ranges::default(),
                     over: None,
@@ -230,11 +257,22 @@
             Rc::new(spec)
         };
         let revision = self.revision;
+        if self.kept_from_leader(&told) {
+            return;
+        }
         if let Some((_, leader, _)) = &mut self.leader {
             leader.add_job(OpenJob { spec: told, revision, done: Ranges::default(), earlier: Earlier::Untouched });
         }
     }
 
+    fn kept_from_leader(&self, spec: &Job) -> bool {
+        match self.defect {
+            Defect::NeverLarge => spec.shape == Shape::Gang && spec.tasks == LARGEST_GANG,
+            Defect::NeverRed => spec.shape == Shape::Array && spec.team == "red",
+            _ => false,
+        }
+    }
+
     pub fn cancel(&mut self, id: &str) {
         let now = self.now;
         let Some(j) = self.jobs.get_mut(id).filter(|j| j.over.is_none()) else { return };
@@ -264,49 +302,101 @@
             self.trouble();
             self.step();
         }
-        let end = self.now + calm;
+        let over = self.now;
+        let end = over + calm;
         while self.now < end {
             self.step();
+            if self.now - over > FORGOTTEN_S {
+                self.check_known();
+            }
         }
+        self.check_served();
     }
 
-    fn trouble(&mut self) {
-        let now = self.now;
-        match self.rng.u32(0..3000) {
-            0..=9 => {
-                let i = self.rng.usize(0..self.controllers.len());
-                self.crash(i);
+    /// Once troubles are over, every accepted job that is not over is known to the leader.
+    fn check_known(&mut self) {
+        let Some((_, leader, _)) = &self.leader else { return };
+        if self.jobs.iter().any(|(id, j)| j.over.is_none() && !leader.knows(id)) {
+            self.break_rule("forgotten");
+        }
+    }
+
+    /// At least half of each class, team, and of the largest jobs is served, and all that began,
+    /// also the largest, did so in time. What could begin late for lack of time does not count.
+    fn check_served(&mut self) {
+        let mut groups: BTreeMap<String, (u32, u32)> = BTreeMap::new();
+        let mut broken = Vec::new();
+        for j in self.jobs.values().filter(|j| !j.cancelled && self.now - j.accepted > BEGIN_S) {
+            let late = j.begun_at.is_none_or(|at| at - j.accepted > BEGIN_S);
+            let mut of = vec![format!("{:?}", j.spec.shape), format!("{:?} of {}", j.spec.shape, j.spec.team)];
+            if j.spec.shape == Shape::Gang && j.spec.tasks == LARGEST_GANG {
+                of.push("largest gangs".into());
             }
-            10..=14 => {
-                if let Some(i) = self.leader.as_ref().map(|(i, _, _)| *i) {
-                    self.crash(i);
-                }
+            for g in of {
+                let (all, served) = groups.entry(g).or_default();
+                *all += 1;
+                *served += u32::from(!late);
             }
-            15..=24 => {
-                let i = self.rng.usize(0..self.controllers.len());
-                self.cut_link(i, 0.3);
+        }
+        for (group, (all, served)) in groups {
+            if served * 2 < all {
+                broken.push(if group == "largest gangs" { "late" } else { "unserved" });
             }
-            25..=39 => {
-                let hang = now + self.rng.f64() * 14.0;
-                let at = self.rng.usize(0..self.workers.len().max(1));
-                if let Some(w) = self.workers.values_mut().nth(at) {
-                    w.hung_until = hang;
-                }
+        }
+        broken.into_iter().for_each(|r| self.break_rule(r));
+    }
+
+    fn trouble(&mut self) {
+        let now = self.now;
+        let kind = match self.rng.u32(0..3000) {
+            0..=9 => "crash",
+            10..=14 => "crash of the leader",
+            15..=24 => "cut between controllers",
+            25..=39 => "hang",
+            40..=44 => "store down",
+            45..=49 => "machine gone",
+            50..=61 => "answers lost",
+            62..=66 => "alone with its workers",
+            67..=74 => "worker back at once",
+            // No leader is there about one step in ten.
+            75..=125 if self.leader.is_none() => "crash amid an election",
+            _ => return,
+        };
+        *self.troubles.entry(kind).or_default() += 1;
+        let at = self.rng.usize(0..self.workers.len().max(1));
+        let long = self.rng.f64();
+        let i = self.rng.usize(0..self.controllers.len());
+        let leads = self.leader.as_ref().map(|(l, _, _)| *l);
+        let worker = self.workers.values_mut().nth(at);
+        match (kind, worker) {
+            ("crash" | "crash amid an election", _) => self.crash(i),
+            ("crash of the leader", _) => leads.into_iter().for_each(|l| self.crash(l)),
+            ("cut between controllers", _) => self.cut_link(i, 0.3),
+            ("store down", _) => self.store_down_until = now + long * 6.0,
+            ("alone with its workers", _) => {
+                self.alone = Some((i, now + 1.0 + long * 12.0));
+                self.cut_link(i, 1.0 + long * 12.0);
             }
-            40..=44 => self.store_down_until = now + self.rng.f64() * 6.0,
-            45..=49 => {
-                let at = self.rng.usize(0..self.workers.len().max(1));
-                if let Some(w) = self.workers.values_mut().nth(at) {
-                    w.gone = true;
-                    w.tasks.clear();
-                }
+            ("hang", Some(w)) => w.hung_until = now + long * 14.0,
+            ("answers lost", Some(w)) => w.deaf_until = now + long * 20.0,
+            ("machine gone", Some(w)) => {
+                w.gone = true;
+                w.tasks.clear();
+            }
+            ("worker back at once", Some(w)) => {
+                // The same name, a new session, nothing left of the old one.
+                w.tasks.clear();
+                w.session += 1;
+                w.flight = None;
+                w.lease_from = now;
+                w.next = now + long * 0.5;
             }
             _ => {}
         }
     }
 
     fn crash(&mut self, i: usize) {
-        let back = self.now + if self.rng.bool() { 0.4 } else { 4.0 };
+        let back = self.now + [0.1, 0.4, 4.0][self.rng.usize(0..3)];
         let leading = self.leader.as_ref().is_some_and(|(l, _, _)| *l == i);
         self.controllers[i] = new_controller(i, &self.setup);
         self.controllers[i].down_until = back;
@@ -317,6 +407,11 @@
         }
     }
 
+    /// Whether a controller reaches neither the store nor the others.
+    fn is_alone(&self, i: usize) -> bool {
+        self.alone.is_some_and(|(a, until)| a == i && self.now < until)
+    }
+
     fn end_leader(&mut self) {
         self.leader = None;
         // The store keeps the key until the lease has run out.
@@ -357,6 +452,7 @@
     fn run_workers(&mut self) {
         let (now, lease_s, report_s) = (self.now, self.setup.lease_s, self.setup.report_s);
         let whole = self.whole_gangs();
+        let mut began: BTreeSet<String> = BTreeSet::new();
         let names: Vec<String> = self.workers.keys().cloned().collect();
         for machine in names {
             let Some(w) = self.workers.get_mut(&machine) else { continue };
@@ -381,6 +477,7 @@
                     TaskState::Waiting if together => {
                         t.state = TaskState::Running;
                         t.began = now;
+                        began.insert(job.clone());
                     }
                     TaskState::Running if !together => {
                         t.state = TaskState::Exited;
@@ -413,6 +510,15 @@
                 }
             }
         }
+        self.note_begun(began);
+    }
+
+    fn note_begun(&mut self, began: BTreeSet<String>) {
+        for id in began {
+            if let Some(j) = self.jobs.get_mut(&id) {
+                j.begun_at.get_or_insert(self.now);
+            }
+        }
     }
 
     /// Gangs of which every task is on some machine under one attempt.
@@ -432,7 +538,12 @@
     fn take_answer(&mut self, machine: &str, session: u64, seq: u64, answer: Answer) {
         let now = self.now;
         let Some(w) = self.workers.get_mut(machine) else { return };
-        if w.gone || now < w.hung_until || w.flight.as_ref().is_none_or(|f| f.seq != seq || f.session != session) || w.session != session {
+        if w.gone
+            || now < w.hung_until
+            || now < w.deaf_until
+            || w.flight.as_ref().is_none_or(|f| f.seq != seq || f.session != session)
+            || w.session != session
+        {
             return;
         }
         let Some(sent) = w.flight.take().map(|f| f.sent) else { return };
@@ -620,7 +731,17 @@
             self.elect();
         }
         let Some((me, mut leader, id)) = self.leader.take() else { return };
-        if now >= self.store_down_until {
+        if self.is_alone(me) {
+            // Its owners left at once; its own authority runs out, and then the key is free.
+            for i in (0..self.controllers.len()).filter(|i| *i != me) {
+                leader.owner_lost(&name(i));
+                disconnect(&mut self.controllers[i], now + 0.2);
+            }
+            if now > self.leader_until + TTL * 0.1 {
+                self.end_leader();
+                return;
+            }
+        } else if now >= self.store_down_until {
             self.leader_until = now + TTL * 0.95;
         } else if now > self.leader_until + TTL * 0.1 {
             // Its lease is gone; it may have renewed in vain.
@@ -693,7 +814,7 @@
         if now < self.free_at || now < self.store_down_until {
             return;
         }
-        let up: Vec<usize> = (0..3).filter(|i| now >= self.controllers[*i].down_until).collect();
+        let up: Vec<usize> = (0..3).filter(|i| now >= self.controllers[*i].down_until && !self.is_alone(*i)).collect();
         let Some(me) = (!up.is_empty()).then(|| up[self.rng.usize(0..up.len())]) else { return };
         self.term += 1;
         self.revision += 1;
@@ -707,7 +828,9 @@
             OpenJob { spec: Rc::new(spec), revision: j.revision, done: j.done.clone(), earlier: j.earlier.clone() }
         };
         let ignore = self.defect == Defect::IgnoreCancel;
-        let jobs = self.jobs.values().filter(|j| j.over.is_none() || ignore && j.cancelled).map(open).collect();
+        let lost = |j: &JobState| self.defect == Defect::LoseJobs && j.revision & 1 == 0;
+        let known = |j: &&JobState| (j.over.is_none() || ignore && j.cancelled) && !lost(j) && !self.kept_from_leader(&j.spec);
+        let jobs = self.jobs.values().filter(known).map(open).collect();
         let empty = BTreeMap::new();
         let roster = if self.defect == Defect::ForgetRoster { &empty } else { &self.roster };
         let seed = self.rng.u64(..);
@@ -736,7 +859,7 @@
             let Some((me, mut leader, id)) = self.leader.take() else { continue };
             // A write of an earlier leader fails on its condition.
             if id == by {
-                let ok = now >= self.store_down_until && self.rng.u32(0..100) >= 3;
+                let ok = now >= self.store_down_until && !self.is_alone(me) && self.rng.u32(0..100) >= 3;
                 self.carry_out(&mut leader, deed, ok);
             }
             self.leader = Some((me, leader, id));
@@ -845,6 +968,7 @@
                 up_at,
                 gone: false,
                 hung_until: 0.0,
+                deaf_until: 0.0,
                 session: 1,
                 seq: 0,
                 token: 0,
@@ -1017,10 +1141,69 @@
             let mut w = World::new(seed, Defect::None);
             w.live(100.0, 300.0);
             assert_eq!(w.open_jobs(), Vec::<String>::new(), "seed {seed}\n{}", w.explain());
+            assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
             assert!(w.done > 10);
         }
     }
 
+    /// Answers to one machine are lost for good: it gets nothing more, what it was to start runs
+    /// elsewhere, and it is used again once answers reach it.
+    #[test]
+    fn a_machine_that_gets_no_answers_traps_no_work() {
+        for seed in 0..12 {
+            // Long enough for such a worker to come round to its owner again within its lease.
+            let mut w = World::with(seed, Defect::None, Setup { lease_s: 24.0, ..setup() });
+            (1..9).for_each(|i| w.submit(job(i, "red", if i % 2 == 0 { Shape::Gang } else { Shape::Array }, 3, 2.0)));
+            while w.starts < 3 {
+                w.step();
+            }
+            let deaf: Vec<String> = w.workers.keys().take(2).cloned().collect();
+            deaf.iter().for_each(|n| w.workers.get_mut(n).unwrap().deaf_until = 1e9);
+            (9..17).for_each(|i| w.submit(job(i, "blue", if i % 2 == 0 { Shape::Gang } else { Shape::Array }, 3, 2.0)));
+            let end = w.now + 120.0;
+            while w.now < end {
+                w.step();
+            }
+            assert_eq!(w.open_jobs(), Vec::<String>::new(), "seed {seed}\n{}", w.explain());
+            assert!(w.broken.is_empty(), "{:?}", w.broken);
+        }
+    }
+
+    #[test]
+    fn every_kind_of_trouble_happens() {
+        let mut seen: BTreeMap<&str, u32> = BTreeMap::new();
+        for seed in 0..10 {
+            let mut w = World::new(seed, Defect::None);
+            w.live(150.0, 0.0);
+            w.troubles.into_iter().for_each(|(k, n)| *seen.entry(k).or_default() += n);
+        }
+        assert_eq!(seen.len(), 10, "{seen:?}");
+    }
+
+    #[test]
+    fn forgetting_accepted_jobs_is_noticed() {
+        trips_when_calm(Defect::LoseJobs, "forgotten");
+    }
+
+    #[test]
+    fn never_starting_the_largest_gangs_is_noticed() {
+        trips_when_calm(Defect::NeverLarge, "late");
+    }
+
+    #[test]
+    fn never_serving_a_team_is_noticed() {
+        trips_when_calm(Defect::NeverRed, "unserved");
+    }
+
+    fn trips_when_calm(defect: Defect, rule: &str) {
+        let mut w = World::new(4, defect);
+        w.live(150.0, 300.0);
+        assert!(w.broken.contains(rule), "{defect:?} went unnoticed: {:?}", w.broken);
+        let mut whole = World::new(4, Defect::None);
+        whole.live(150.0, 300.0);
+        assert!(whole.broken.is_empty(), "{:?}", whole.broken);
+    }
+
     fn trips(defect: Defect, rule: &str) {
         let (broken, _, _) = days(defect, 0..30, 15);
         assert!(broken.contains(rule), "{defect:?} went unnoticed: {broken:?}");
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -149,6 +149,8 @@
     /// The owner has shown that it places nothing there any more.
     pub closed: bool,
     pub quiet: bool,
+    /// Its reports arrive, but answers don't reach it.
+    pub deaf: bool,
     /// Tasks of jobs that are over and not known here any more: nothing is placed beside them.
     pub foreign: bool,
     pub drain: bool,
@@ -167,7 +169,7 @@
     /// Whether tasks may be placed there now, as far as the picture goes.
     pub fn open(&self) -> bool {
         let present = self.accounted && self.lapsed_at.is_none() && self.notice_until.is_none();
-        self.rostered == Rostered::Yes && self.usable_told && present && !self.foreign
+        self.rostered == Rostered::Yes && self.usable_told && present && !self.foreign && !self.deaf
     }
 
     /// What is left of its room beside possibly-on tasks and held room.
@@ -388,6 +390,7 @@
             usable_told: false,
             closed: false,
             quiet: true,
+            deaf: false,
             foreign: false,
             drain: false,
             releasing: false,
@@ -410,6 +413,11 @@
         self.chunk_bits
     }
 
+    /// Whether a job is in this leader's hands.
+    pub fn knows(&self, id: &str) -> bool {
+        self.jobs.contains_key(id)
+    }
+
     pub fn members(&self) -> &[String] {
         &self.members
     }
@@ -909,8 +917,8 @@
                 self.view_of_returned(from, &v);
                 return;
             }
-            if v.token != self.token {
-                // Seen under an earlier regime; its owner will show it again under this one.
+            if v.token != self.token || v.lapsed {
+                // Known by a late copy of a report only, or seen under an earlier regime; its owner will show it again under this one.
                 return;
             }
             log::info!("event=machine_up machine={} kind={} zone={} spot={}", v.name, v.kind, v.zone, v.spot);
@@ -933,6 +941,10 @@
         m.lapsed_at = v.lapsed.then(|| m.lapsed_at.unwrap_or(now));
         m.notice_until = v.notice_s.map(|s| m.notice_until.unwrap_or(now + s));
         m.closed = !v.usable;
+        if v.deaf != m.deaf {
+            log::info!("event=machine_{} machine={}", if v.deaf { "deaf" } else { "hears" }, v.name);
+            m.deaf = v.deaf;
+        }
         m.quiet = v.pending.is_empty() && v.tasks.iter().all(|t| t.state == TaskState::Exited);
         // Only a view of this very regime proves that nothing else was placed there meanwhile.
         if v.token == token {
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -32,6 +32,8 @@
     NotNow,
 }
 
+/// A machine that lost this many answers in a row gets no more tasks until it is seen to get one.
+const ANSWERS_LOST: u32 = 2;
 /// Most starts in one answer, so that it stays below the protocol's limit.
 const STARTS_AT_ONCE: usize = 400;
 /// A closed machine that is lost stays in the book for this many leases.
@@ -57,6 +59,10 @@
     answered: Secs,
     lapsed: bool,
     notice_s: Option<f64>,
+    /// (session, seq) of the last report that was answered with orders, and how many since came
+    /// from a worker that had not stayed here, so that the answer did not reach it.
+    asked: (u64, u64),
+    unheard: u32,
     tasks: BTreeMap<TaskRef, TaskView>,
     pending: BTreeMap<TaskRef, Room>,
     stops: BTreeMap<TaskRef, f64>,
@@ -65,6 +71,17 @@
     dirty: bool,
 }
 
+impl Machine {
+    /// Whether tasks may be placed there.
+    fn open(&self) -> bool {
+        self.usable && self.known && !self.lapsed && self.notice_s.is_none() && !self.is_deaf()
+    }
+
+    fn is_deaf(&self) -> bool {
+        self.unheard >= ANSWERS_LOST
+    }
+}
+
 struct Hold {
     job: String,
     room: Room,
@@ -273,6 +290,15 @@
             // The answer tells the worker the token; the report that shows it will count.
             return Answer::Orders(Orders { token, orders: Vec::new() });
         }
+        // A worker that gets its answer stays, so that its next report comes here as well; one that
+        // does not goes to the next controller first. What such a machine was to start it never
+        // will: this report lacks it, and no later answer repeats it.
+        let deaf = m.is_deaf();
+        if m.asked != (0, 0) {
+            m.unheard = if order == (m.asked.0, m.asked.1 + 1) { 0 } else { m.unheard + 1 };
+        }
+        m.asked = order;
+        m.dirty |= m.is_deaf() != deaf;
         m.dirty |= m.lapsed || !m.known;
         m.lapsed = false;
         m.known = true;
@@ -291,6 +317,16 @@
         }
         m.tasks = tasks;
         m.notice_s = report.notice_s;
+        if m.is_deaf() {
+            for (task, _) in std::mem::take(&mut m.pending) {
+                if !m.tasks.contains_key(&task) {
+                    log::info!("event=start_lost task={}/{} machine={}", task.job, task.index, report.machine);
+                    let tasks = vec![(task.index, 1)];
+                    self.out.push(ToLeader::HandBack { job: task.job, attempt: task.attempt, tasks });
+                    self.show = true;
+                }
+            }
+        }
         let orders = orders(m);
         if m.dirty {
             self.stale.insert(report.machine.clone());
@@ -335,8 +371,7 @@
     /// Brings the index up to what has changed since it was last looked at.
     fn refresh_index(&mut self, jobs: &dyn Jobs) {
         for name in std::mem::take(&mut self.stale) {
-            let open = |m: &&Machine| m.usable && m.known && !m.lapsed && m.notice_s.is_none();
-            let found = self.machines.get(&name).filter(open).and_then(|m| Some((m, self.types.get(&m.kind)?)));
+            let found = self.machines.get(&name).filter(|m| m.open()).and_then(|m| Some((m, self.types.get(&m.kind)?)));
             let Some((m, t)) = found else {
                 self.index.remove(&name);
                 continue;
@@ -407,7 +442,7 @@
                 return false;
             };
             let fits = || self.free(name, m, jobs).is_some_and(|f| f.times(room) >= *n);
-            if !m.usable || !m.known || m.lapsed || m.notice_s.is_some() || !fits() {
+            if !m.open() || !fits() {
                 return false;
             }
         }
@@ -423,7 +458,7 @@
         };
         self.stale.extend(h.places.iter().map(|(m, _, _)| m.clone()));
         // A machine that was lost while it held room would never start the task, nor show it gone.
-        let here = |name: &String| self.machines.get(name).is_some_and(|m| m.usable && !m.lapsed && m.notice_s.is_none());
+        let here = |name: &String| self.machines.get(name).is_some_and(Machine::open);
         if now >= h.until || !h.places.iter().all(|(m, _, _)| here(m)) {
             self.out.push(ToLeader::HoldAnswer { attempt, held: false });
             return;
@@ -453,6 +488,8 @@
         answered,
         lapsed: false,
         notice_s: None,
+        asked: (0, 0),
+        unheard: 0,
         tasks: BTreeMap::new(),
         pending: BTreeMap::new(),
         stops: BTreeMap::new(),
@@ -481,6 +518,7 @@
         tasks: m.tasks.values().cloned().collect(),
         pending: m.pending.keys().cloned().collect(),
         usable: m.usable,
+        deaf: m.is_deaf(),
     }
 }
 
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -59,6 +59,8 @@
     pub pending: Vec<TaskRef>,
     /// Whether the owner may still place tasks there, as it was last told.
     pub usable: bool,
+    /// Its reports arrive, but answers don't reach it: nothing is placed there meanwhile.
+    pub deaf: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
