--- a/crates/model/src/plain.rs
+++ b/crates/model/src/plain.rs
@@ -61,6 +61,10 @@
     fn leader(machines: &[(&str, &str)], limit: f64) -> Leader {
         let mut s = setup();
         s.teams.get_mut("red").unwrap().cpus_max = limit;
+        leader_with(s, machines)
+    }
+
+    fn leader_with(s: sched::setup::Setup, machines: &[(&str, &str)]) -> Leader {
         let mut l = Leader::new("rung-0", s, 1, 1, 4.0, Vec::new(), &BTreeMap::new(), 0, 0.0);
         l.catalog(vec![machine_type("small", 4.0, 16.0, 0.3), machine_type("large", 16.0, 64.0, 1.1)]);
         l.tick(5.0, 0);
@@ -173,6 +177,31 @@
         assert!(gangs > 50);
     }
 
+    /// Ten teams: arrays of one that came first, and take more than all there is, leave the others
+    /// what is within their guarantees; its own limit bounds them.
+    #[test]
+    fn one_teams_large_arrays_leave_the_others_their_guarantees() {
+        let mut s = setup();
+        let team = |cpus: f64, cpus_max: f64| sched::setup::Team { cpus, cpus_max, gpus: 0.0, gpus_max: 0.0 };
+        s.teams = (0..10).map(|i| (format!("team-{i}"), team(4.0, 50.0))).collect();
+        let names: Vec<String> = (0..10).map(|i| format!("host-{i}")).collect();
+        let machines: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), "large")).collect();
+        let mut l = leader_with(s, &machines);
+        for i in 0..13 {
+            let (team, tasks) = if i < 3 { (0, 800) } else { (i - 3, 4) };
+            let spec = Rc::new(job(i, &format!("team-{team}"), Shape::Array, tasks, 1.0));
+            l.add_job(OpenJob { spec, revision: u64::from(i) + 1, done: Ranges::default(), earlier: Earlier::Untouched });
+        }
+        l.begin_result(13, true);
+        l.tick(5.1, 0);
+        let got = placed(&l.drain());
+        for i in 4..13 {
+            assert_eq!(got.get(&format!("wk-{i:06}")), Some(&4), "team-{} did not get its guarantee", i - 3);
+        }
+        let first: u32 = (0..4).filter_map(|i| got.get(&format!("wk-{i:06}"))).sum();
+        assert_eq!(first, 50, "the limit of the first team");
+    }
+
     /// Machines that an earlier leader rostered stay in use (they once idled until returned).
     #[test]
     fn a_new_leader_uses_the_machines_of_the_roster() {
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -119,6 +119,8 @@
     rng: fastrand::Rng,
     defect: Defect,
     setup: Setup,
+    /// The teams' true limits.
+    limits: BTreeMap<String, Team>,
     types: Vec<MachineType>,
     workers: BTreeMap<String, Worker>,
     controllers: Vec<Controller>,
@@ -202,6 +204,7 @@
             rng: fastrand::Rng::with_seed(seed),
             defect,
             setup: believed,
+            limits: setup.teams,
             types: vec![machine_type("small", 4.0, 16.0, 0.3), machine_type("large", 16.0, 64.0, 1.1)],
             workers: BTreeMap::new(),
             controllers,
@@ -637,7 +640,7 @@
     }
 
     fn check(&mut self) {
-        let limits = setup().teams;
+        let limits = &self.limits;
         let mut used: BTreeMap<&str, f64> = BTreeMap::new();
         let mut broken = Vec::new();
         for w in self.workers.values() {
@@ -1169,6 +1172,33 @@
         }
     }
 
+    /// Small gangs wait for every machine, in both zones, and each one that becomes free fits the
+    /// next of them. A gang of three in one zone would never see three free at once, unless the
+    /// machines of one zone are set aside for it.
+    #[test]
+    fn a_large_gang_is_not_starved_by_small_ones() {
+        let wide = Team { cpus: 0.0, cpus_max: 1e6, gpus: 0.0, gpus_max: 0.0 };
+        let teams = BTreeMap::from([("red".to_string(), wide.clone()), ("blue".to_string(), wide)]);
+        let wait_s = BTreeMap::from([("any".to_string(), 20.0)]);
+        let mut w = World::with(3, Defect::None, Setup { teams, wait_s, ..setup() });
+        w.held_up = 0;
+        let gang = |id: u32, team: &str, tasks: u32| {
+            let only = Some(vec!["large".to_string()]);
+            Job { spot: false, one_zone: true, types: only, estimate_s: 4.0, ..job(id, team, Shape::Gang, tasks, 14.0) }
+        };
+        for i in 1..300 {
+            if i == 60 {
+                w.submit(gang(9999, "blue", 3));
+            }
+            w.submit(gang(i, "red", 1));
+            (0..4).for_each(|_| w.step());
+        }
+        let large = &w.jobs["wk-009999"];
+        assert!(large.begun_at.is_some_and(|at| at - large.accepted < 60.0), "it began at {:?}", large.begun_at);
+        assert!(w.open_jobs().len() > 20, "the machines were never short");
+        assert!(w.broken.is_empty(), "{:?}", w.broken);
+    }
+
     #[test]
     fn every_kind_of_trouble_happens() {
         let mut seen: BTreeMap<&str, u32> = BTreeMap::new();
