--- /dev/null
+++ b/crates/model/src/world/rules.rs
@@ -0,0 +1,85 @@
+//! The rules of the protocol and of the users, checked on the true state of the world.
+
+use super::*;
+
+impl World {
+    pub(super) fn live_on(w: &Worker) -> impl Iterator<Item = &Key> {
+        w.tasks.iter().filter(|(_, t)| t.state != TaskState::Exited).map(|(k, _)| k)
+    }
+
+    pub(super) fn check_start(&mut self, machine: &str, job: &str, index: u32) {
+        let mut broken = Vec::new();
+        if self.workers.values().any(|w| Self::live_on(w).any(|(j, i, _)| j == job && *i == index)) {
+            broken.push("ran_twice");
+        }
+        if let (Some(j), Some(w)) = (self.jobs.get(job), self.workers.get(machine)) {
+            let s = &j.spec;
+            let bad_type = s.types.as_ref().is_some_and(|l| !l.contains(&w.kind));
+            let bad_zone = s.zone.as_ref().is_some_and(|z| *z != w.zone);
+            let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+            for o in self.workers.values() {
+                for _ in Self::live_on(o).filter(|(j, _, _)| j == job) {
+                    *zones.entry(o.zone.as_str()).or_default() += 1;
+                }
+            }
+            let elsewhere = s.one_zone && zones.keys().any(|z| *z != w.zone);
+            let crowded = s.spread && zones.get(w.zone.as_str()).copied().unwrap_or(0) + 1 > s.tasks.div_ceil(2);
+            if bad_type || bad_zone || (w.spot && !s.spot) || elsewhere || crowded {
+                broken.push("wrong_place");
+            }
+        }
+        broken.into_iter().for_each(|r| self.break_rule(r));
+    }
+
+    pub(super) fn check(&mut self) {
+        let limits = &self.limits;
+        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut broken = Vec::new();
+        for w in self.workers.values() {
+            for (job, _, _) in Self::live_on(w) {
+                let Some(j) = self.jobs.get(job) else { continue };
+                *used.entry(j.spec.team.as_str()).or_default() += j.spec.cpus;
+                if j.cancelled && j.over.is_some_and(|at| self.now > at + self.setup.cancel_s) {
+                    broken.push("ran_cancelled");
+                }
+            }
+        }
+        if used.iter().any(|(t, cpus)| limits.get(*t).is_none_or(|l| *cpus > l.cpus_max + 1e-6)) {
+            broken.push("quota");
+        }
+        broken.into_iter().for_each(|r| self.break_rule(r));
+    }
+
+    /// Once troubles are over, every accepted job that is not over is known to the leader.
+    pub(super) fn check_known(&mut self) {
+        let Some((_, leader, _)) = &self.leader else { return };
+        if self.jobs.iter().any(|(id, j)| j.over.is_none() && !leader.knows(id)) {
+            self.break_rule("forgotten");
+        }
+    }
+
+    /// At least half of each class, team, and of the largest jobs is served, and all that began,
+    /// also the largest, did so in time. What could begin late for lack of time does not count.
+    pub(super) fn check_served(&mut self) {
+        let mut groups: BTreeMap<String, (u32, u32)> = BTreeMap::new();
+        let mut broken = Vec::new();
+        for j in self.jobs.values().filter(|j| !j.cancelled && self.now - j.accepted > BEGIN_S) {
+            let late = j.begun_at.is_none_or(|at| at - j.accepted > BEGIN_S);
+            let mut of = vec![format!("{:?}", j.spec.shape), format!("{:?} of {}", j.spec.shape, j.spec.team)];
+            if j.spec.shape == Shape::Gang && j.spec.tasks == LARGEST_GANG {
+                of.push("largest gangs".into());
+            }
+            for g in of {
+                let (all, served) = groups.entry(g).or_default();
+                *all += 1;
+                *served += u32::from(!late);
+            }
+        }
+        for (group, (all, served)) in groups {
+            if served * 2 < all {
+                broken.push(if group == "largest gangs" { "late" } else { "unserved" });
+            }
+        }
+        broken.into_iter().for_each(|r| self.break_rule(r));
+    }
+}
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -5,7 +5,6 @@
 //! shows that it is not. Only tasks in `Job::ready` are ever started.
 
 use crate::index::Index;
-use crate::part;
 use crate::place::Room;
 use crate::ranges::Ranges;
 use crate::setup::Setup;
@@ -13,10 +12,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use wire::cloud::{Hire, MachineType};
-use wire::peers::{MachineCard, MachineView, TaskRef, TaskView, ToLeader, ToOwner};
+use wire::peers::{TaskRef, ToOwner};
 use wire::store::RosterRecord;
 use wire::users::{Job as Spec, Shape};
-use wire::workers::{TaskState, Why};
 
 /// What the leader wants done outside.
 #[derive(Clone, Debug, PartialEq)]
@@ -187,9 +185,9 @@
     pub granted_until: Secs,
 }
 
-struct LimboGroup {
-    machines: BTreeSet<String>,
-    tasks: Vec<(String, u32)>,
+pub(crate) struct LimboGroup {
+    pub machines: BTreeSet<String>,
+    pub tasks: Vec<(String, u32)>,
 }
 
 /// Counters and lists for logs and the display.
@@ -211,19 +209,19 @@
     pub(crate) rng: fastrand::Rng,
     pub(crate) token: u64,
     /// Token of the present regime; 0 before the first.
-    regime_token: u64,
+    pub(crate) regime_token: u64,
     /// An owner's connection broke: what was sent to it may be lost, so a new regime is due.
-    regime_broken: bool,
-    broken: BTreeSet<String>,
-    counter: u64,
-    born: Secs,
+    pub(crate) regime_broken: bool,
+    pub(crate) broken: BTreeSet<String>,
+    pub(crate) counter: u64,
+    pub(crate) born: Secs,
     /// The time of the last tick.
-    time: Secs,
-    members: Vec<String>,
-    regime_set: bool,
-    token_asked: bool,
-    links: BTreeMap<String, OwnerLink>,
-    lost_until: Secs,
+    pub(crate) time: Secs,
+    pub(crate) members: Vec<String>,
+    pub(crate) regime_set: bool,
+    pub(crate) token_asked: bool,
+    pub(crate) links: BTreeMap<String, OwnerLink>,
+    pub(crate) lost_until: Secs,
     pub(crate) types: BTreeMap<String, MachineType>,
     pub(crate) jobs: BTreeMap<String, Job>,
     pub(crate) machines: BTreeMap<String, Machine>,
@@ -233,25 +231,25 @@
     pub(crate) index: Index,
     pub(crate) stale: BTreeSet<String>,
     /// Machines of unknown content.
-    unknown: BTreeSet<String>,
+    pub(crate) unknown: BTreeSet<String>,
     /// Arrays accepted up to this revision are recorded as begun; asked for is more perhaps.
     pub(crate) begun: u64,
-    begun_asked: u64,
+    pub(crate) begun_asked: u64,
     pub(crate) team_used: BTreeMap<String, Room>,
-    groups: BTreeMap<u64, LimboGroup>,
-    next_group: u64,
-    start_open: bool,
+    pub(crate) groups: BTreeMap<u64, LimboGroup>,
+    pub(crate) next_group: u64,
+    pub(crate) start_open: bool,
     /// Teams with a job cancelled so lately that its tasks may still be on unknown machines.
     pub(crate) lately_cancelled: BTreeSet<String>,
     pub(crate) regime_at: Secs,
     pub(crate) fleet: crate::fleet::Fleet,
     pub(crate) deeds: Vec<Deed>,
-    wake: bool,
-    flushed: Secs,
-    chunk_bits: u32,
-    last_display: Vec<(String, u32)>,
-    display_at: Secs,
-    placed_at: Secs,
+    pub(crate) wake: bool,
+    pub(crate) flushed: Secs,
+    pub(crate) chunk_bits: u32,
+    pub(crate) last_display: Vec<(String, u32)>,
+    pub(crate) display_at: Secs,
+    pub(crate) placed_at: Secs,
     pub(crate) preempted_at: Secs,
     pub(crate) classes: BTreeMap<String, ClassStats>,
 }
@@ -375,7 +373,7 @@
         l
     }
 
-    fn new_machine(&self, kind: &str, zone: &str, spot: bool, now: Secs) -> Machine {
+    pub(crate) fn new_machine(&self, kind: &str, zone: &str, spot: bool, now: Secs) -> Machine {
         Machine {
             kind: kind.into(),
             zone: zone.into(),
@@ -468,7 +466,7 @@
         self.jobs.iter().map(job).chain(self.machines.iter().map(machine)).collect::<Vec<_>>().join("\n")
     }
 
-    fn send(&mut self, to: &str, message: ToOwner) {
+    pub(crate) fn send(&mut self, to: &str, message: ToOwner) {
         self.deeds.push(Deed::Send(to.to_string(), message));
     }
 
@@ -533,7 +531,7 @@
         self.wake = true;
     }
 
-    fn forget_if_gone(&mut self, id: &str) {
+    pub(crate) fn forget_if_gone(&mut self, id: &str) {
         if let Some(j) = self.jobs.get(id).filter(|j| j.over && j.active.is_empty()) {
             self.by_age.remove(&(j.revision, id.to_string()));
             self.fleet.forget_job(id);
@@ -541,7 +539,7 @@
         }
     }
 
-    fn stop_all(&mut self, id: &str, grace_s: f64) {
+    pub(crate) fn stop_all(&mut self, id: &str, grace_s: f64) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -572,7 +570,7 @@
         }
     }
 
-    fn clear(&mut self, machine: &str, task: TaskRef) {
+    pub(crate) fn clear(&mut self, machine: &str, task: TaskRef) {
         let Some(m) = self.machines.get_mut(machine) else {
             return;
         };
@@ -603,7 +601,7 @@
         job.active.insert(index, active);
     }
 
-    fn unset_active(&mut self, id: &str, index: u32) -> Option<Active> {
+    pub(crate) fn unset_active(&mut self, id: &str, index: u32) -> Option<Active> {
         let job = self.jobs.get_mut(id)?;
         let active = job.active.remove(&index)?;
         let room = job.room();
@@ -648,7 +646,7 @@
         self.forget_if_gone(id);
     }
 
-    fn task_done(&mut self, id: &str, index: u32, now: Secs) {
+    pub(crate) fn task_done(&mut self, id: &str, index: u32, now: Secs) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -676,7 +674,7 @@
         self.wake = true;
     }
 
-    fn maybe_finish(&mut self, id: &str) {
+    pub(crate) fn maybe_finish(&mut self, id: &str) {
         if let Some(job) = self.jobs.get_mut(id) {
             if !job.over && !job.finishing && job.done.len() == job.spec.tasks {
                 job.finishing = true;
@@ -719,473 +717,6 @@
         self.jobs.get(id).map(|j| j.done.clone()).unwrap_or_default()
     }
 
-    // ---- owners ----
-
-    /// A controller has connected, or was heard.
-    pub fn owner_heard(&mut self, member: &str, now: Secs) {
-        let link = self.links.entry(member.into()).or_insert(OwnerLink { since: now, heard: now, granted_until: f64::MIN });
-        link.heard = now;
-    }
-
-    /// How long this owner may be granted authority that ends before `until`; none if it is
-    /// no owner under the present token.
-    pub fn grant(&mut self, member: &str, now: Secs, until: Secs) -> Option<Secs> {
-        if !self.regime_set || !self.members.iter().any(|m| m == member) {
-            return None;
-        }
-        let valid = until - now;
-        if valid <= 0.0 {
-            return None;
-        }
-        let link = self.links.get_mut(member)?;
-        link.granted_until = link.granted_until.max(until);
-        Some(valid)
-    }
-
-    /// The connection to an owner is lost.
-    pub fn owner_lost(&mut self, member: &str) {
-        if let Some(link) = self.links.remove(member) {
-            self.lost_until = self.lost_until.max(link.granted_until);
-            if self.members.iter().any(|m| m == member) {
-                self.regime_broken = true;
-                self.broken.insert(member.into());
-            }
-        }
-    }
-
-    /// Members that are heard and should be owners; the leader itself only if there are none.
-    fn wanted_members(&self) -> Vec<String> {
-        let mut v: Vec<String> = self.links.keys().cloned().collect();
-        if v.is_empty() {
-            v.push(self.me.clone());
-        }
-        v
-    }
-
-    fn review_regime(&mut self, now: Secs, known: usize) {
-        let silent: Vec<String> =
-            self.links.iter().filter(|(_, l)| now - l.heard > self.setup.owner_silence_s()).map(|(m, _)| m.clone()).collect();
-        for m in silent {
-            log::info!("event=owner_silent member={m}");
-            self.owner_lost(&m);
-        }
-        let wanted = self.wanted_members();
-        if self.token_asked || (self.regime_set && !self.regime_broken && wanted == self.members) {
-            return;
-        }
-        let settle = self.setup.owner_silence_s() / 8.0;
-        let lost = self.regime_broken || self.regime_set && self.members.iter().any(|m| !wanted.contains(m));
-        let newest = self.links.values().map(|l| l.since).fold(self.born, f64::max);
-        if !lost && self.links.len() < known && now - newest < settle {
-            return;
-        }
-        if self.regime_set {
-            self.token_asked = true;
-            self.deeds.push(Deed::NewToken);
-        } else {
-            self.begin_regime(now);
-        }
-    }
-
-    /// A new token is durable, or could not be had for now.
-    pub fn token_result(&mut self, token: Option<u64>, now: Secs) {
-        self.token_asked = false;
-        if let Some(token) = token {
-            self.token = token;
-            self.begin_regime(now);
-        }
-    }
-
-    fn begin_regime(&mut self, now: Secs) {
-        let wanted = self.wanted_members();
-        let old_members = std::mem::replace(&mut self.members, wanted);
-        let prev = self.regime_token;
-        self.regime_token = self.token;
-        self.regime_set = true;
-        self.regime_at = now;
-        self.regime_broken = false;
-        let broken = std::mem::take(&mut self.broken);
-        // Any earlier owner may have prolonged leases until its authority ends for certain.
-        let granted = self.links.values().map(|l| l.granted_until).fold(self.lost_until, f64::max);
-        let extra_ms = ((granted - now).max(0.0) * 1000.0).ceil() as u64;
-        log::info!("event=regime token={} owners={} extra_ms={extra_ms}", self.token, self.members.join(","));
-        let holding: Vec<String> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| matches!(j.phase, Phase::Holding { .. } | Phase::Binding { .. }))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in holding {
-            self.end_hold(&id, now, false);
-        }
-        // Tasks given to an owner and not yet seen may be on any machine that was its.
-        for old in &old_members {
-            let tasks: Vec<(String, u32)> = self
-                .jobs
-                .iter()
-                .flat_map(|(id, j)| {
-                    j.active.iter().filter(|(_, a)| matches!(&a.place, Place::Given(o, _) if o == old)).map(|(i, _)| (id.clone(), *i))
-                })
-                .collect();
-            if tasks.is_empty() {
-                continue;
-            }
-            let group = self.next_group;
-            self.next_group += 1;
-            for (id, i) in &tasks {
-                if let Some(mut a) = self.unset_active(id, *i) {
-                    a.place = Place::Limbo(group);
-                    self.set_active(id, *i, a);
-                }
-            }
-            let machines = self.machines.iter().filter(|(_, m)| m.owner == *old).map(|(n, _)| n.clone()).collect();
-            self.groups.insert(group, LimboGroup { machines, tasks });
-        }
-        let token = self.token;
-        self.stale.extend(self.machines.keys().cloned());
-        for (name, m) in self.machines.iter_mut() {
-            let owner = part::owner(name, &self.members).unwrap_or(&self.me).to_string();
-            if owner != m.owner || broken.contains(&owner) {
-                m.owner = owner;
-                m.since = token;
-            }
-            m.accounted = false;
-            // Owners learn from the cards what they may use; also what an earlier leader rostered.
-            m.usable_told = m.rostered == Rostered::Yes && !m.drain && !m.releasing;
-            m.cleared.clear();
-            m.closed = false;
-        }
-        for j in self.jobs.values_mut() {
-            j.clears.clear();
-            j.active.values_mut().for_each(|a| a.stop_sent = false);
-        }
-        let cards: Vec<MachineCard> = self
-            .machines
-            .iter()
-            .map(|(n, m)| MachineCard { name: n.clone(), kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot, usable: m.usable_told })
-            .collect();
-        let catalog = ToOwner::Catalog { types: self.types.values().cloned().collect() };
-        for member in self.members.clone() {
-            let continues = old_members.contains(&member) && !broken.contains(&member);
-            let mine = |c: &&MachineCard| self.machines.get(&c.name).is_some_and(|m| m.owner == member);
-            let machines = cards.iter().filter(mine).cloned().collect();
-            self.send(
-                &member,
-                ToOwner::Regime { token, prev: if continues { prev } else { 0 }, members: self.members.clone(), extra_ms, machines },
-            );
-            self.send(&member, catalog.clone());
-        }
-        // Controllers that are no owners learn it too, so that they can redirect workers.
-        let me = self.me.clone();
-        if !self.members.contains(&me) {
-            self.send(&me, ToOwner::Regime { token, prev: 0, members: self.members.clone(), extra_ms, machines: Vec::new() });
-        }
-        self.settle();
-        self.wake = true;
-    }
-
-    // ---- what owners say ----
-
-    /// Takes a message of an owner.
-    pub fn on_owner(&mut self, from: &str, message: ToLeader, now: Secs) {
-        match message {
-            ToLeader::Machines(views) => {
-                for v in views {
-                    self.apply_view(from, v, now);
-                }
-                self.settle();
-            }
-            ToLeader::HandBack { job, attempt, tasks } => {
-                for i in tasks.iter().flat_map(|(a, n)| *a..a.saturating_add(*n)) {
-                    let given = self.jobs.get(&job).and_then(|j| j.active.get(&i));
-                    if given.is_some_and(|a| a.attempt == attempt && matches!(&a.place, Place::Given(o, _) if o == from)) {
-                        self.gone(&job, i);
-                    }
-                }
-            }
-            ToLeader::HoldAnswer { attempt, held } => self.on_hold_answer(from, attempt, held, now),
-            ToLeader::Hello { .. } | ToLeader::Ping { .. } => {}
-        }
-    }
-
-    fn apply_view(&mut self, from: &str, v: MachineView, now: Secs) {
-        if part::owner(&v.name, &self.members) != Some(from) {
-            return;
-        }
-        if !self.machines.contains_key(&v.name) {
-            if self.fleet.is_released(&v.name) {
-                self.view_of_returned(from, &v);
-                return;
-            }
-            if v.token != self.token || v.lapsed {
-                // Known by a late copy of a report only, or seen under an earlier regime; its owner will show it again under this one.
-                return;
-            }
-            log::info!("event=machine_up machine={} kind={} zone={} spot={}", v.name, v.kind, v.zone, v.spot);
-            let mut m = self.new_machine(&v.kind, &v.zone, v.spot, now);
-            m.owner = from.to_string();
-            self.machines.insert(v.name.clone(), m);
-            self.fleet.booted(&v.name, now);
-        }
-        let token = self.token;
-        let Some(m) = self.machines.get_mut(&v.name) else {
-            return;
-        };
-        if m.owner != from || v.token < m.since {
-            return;
-        }
-        m.seen_at = now;
-        if v.lapsed != m.lapsed_at.is_some() {
-            log::info!("event=machine_{} machine={}", if v.lapsed { "lost" } else { "back" }, v.name);
-        }
-        m.lapsed_at = v.lapsed.then(|| m.lapsed_at.unwrap_or(now));
-        m.notice_until = v.notice_s.map(|s| m.notice_until.unwrap_or(now + s));
-        m.closed = !v.usable;
-        if v.deaf != m.deaf {
-            log::info!("event=machine_{} machine={}", if v.deaf { "deaf" } else { "hears" }, v.name);
-            m.deaf = v.deaf;
-        }
-        m.quiet = v.pending.is_empty() && v.tasks.iter().all(|t| t.state == TaskState::Exited);
-        // Only a view of this very regime proves that nothing else was placed there meanwhile.
-        if v.token == token {
-            m.accounted = true;
-            if std::mem::take(&mut m.unknown) {
-                self.unknown.remove(&v.name);
-            }
-        }
-        self.stale.insert(v.name.clone());
-        self.roster(&v.name);
-        if let Some(usable) = self.machines.get(&v.name).map(|m| m.usable_told).filter(|u| *u != v.usable && v.token == token) {
-            // The owner began anew after it was told.
-            self.send(from, ToOwner::Use { machine: v.name.clone(), usable });
-        }
-        self.apply_tasks(&v, now);
-        self.wake = true;
-    }
-
-    /// Has a machine that is up rostered, if it is not yet.
-    fn roster(&mut self, name: &str) {
-        let Some(m) = self.machines.get_mut(name) else { return };
-        if m.rostered == Rostered::No && m.lapsed_at.is_none() && !m.releasing {
-            m.rostered = Rostered::Writing;
-            let record = RosterRecord { kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot };
-            self.deeds.push(Deed::Roster(name.into(), Some(record)));
-        }
-    }
-
-    /// A machine that was returned is gone with all that is on it. Its owner may have placed
-    /// tasks there before it knew; they are nowhere.
-    fn view_of_returned(&mut self, from: &str, v: &MachineView) {
-        if v.usable {
-            self.send(from, ToOwner::Use { machine: v.name.clone(), usable: false });
-        }
-        let live = v.tasks.iter().filter(|t| t.state != TaskState::Exited).map(|t| &t.task);
-        for t in live.chain(&v.pending) {
-            let here = |a: &Active| match &a.place {
-                Place::Given(o, _) => o == from,
-                Place::On(m) => *m == v.name,
-                Place::Limbo(_) => false,
-            };
-            if self.jobs.get(&t.job).and_then(|j| j.active.get(&t.index)).is_some_and(|a| a.attempt == t.attempt && here(a)) {
-                self.gone(&t.job, t.index);
-            }
-        }
-    }
-
-    fn apply_tasks(&mut self, v: &MachineView, now: Secs) {
-        let name = v.name.as_str();
-        let mut listed: BTreeSet<(String, u32)> = BTreeSet::new();
-        let mut foreign = false;
-        for t in v.tasks.iter().filter(|t| t.state != TaskState::Exited) {
-            listed.insert((t.task.job.clone(), t.task.index));
-            foreign |= !self.note_live(name, &t.task, t.state, now);
-        }
-        for t in &v.pending {
-            listed.insert((t.job.clone(), t.index));
-            foreign |= !self.note_live(name, t, TaskState::Fetching, now);
-        }
-        for t in v.tasks.iter().filter(|t| t.state == TaskState::Exited) {
-            self.note_exit(name, t, now);
-        }
-        let Some(m) = self.machines.get_mut(name) else {
-            return;
-        };
-        m.foreign = foreign;
-        let old: Vec<(String, u32)> = m.tasks.keys().filter(|k| !listed.contains(*k)).cloned().collect();
-        for (id, i) in old {
-            let on = self.jobs.get(&id).and_then(|j| j.active.get(&i)).is_some_and(|a| matches!(&a.place, Place::On(_)));
-            if on {
-                self.gone(&id, i);
-            }
-        }
-        if let Some(m) = self.machines.get_mut(name) {
-            if !m.tasks.is_empty() || !m.held.is_empty() {
-                m.idle_since = now;
-            }
-        }
-    }
-
-    /// A task is, or is about to be, on a machine. False if its job is not known here.
-    fn note_live(&mut self, machine: &str, task: &TaskRef, state: TaskState, now: Secs) -> bool {
-        let stop = |l: &mut Leader| {
-            if let Some(owner) = l.machines.get(machine).map(|m| m.owner.clone()) {
-                l.send(&owner, ToOwner::Stop { machine: machine.into(), task: task.clone(), grace_s: 0.0 });
-            }
-        };
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            stop(self);
-            return false;
-        };
-        let unwanted = job.over || job.done.contains(task.index) && !job.is_gang();
-        let running = state == TaskState::Running || state == TaskState::Saving;
-        match job.active.get_mut(&task.index) {
-            Some(a) if a.attempt == task.attempt => {
-                if running && !a.running {
-                    a.running = true;
-                    a.since = now;
-                }
-                if a.place != Place::On(machine.into()) {
-                    let mut moved = a.clone();
-                    moved.place = Place::On(machine.into());
-                    self.set_active(&task.job, task.index, moved);
-                }
-            }
-            Some(a) => {
-                log::error!(
-                    "event=second_attempt task={}/{} machine={machine} attempt={} known={}",
-                    task.job,
-                    task.index,
-                    task.attempt,
-                    a.attempt
-                );
-                stop(self);
-                return true;
-            }
-            None => {
-                let active = Active { attempt: task.attempt, place: Place::On(machine.into()), running, stop_sent: false, since: now };
-                self.set_active(&task.job, task.index, active);
-            }
-        }
-        if unwanted {
-            if let Some(a) = self.jobs.get_mut(&task.job).and_then(|j| j.active.get_mut(&task.index)) {
-                if !std::mem::replace(&mut a.stop_sent, true) {
-                    stop(self);
-                }
-            }
-        }
-        true
-    }
-
-    fn note_exit(&mut self, machine: &str, t: &TaskView, now: Secs) {
-        let task = &t.task;
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            self.clear(machine, task.clone());
-            return;
-        };
-        let why = t.why.unwrap_or(Why::Error);
-        if why == Why::Done {
-            // What completes shows that earlier errors there were their jobs' own.
-            if let Some(m) = self.machines.get_mut(machine) {
-                m.failed_jobs.clear();
-            }
-            let durable = job.over || job.durable.contains(task.index);
-            let entry = (machine.to_string(), task.clone());
-            if !durable && !job.clears.contains(&entry) {
-                job.clears.push(entry);
-            }
-            let new = !job.done.contains(task.index) || job.active.get(&task.index).is_some_and(|a| a.attempt == task.attempt);
-            if new {
-                self.task_done(&task.job, task.index, now);
-            }
-            if durable {
-                self.clear(machine, task.clone());
-            }
-            return;
-        }
-        if job.active.get(&task.index).is_some_and(|a| a.attempt == task.attempt) {
-            log::info!("event=task_exit task={}/{} machine={machine} why={why:?} saved={}", task.job, task.index, t.saved);
-            let base = self.setup.report_s;
-            match why {
-                Why::Error | Why::NoSuch => {
-                    job.failures += 1;
-                    let wait = base * f64::from(1u32 << job.failures.min(6)) * (0.75 + 0.5 * self.rng.f64());
-                    job.backoff_until = job.backoff_until.max(now + wait);
-                    if why == Why::Error {
-                        if let Some(m) = self.machines.get_mut(machine) {
-                            m.failed_jobs.insert(task.job.clone());
-                        }
-                    }
-                }
-                Why::Full | Why::InUse => job.backoff_until = job.backoff_until.max(now + base),
-                _ => {}
-            }
-            self.gone(&task.job, task.index);
-        }
-        self.clear(machine, task.clone());
-    }
-
-    /// Settles what waited for machines to be accounted for.
-    fn settle(&mut self) {
-        let mut ready = Vec::new();
-        let machines = &self.machines;
-        self.groups.retain(|id, g| {
-            g.machines.retain(|m| machines.get(m).is_some_and(|m| !m.accounted));
-            if g.machines.is_empty() {
-                ready.push((*id, std::mem::take(&mut g.tasks)));
-            }
-            ready.last().is_none_or(|(r, _)| r != id)
-        });
-        for (group, tasks) in ready {
-            for (id, i) in tasks {
-                let still = self.jobs.get(&id).and_then(|j| j.active.get(&i)).is_some_and(|a| a.place == Place::Limbo(group));
-                if still {
-                    self.gone(&id, i);
-                }
-            }
-        }
-        if !self.start_open || !self.regime_set {
-            return;
-        }
-        let unknown = &self.unknown;
-        let all = unknown.is_empty();
-        let known = |j: &Job| match &j.suspects {
-            Some(machines) => machines.iter().all(|m| !unknown.contains(m)),
-            None => all,
-        };
-        let ids: Vec<String> = self.jobs.iter().filter(|(_, j)| j.uncertain && known(j)).map(|(id, _)| id.clone()).collect();
-        if all {
-            self.start_open = false;
-            log::info!("event=accounted machines={}", self.machines.len());
-        }
-        for id in ids {
-            self.certain(&id);
-            self.wake = true;
-        }
-    }
-
-    /// All machines are known: decides whether a gang that was found is whole.
-    fn certain(&mut self, id: &str) {
-        let Some(job) = self.jobs.get_mut(id) else {
-            return;
-        };
-        job.uncertain = false;
-        if !job.is_gang() || job.over || !job.done.is_empty() {
-            self.maybe_finish(id);
-            return;
-        }
-        let first = job.active.values().next().map(|a| a.attempt);
-        match first {
-            None => job.phase = Phase::Idle,
-            Some(attempt) if job.active.len() == job.spec.tasks as usize && job.active.values().all(|a| a.attempt == attempt) => {
-                job.phase = Phase::Running { attempt };
-            }
-            Some(_) => {
-                job.phase = Phase::Ending;
-                self.stop_all(id, 0.0);
-            }
-        }
-    }
-
     /// Has the record moved on that arrays up to a revision may have begun.
     pub(crate) fn ask_begin(&mut self, upto: u64) {
         if upto > self.begun_asked {
@@ -1301,7 +832,7 @@
     }
 
     /// Writes progress of jobs with newly done tasks, coalesced.
-    fn flush(&mut self) {
+    pub(crate) fn flush(&mut self) {
         let bits = self.chunk_bits;
         for (id, job) in self.jobs.iter_mut().filter(|(_, j)| !j.dirty.is_empty()) {
             let dirty = std::mem::take(&mut job.dirty);
@@ -1326,7 +857,7 @@
         }
     }
 
-    fn display(&mut self) {
+    pub(crate) fn display(&mut self) {
         let running: Vec<(String, u32)> = self
             .jobs
             .iter()
@@ -1343,7 +874,7 @@
     }
 
     /// Saves what can be saved before the cloud takes a machine.
-    fn mind_notices(&mut self, now: Secs) {
+    pub(crate) fn mind_notices(&mut self, now: Secs) {
         let mut stops = Vec::new();
         for (name, m) in &self.machines {
             let Some(until) = m.notice_until else { continue };
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -9,7 +9,9 @@
 mod preempt;
 mod queue;
 pub mod ranges;
+mod regime;
 pub mod setup;
+mod views;
 
 /// A time on the process's steady clock, in seconds.
 pub type Secs = f64;
--- /dev/null
+++ b/crates/sched/src/regime.rs
@@ -0,0 +1,172 @@
+//! The leader and its owners: who is heard, what authority they get, and the change of owners
+//! under a new token.
+
+use crate::leader::{Deed, Leader, LimboGroup, OwnerLink, Phase, Place, Rostered};
+use crate::part;
+use crate::Secs;
+use wire::peers::{MachineCard, ToOwner};
+
+impl Leader {
+    /// A controller has connected, or was heard.
+    pub fn owner_heard(&mut self, member: &str, now: Secs) {
+        let link = self.links.entry(member.into()).or_insert(OwnerLink { since: now, heard: now, granted_until: f64::MIN });
+        link.heard = now;
+    }
+
+    /// How long this owner may be granted authority that ends before `until`; none if it is
+    /// no owner under the present token.
+    pub fn grant(&mut self, member: &str, now: Secs, until: Secs) -> Option<Secs> {
+        if !self.regime_set || !self.members.iter().any(|m| m == member) {
+            return None;
+        }
+        let valid = until - now;
+        if valid <= 0.0 {
+            return None;
+        }
+        let link = self.links.get_mut(member)?;
+        link.granted_until = link.granted_until.max(until);
+        Some(valid)
+    }
+
+    /// The connection to an owner is lost.
+    pub fn owner_lost(&mut self, member: &str) {
+        if let Some(link) = self.links.remove(member) {
+            self.lost_until = self.lost_until.max(link.granted_until);
+            if self.members.iter().any(|m| m == member) {
+                self.regime_broken = true;
+                self.broken.insert(member.into());
+            }
+        }
+    }
+
+    /// Members that are heard and should be owners; the leader itself only if there are none.
+    pub(crate) fn wanted_members(&self) -> Vec<String> {
+        let mut v: Vec<String> = self.links.keys().cloned().collect();
+        if v.is_empty() {
+            v.push(self.me.clone());
+        }
+        v
+    }
+
+    pub(crate) fn review_regime(&mut self, now: Secs, known: usize) {
+        let silent: Vec<String> =
+            self.links.iter().filter(|(_, l)| now - l.heard > self.setup.owner_silence_s()).map(|(m, _)| m.clone()).collect();
+        for m in silent {
+            log::info!("event=owner_silent member={m}");
+            self.owner_lost(&m);
+        }
+        let wanted = self.wanted_members();
+        if self.token_asked || (self.regime_set && !self.regime_broken && wanted == self.members) {
+            return;
+        }
+        let settle = self.setup.owner_silence_s() / 8.0;
+        let lost = self.regime_broken || self.regime_set && self.members.iter().any(|m| !wanted.contains(m));
+        let newest = self.links.values().map(|l| l.since).fold(self.born, f64::max);
+        if !lost && self.links.len() < known && now - newest < settle {
+            return;
+        }
+        if self.regime_set {
+            self.token_asked = true;
+            self.deeds.push(Deed::NewToken);
+        } else {
+            self.begin_regime(now);
+        }
+    }
+
+    /// A new token is durable, or could not be had for now.
+    pub fn token_result(&mut self, token: Option<u64>, now: Secs) {
+        self.token_asked = false;
+        if let Some(token) = token {
+            self.token = token;
+            self.begin_regime(now);
+        }
+    }
+
+    pub(crate) fn begin_regime(&mut self, now: Secs) {
+        let wanted = self.wanted_members();
+        let old_members = std::mem::replace(&mut self.members, wanted);
+        let prev = self.regime_token;
+        self.regime_token = self.token;
+        self.regime_set = true;
+        self.regime_at = now;
+        self.regime_broken = false;
+        let broken = std::mem::take(&mut self.broken);
+        // Any earlier owner may have prolonged leases until its authority ends for certain.
+        let granted = self.links.values().map(|l| l.granted_until).fold(self.lost_until, f64::max);
+        let extra_ms = ((granted - now).max(0.0) * 1000.0).ceil() as u64;
+        log::info!("event=regime token={} owners={} extra_ms={extra_ms}", self.token, self.members.join(","));
+        let holding: Vec<String> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| matches!(j.phase, Phase::Holding { .. } | Phase::Binding { .. }))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in holding {
+            self.end_hold(&id, now, false);
+        }
+        // Tasks given to an owner and not yet seen may be on any machine that was its.
+        for old in &old_members {
+            let tasks: Vec<(String, u32)> = self
+                .jobs
+                .iter()
+                .flat_map(|(id, j)| {
+                    j.active.iter().filter(|(_, a)| matches!(&a.place, Place::Given(o, _) if o == old)).map(|(i, _)| (id.clone(), *i))
+                })
+                .collect();
+            if tasks.is_empty() {
+                continue;
+            }
+            let group = self.next_group;
+            self.next_group += 1;
+            for (id, i) in &tasks {
+                if let Some(mut a) = self.unset_active(id, *i) {
+                    a.place = Place::Limbo(group);
+                    self.set_active(id, *i, a);
+                }
+            }
+            let machines = self.machines.iter().filter(|(_, m)| m.owner == *old).map(|(n, _)| n.clone()).collect();
+            self.groups.insert(group, LimboGroup { machines, tasks });
+        }
+        let token = self.token;
+        self.stale.extend(self.machines.keys().cloned());
+        for (name, m) in self.machines.iter_mut() {
+            let owner = part::owner(name, &self.members).unwrap_or(&self.me).to_string();
+            if owner != m.owner || broken.contains(&owner) {
+                m.owner = owner;
+                m.since = token;
+            }
+            m.accounted = false;
+            // Owners learn from the cards what they may use; also what an earlier leader rostered.
+            m.usable_told = m.rostered == Rostered::Yes && !m.drain && !m.releasing;
+            m.cleared.clear();
+            m.closed = false;
+        }
+        for j in self.jobs.values_mut() {
+            j.clears.clear();
+            j.active.values_mut().for_each(|a| a.stop_sent = false);
+        }
+        let cards: Vec<MachineCard> = self
+            .machines
+            .iter()
+            .map(|(n, m)| MachineCard { name: n.clone(), kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot, usable: m.usable_told })
+            .collect();
+        let catalog = ToOwner::Catalog { types: self.types.values().cloned().collect() };
+        for member in self.members.clone() {
+            let continues = old_members.contains(&member) && !broken.contains(&member);
+            let mine = |c: &&MachineCard| self.machines.get(&c.name).is_some_and(|m| m.owner == member);
+            let machines = cards.iter().filter(mine).cloned().collect();
+            self.send(
+                &member,
+                ToOwner::Regime { token, prev: if continues { prev } else { 0 }, members: self.members.clone(), extra_ms, machines },
+            );
+            self.send(&member, catalog.clone());
+        }
+        // Controllers that are no owners learn it too, so that they can redirect workers.
+        let me = self.me.clone();
+        if !self.members.contains(&me) {
+            self.send(&me, ToOwner::Regime { token, prev: 0, members: self.members.clone(), extra_ms, machines: Vec::new() });
+        }
+        self.settle();
+        self.wake = true;
+    }
+}
--- /dev/null
+++ b/crates/sched/src/views.rs
@@ -0,0 +1,311 @@
+//! What owners show of their machines, and what the leader's picture takes from it.
+
+use crate::leader::{Active, Deed, Job, Leader, Phase, Place, Rostered};
+use crate::part;
+use crate::Secs;
+use std::collections::BTreeSet;
+use wire::peers::{MachineView, TaskRef, TaskView, ToLeader, ToOwner};
+use wire::store::RosterRecord;
+use wire::workers::{TaskState, Why};
+
+impl Leader {
+    /// Takes a message of an owner.
+    pub fn on_owner(&mut self, from: &str, message: ToLeader, now: Secs) {
+        match message {
+            ToLeader::Machines(views) => {
+                for v in views {
+                    self.apply_view(from, v, now);
+                }
+                self.settle();
+            }
+            ToLeader::HandBack { job, attempt, tasks } => {
+                for i in tasks.iter().flat_map(|(a, n)| *a..a.saturating_add(*n)) {
+                    let given = self.jobs.get(&job).and_then(|j| j.active.get(&i));
+                    if given.is_some_and(|a| a.attempt == attempt && matches!(&a.place, Place::Given(o, _) if o == from)) {
+                        self.gone(&job, i);
+                    }
+                }
+            }
+            ToLeader::HoldAnswer { attempt, held } => self.on_hold_answer(from, attempt, held, now),
+            ToLeader::Hello { .. } | ToLeader::Ping { .. } => {}
+        }
+    }
+
+    pub(crate) fn apply_view(&mut self, from: &str, v: MachineView, now: Secs) {
+        if part::owner(&v.name, &self.members) != Some(from) {
+            return;
+        }
+        if !self.machines.contains_key(&v.name) {
+            if self.fleet.is_released(&v.name) {
+                self.view_of_returned(from, &v);
+                return;
+            }
+            if v.token != self.token || v.lapsed {
+                // Known by a late copy of a report only, or seen under an earlier regime; its owner will show it again under this one.
+                return;
+            }
+            log::info!("event=machine_up machine={} kind={} zone={} spot={}", v.name, v.kind, v.zone, v.spot);
+            let mut m = self.new_machine(&v.kind, &v.zone, v.spot, now);
+            m.owner = from.to_string();
+            self.machines.insert(v.name.clone(), m);
+            self.fleet.booted(&v.name, now);
+        }
+        let token = self.token;
+        let Some(m) = self.machines.get_mut(&v.name) else {
+            return;
+        };
+        if m.owner != from || v.token < m.since {
+            return;
+        }
+        m.seen_at = now;
+        if v.lapsed != m.lapsed_at.is_some() {
+            log::info!("event=machine_{} machine={}", if v.lapsed { "lost" } else { "back" }, v.name);
+        }
+        m.lapsed_at = v.lapsed.then(|| m.lapsed_at.unwrap_or(now));
+        m.notice_until = v.notice_s.map(|s| m.notice_until.unwrap_or(now + s));
+        m.closed = !v.usable;
+        if v.deaf != m.deaf {
+            log::info!("event=machine_{} machine={}", if v.deaf { "deaf" } else { "hears" }, v.name);
+            m.deaf = v.deaf;
+        }
+        m.quiet = v.pending.is_empty() && v.tasks.iter().all(|t| t.state == TaskState::Exited);
+        // Only a view of this very regime proves that nothing else was placed there meanwhile.
+        if v.token == token {
+            m.accounted = true;
+            if std::mem::take(&mut m.unknown) {
+                self.unknown.remove(&v.name);
+            }
+        }
+        self.stale.insert(v.name.clone());
+        self.roster(&v.name);
+        if let Some(usable) = self.machines.get(&v.name).map(|m| m.usable_told).filter(|u| *u != v.usable && v.token == token) {
+            // The owner began anew after it was told.
+            self.send(from, ToOwner::Use { machine: v.name.clone(), usable });
+        }
+        self.apply_tasks(&v, now);
+        self.wake = true;
+    }
+
+    /// Has a machine that is up rostered, if it is not yet.
+    pub(crate) fn roster(&mut self, name: &str) {
+        let Some(m) = self.machines.get_mut(name) else { return };
+        if m.rostered == Rostered::No && m.lapsed_at.is_none() && !m.releasing {
+            m.rostered = Rostered::Writing;
+            let record = RosterRecord { kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot };
+            self.deeds.push(Deed::Roster(name.into(), Some(record)));
+        }
+    }
+
+    /// A machine that was returned is gone with all that is on it. Its owner may have placed
+    /// tasks there before it knew; they are nowhere.
+    pub(crate) fn view_of_returned(&mut self, from: &str, v: &MachineView) {
+        if v.usable {
+            self.send(from, ToOwner::Use { machine: v.name.clone(), usable: false });
+        }
+        let live = v.tasks.iter().filter(|t| t.state != TaskState::Exited).map(|t| &t.task);
+        for t in live.chain(&v.pending) {
+            let here = |a: &Active| match &a.place {
+                Place::Given(o, _) => o == from,
+                Place::On(m) => *m == v.name,
+                Place::Limbo(_) => false,
+            };
+            if self.jobs.get(&t.job).and_then(|j| j.active.get(&t.index)).is_some_and(|a| a.attempt == t.attempt && here(a)) {
+                self.gone(&t.job, t.index);
+            }
+        }
+    }
+
+    pub(crate) fn apply_tasks(&mut self, v: &MachineView, now: Secs) {
+        let name = v.name.as_str();
+        let mut listed: BTreeSet<(String, u32)> = BTreeSet::new();
+        let mut foreign = false;
+        for t in v.tasks.iter().filter(|t| t.state != TaskState::Exited) {
+            listed.insert((t.task.job.clone(), t.task.index));
+            foreign |= !self.note_live(name, &t.task, t.state, now);
+        }
+        for t in &v.pending {
+            listed.insert((t.job.clone(), t.index));
+            foreign |= !self.note_live(name, t, TaskState::Fetching, now);
+        }
+        for t in v.tasks.iter().filter(|t| t.state == TaskState::Exited) {
+            self.note_exit(name, t, now);
+        }
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        m.foreign = foreign;
+        let old: Vec<(String, u32)> = m.tasks.keys().filter(|k| !listed.contains(*k)).cloned().collect();
+        for (id, i) in old {
+            let on = self.jobs.get(&id).and_then(|j| j.active.get(&i)).is_some_and(|a| matches!(&a.place, Place::On(_)));
+            if on {
+                self.gone(&id, i);
+            }
+        }
+        if let Some(m) = self.machines.get_mut(name) {
+            if !m.tasks.is_empty() || !m.held.is_empty() {
+                m.idle_since = now;
+            }
+        }
+    }
+
+    /// A task is, or is about to be, on a machine. False if its job is not known here.
+    pub(crate) fn note_live(&mut self, machine: &str, task: &TaskRef, state: TaskState, now: Secs) -> bool {
+        let stop = |l: &mut Leader| {
+            if let Some(owner) = l.machines.get(machine).map(|m| m.owner.clone()) {
+                l.send(&owner, ToOwner::Stop { machine: machine.into(), task: task.clone(), grace_s: 0.0 });
+            }
+        };
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            stop(self);
+            return false;
+        };
+        let unwanted = job.over || job.done.contains(task.index) && !job.is_gang();
+        let running = state == TaskState::Running || state == TaskState::Saving;
+        match job.active.get_mut(&task.index) {
+            Some(a) if a.attempt == task.attempt => {
+                if running && !a.running {
+                    a.running = true;
+                    a.since = now;
+                }
+                if a.place != Place::On(machine.into()) {
+                    let mut moved = a.clone();
+                    moved.place = Place::On(machine.into());
+                    self.set_active(&task.job, task.index, moved);
+                }
+            }
+            Some(a) => {
+                log::error!(
+                    "event=second_attempt task={}/{} machine={machine} attempt={} known={}",
+                    task.job,
+                    task.index,
+                    task.attempt,
+                    a.attempt
+                );
+                stop(self);
+                return true;
+            }
+            None => {
+                let active = Active { attempt: task.attempt, place: Place::On(machine.into()), running, stop_sent: false, since: now };
+                self.set_active(&task.job, task.index, active);
+            }
+        }
+        if unwanted {
+            if let Some(a) = self.jobs.get_mut(&task.job).and_then(|j| j.active.get_mut(&task.index)) {
+                if !std::mem::replace(&mut a.stop_sent, true) {
+                    stop(self);
+                }
+            }
+        }
+        true
+    }
+
+    pub(crate) fn note_exit(&mut self, machine: &str, t: &TaskView, now: Secs) {
+        let task = &t.task;
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            self.clear(machine, task.clone());
+            return;
+        };
+        let why = t.why.unwrap_or(Why::Error);
+        if why == Why::Done {
+            // What completes shows that earlier errors there were their jobs' own.
+            if let Some(m) = self.machines.get_mut(machine) {
+                m.failed_jobs.clear();
+            }
+            let durable = job.over || job.durable.contains(task.index);
+            let entry = (machine.to_string(), task.clone());
+            if !durable && !job.clears.contains(&entry) {
+                job.clears.push(entry);
+            }
+            let new = !job.done.contains(task.index) || job.active.get(&task.index).is_some_and(|a| a.attempt == task.attempt);
+            if new {
+                self.task_done(&task.job, task.index, now);
+            }
+            if durable {
+                self.clear(machine, task.clone());
+            }
+            return;
+        }
+        if job.active.get(&task.index).is_some_and(|a| a.attempt == task.attempt) {
+            log::info!("event=task_exit task={}/{} machine={machine} why={why:?} saved={}", task.job, task.index, t.saved);
+            let base = self.setup.report_s;
+            match why {
+                Why::Error | Why::NoSuch => {
+                    job.failures += 1;
+                    let wait = base * f64::from(1u32 << job.failures.min(6)) * (0.75 + 0.5 * self.rng.f64());
+                    job.backoff_until = job.backoff_until.max(now + wait);
+                    if why == Why::Error {
+                        if let Some(m) = self.machines.get_mut(machine) {
+                            m.failed_jobs.insert(task.job.clone());
+                        }
+                    }
+                }
+                Why::Full | Why::InUse => job.backoff_until = job.backoff_until.max(now + base),
+                _ => {}
+            }
+            self.gone(&task.job, task.index);
+        }
+        self.clear(machine, task.clone());
+    }
+
+    /// Settles what waited for machines to be accounted for.
+    pub(crate) fn settle(&mut self) {
+        let mut ready = Vec::new();
+        let machines = &self.machines;
+        self.groups.retain(|id, g| {
+            g.machines.retain(|m| machines.get(m).is_some_and(|m| !m.accounted));
+            if g.machines.is_empty() {
+                ready.push((*id, std::mem::take(&mut g.tasks)));
+            }
+            ready.last().is_none_or(|(r, _)| r != id)
+        });
+        for (group, tasks) in ready {
+            for (id, i) in tasks {
+                let still = self.jobs.get(&id).and_then(|j| j.active.get(&i)).is_some_and(|a| a.place == Place::Limbo(group));
+                if still {
+                    self.gone(&id, i);
+                }
+            }
+        }
+        if !self.start_open || !self.regime_set {
+            return;
+        }
+        let unknown = &self.unknown;
+        let all = unknown.is_empty();
+        let known = |j: &Job| match &j.suspects {
+            Some(machines) => machines.iter().all(|m| !unknown.contains(m)),
+            None => all,
+        };
+        let ids: Vec<String> = self.jobs.iter().filter(|(_, j)| j.uncertain && known(j)).map(|(id, _)| id.clone()).collect();
+        if all {
+            self.start_open = false;
+            log::info!("event=accounted machines={}", self.machines.len());
+        }
+        for id in ids {
+            self.certain(&id);
+            self.wake = true;
+        }
+    }
+
+    /// All machines are known: decides whether a gang that was found is whole.
+    pub(crate) fn certain(&mut self, id: &str) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.uncertain = false;
+        if !job.is_gang() || job.over || !job.done.is_empty() {
+            self.maybe_finish(id);
+            return;
+        }
+        let first = job.active.values().next().map(|a| a.attempt);
+        match first {
+            None => job.phase = Phase::Idle,
+            Some(attempt) if job.active.len() == job.spec.tasks as usize && job.active.values().all(|a| a.attempt == attempt) => {
+                job.phase = Phase::Running { attempt };
+            }
+            Some(_) => {
+                job.phase = Phase::Ending;
+                self.stop_all(id, 0.0);
+            }
+        }
+    }
+}
