--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -14,8 +14,6 @@
 const BOOTS_TO_WAIT: f64 = 3.5;
 /// What a slow boot takes of the nominal time, with the start of the gang's tasks.
 const SLOW_BOOT: f64 = 1.25;
-/// Part of a gang class's wait objective for which its machines are kept idle.
-const WARM: f64 = 0.3;
 /// Most machines of one request (a figure of the protocol).
 const MOST_AT_ONCE: u32 = 50;
 /// Most names of one release (a figure of the protocol).
@@ -439,7 +437,7 @@
             for t in self.types.values().filter(|t| shape.fits(t) && t.boot_s * SLOW_BOOT > within / 2.0) {
                 for spot in [true, false].into_iter().filter(|spot| scarce.contains(&(t.name.clone(), *spot))) {
                     let keep = out.entry((t.name.clone(), spot)).or_default();
-                    *keep = keep.max(*within * WARM);
+                    *keep = keep.max(*within);
                 }
             }
         }
