--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -14,9 +14,6 @@
 const BOOTS_TO_WAIT: f64 = 3.5;
 /// What a slow boot takes of the nominal time, with the start of the gang's tasks.
 const SLOW_BOOT: f64 = 1.25;
-/// Part of the time in which arrays of a class should be done that their tasks may wait for
-/// machines in use or on their way, before more ordinary machines are rented.
-const ARRAY_PATIENCE: f64 = 0.4;
 /// Most machines of one request (a figure of the protocol).
 const MOST_AT_ONCE: u32 = 50;
 /// Most names of one release (a figure of the protocol).
@@ -197,7 +194,6 @@
                 continue;
             }
             let all = self.needs(job, None);
-            let patience = self.setup.finish_s.get(&job.spec.class).map_or(0.0, |s| s * ARRAY_PATIENCE);
             let mut left = take_coming(&mut coming, |o| allows(&all, &needs.zone, o), room, n);
             while left > 0 {
                 let mut found = self.cheapest(&needs.kinds, needs.zone.as_deref(), room, left, &wanted, now);
@@ -207,12 +203,7 @@
                 }
                 let Some((offer, cap)) = found else { break };
                 let boot = self.types.get(&offer.0).map_or(LEAST_CHARGE_S, |t| t.boot_s);
-                let horizon = if offer.2 { boot } else { patience.max(boot) };
-                // What is on its way serves its first tasks already; later it turns over as well.
-                let again = coming.iter().filter(|c| allows(&all, &needs.zone, &c.offer));
-                let again: f64 = again.filter_map(|c| Some(self.cap(&c.offer.0)?.cpus * f64::from(c.n))).sum();
-                let again = again / self.jobs.get(&id).map_or(1.0, |j| self.run_s(j)) * (horizon - boot);
-                let served = ((turnover * horizon + again - ahead) / room.cpus.max(0.01)).floor().clamp(0.0, f64::from(left));
+                let served = ((turnover * boot - ahead) / room.cpus.max(0.01)).floor().clamp(0.0, f64::from(left));
                 ahead += served * room.cpus;
                 left -= served as u32;
                 let times = cap.times(room);
