--- a/crates/ladderroute/src/api.rs
+++ b/crates/ladderroute/src/api.rs
@@ -57,16 +57,40 @@
     }
 }
 
+/// What `/ready` judges by, beside what is known here.
+#[derive(Clone, Copy, Debug)]
+struct Standing {
+    /// The store has failed for a while, as seen from here.
+    failing: bool,
+    /// This controller leads, with how many owners connected, out of how many others.
+    leads: Option<(usize, usize)>,
+    /// An owner's authority, which shows that another one leads with fresh authority.
+    authority: bool,
+}
+
+/// Whether the others can serve users better. If the store fails for all, leaving the balancer
+/// would only lengthen the outage for users, since it takes nodes back slowly; it does not fail
+/// for all if another one leads, nor, as far as a leader can tell, if all its owners have left it:
+/// they stay through an outage of the store and leave for a new leader, or it is cut off.
+fn others_fare_better(s: Standing) -> bool {
+    s.failing
+        && match s.leads {
+            Some((owners, others)) => others > 0 && owners == 0,
+            None => s.authority,
+        }
+}
+
 /// Ready: the jobs and the machine types are known, and this controller is not worse off than
-/// the others. If the store fails for it while another one leads with fresh authority, users
-/// are better served elsewhere; if the store fails for all, leaving the balancer would only
-/// lengthen the outage for users, since it takes nodes back slowly.
+/// the others.
 fn ready(node: &Node) -> Response {
     let now = node.now();
     let s = node.lock();
-    let failing = s.shared.store_bad_since.is_some_and(|t| t.elapsed().as_secs_f64() > wire::ANSWER_DROPPED_S / 4.0);
-    let others_fare_better = failing && s.shared.lead.is_none() && s.owner.has_authority(now);
-    if s.shared.loaded && s.shared.catalog.is_some() && !others_fare_better {
+    let standing = Standing {
+        failing: s.shared.store_bad_since.is_some_and(|t| t.elapsed().as_secs_f64() > wire::ANSWER_DROPPED_S / 4.0),
+        leads: s.shared.lead.as_ref().map(|l| (l.links.len(), node.settings.known.len())),
+        authority: s.owner.has_authority(now),
+    };
+    if s.shared.loaded && s.shared.catalog.is_some() && !others_fare_better(standing) {
         Response::new(200, Vec::new())
     } else {
         drop(s);
@@ -116,3 +140,21 @@
         Answer::NotNow => refuse(503, "no authority at present"),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A leader that lost the store and the others, but not its users, answered them "not now" at
+    /// once and so drew ever more of them from the balancer, which prefers idle nodes.
+    #[test]
+    fn a_leader_that_is_alone_leaves_the_balancer_but_not_in_an_outage_for_all() {
+        let judge = |failing, leads, authority| others_fare_better(Standing { failing, leads, authority });
+        assert!(judge(true, Some((0, 2)), false), "cut off, or refused by the store alone");
+        assert!(!judge(true, Some((2, 2)), false), "an outage of the store for all");
+        assert!(!judge(true, Some((0, 0)), false), "there are no others");
+        assert!(!judge(false, Some((0, 2)), true), "the store answers");
+        assert!(judge(true, None, true), "another one leads");
+        assert!(!judge(true, None, false), "nobody leads, as far as is known");
+    }
+}
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -197,7 +197,7 @@
             let mut left = take_coming(&mut coming, |o| allows(&all, &needs.zone, o), room, n);
             while left > 0 {
                 let mut found = self.cheapest(&needs.kinds, needs.zone.as_deref(), room, left, &wanted, now);
-                if found.is_none() && !gang_waits && self.refused_all(&needs, now) {
+                if found.is_none() && !gang_waits && !self.any_offer(&needs, now) {
                     // Types kept for gangs, while none waits and the others are used up.
                     found = self.cheapest(&all.kinds, needs.zone.as_deref(), room, left, &wanted, now);
                 }
@@ -230,12 +230,12 @@
         }
     }
 
-    /// Whether the cloud has lately refused every offer on which these tasks may run.
-    fn refused_all(&self, needs: &Needs, now: Secs) -> bool {
-        needs.kinds.iter().all(|a| {
+    /// Whether any offer on which these tasks may run was not refused lately.
+    fn any_offer(&self, needs: &Needs, now: Secs) -> bool {
+        needs.kinds.iter().any(|a| {
             let zones = self.types.get(&a.kind).map_or(&[][..], |t| &t.zones);
             let mut offers = zones.iter().map(|z| (a.kind.clone(), z.clone(), a.spot));
-            offers.all(|o| !allows(needs, &needs.zone, &o) || !self.fleet.available(&o, now))
+            offers.any(|o| allows(needs, &needs.zone, &o) && self.fleet.available(&o, now))
         })
     }
 
@@ -265,13 +265,7 @@
             let on_way: u32 = coming.iter().filter(|c| allows(needs, zone, &c.offer)).map(|c| c.free.times(room) * c.n).sum();
             here.saturating_add(on_way)
         };
-        let offers = |l: &Leader, zone: &Option<String>| {
-            needs.kinds.iter().any(|a| {
-                let zones = l.types.get(&a.kind).map_or(&[][..], |t| &t.zones);
-                let mut offers = zones.iter().map(|z| (a.kind.clone(), z.clone(), a.spot));
-                offers.any(|o| allows(needs, zone, &o) && l.fleet.available(&o, now))
-            })
-        };
+        let offers = |l: &Leader, zone: &Option<String>| l.any_offer(&within(zone), now);
         if spread {
             // No zone may have more than half: what is above that in one is of no use.
             let half = n.div_ceil(2);
