--- a/crates/sched/src/views.rs
+++ b/crates/sched/src/views.rs
@@ -159,7 +159,9 @@
             stop(self);
             return false;
         };
-        let unwanted = job.over || job.done.contains(task.index) && !job.is_gang();
+        // A gang that lost a task before this one was seen: what is stopped is only what was seen.
+        let ending = job.is_gang() && job.phase == Phase::Ending;
+        let unwanted = job.over || ending || job.done.contains(task.index) && !job.is_gang();
         let running = state == TaskState::Running || state == TaskState::Saving;
         match job.active.get_mut(&task.index) {
             Some(a) if a.attempt == task.attempt => {
