--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -145,6 +145,8 @@
     pub troubles: BTreeMap<&'static str, u32>,
     /// Messages in a hundred that are held up for long.
     pub held_up: u32,
+    /// Reports in a hundred of which a copy comes late, up to three leases.
+    pub late_copies: u32,
     completed: BTreeSet<(String, u32)>,
     pub broken: BTreeSet<String>,
     pub starts: u64,
@@ -225,6 +227,7 @@
             alone: None,
             troubles: BTreeMap::new(),
             held_up: 3,
+            late_copies: 0,
             completed: BTreeSet::new(),
             broken: BTreeSet::new(),
             starts: 0,
@@ -480,6 +483,11 @@
                         self.messages.push((now + d, Message::Report { to, report: Box::new(report.clone()) }));
                     }
                 }
+                // Late copies, from seconds to well over a lease.
+                if self.rng.u32(0..100) < self.late_copies {
+                    let d = 1.0 + self.rng.f64() * lease_s * 3.0;
+                    self.messages.push((now + d, Message::Report { to, report: Box::new(report) }));
+                }
             }
         }
         self.note_begun(began);
--- a/crates/model/src/world/tests.rs
+++ b/crates/model/src/world/tests.rs
@@ -7,6 +7,7 @@
     for seed in seeds {
         let mut w = World::new(seed, defect);
         w.held_up = held_up;
+        w.late_copies = held_up;
         w.live(150.0, 60.0);
         broken.append(&mut w.broken);
         starts += w.starts;
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -416,6 +416,11 @@
         self.jobs.contains_key(id)
     }
 
+    /// What a team's tasks possibly use, as it is charged.
+    pub fn used_by(&self, team: &str) -> Room {
+        self.team_used.get(team).copied().unwrap_or_default()
+    }
+
     pub fn members(&self) -> &[String] {
         &self.members
     }
@@ -646,11 +651,15 @@
         self.forget_if_gone(id);
     }
 
-    pub(crate) fn task_done(&mut self, id: &str, index: u32, now: Secs) {
+    pub(crate) fn task_done(&mut self, task: &TaskRef, now: Secs) {
+        let (id, index) = (task.job.as_str(), task.index);
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let started = job.active.get(&index).filter(|a| a.running).map(|a| a.since);
+        // What another attempt did says nothing of where this one is: it stays charged until it
+        // is seen to be gone.
+        let same = job.active.get(&index).is_some_and(|a| a.attempt == task.attempt);
+        let started = job.active.get(&index).filter(|a| same && a.running).map(|a| a.since);
         // The tasks of a gang complete together: if one is done, all are.
         let indexes: Vec<u32> = if job.is_gang() { (0..job.spec.tasks).collect() } else { vec![index] };
         for i in indexes {
@@ -659,15 +668,17 @@
                 job.dirty.insert(i / self.chunk_bits);
             }
         }
+        job.failures = 0;
         if let Some(since) = started {
             let s = self.classes.entry(job.spec.class.clone()).or_default();
             s.count += 1;
             let weight = (1.0 / f64::from(s.count)).max(0.05);
             s.run_s += (now - since - s.run_s) * weight;
         }
-        self.unset_active(id, index);
-        if let Some(m) = self.jobs.get_mut(id) {
-            m.failures = 0;
+        if same {
+            self.unset_active(id, index);
+        } else {
+            self.stop_task(id, index, 0.0);
         }
         self.maybe_finish(id);
         self.forget_if_gone(id);
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -55,6 +55,9 @@
     known: bool,
     session: u64,
     seq: u64,
+    /// The newest session that got an answer before the lease was over. A report of it that comes
+    /// after the lease's end is a late copy, also if no report has counted until then.
+    heard: u64,
     /// The newest instant at which an answer may have prolonged the worker's lease.
     answered: Secs,
     lapsed: bool,
@@ -281,11 +284,14 @@
         }
         let Some(m) = self.machines.get_mut(&report.machine) else { return Answer::NotNow };
         let order = (report.session, report.seq);
-        if m.known && order <= (m.session, m.seq) || m.lapsed && m.known && report.session <= m.session {
+        if m.known && order <= (m.session, m.seq) || m.lapsed && report.session <= m.heard {
             // A copy that was held up; nobody waits for its answer any more.
             return Answer::NotNow;
         }
         m.answered = m.answered.max(now);
+        if !m.lapsed {
+            m.heard = m.heard.max(report.session);
+        }
         if report.token < m.since {
             // The answer tells the worker the token; the report that shows it will count.
             return Answer::Orders(Orders { token, orders: Vec::new() });
@@ -302,6 +308,7 @@
         m.dirty |= m.lapsed || !m.known;
         m.lapsed = false;
         m.known = true;
+        m.heard = m.heard.max(report.session);
         (m.session, m.seq) = order;
         let tasks: BTreeMap<TaskRef, TaskView> = report
             .tasks
@@ -485,6 +492,7 @@
         known: false,
         session: 0,
         seq: 0,
+        heard: 0,
         answered,
         lapsed: false,
         notice_s: None,
--- a/crates/sched/src/views.rs
+++ b/crates/sched/src/views.rs
@@ -220,7 +220,7 @@
             }
             let new = !job.done.contains(task.index) || job.active.get(&task.index).is_some_and(|a| a.attempt == task.attempt);
             if new {
-                self.task_done(&task.job, task.index, now);
+                self.task_done(task, now);
             }
             if durable {
                 self.clear(machine, task.clone());
