Let no late or repeated write of a leader undo a newer one of its own

Pages of roster, progress, begun arrays and bindings were written on the condition of the leadership only, so an older one of the same leader, carried out late or again, took machines off the roster: a later leader could start their tasks twice. Ruled out for jobs, leadership and tokens, which have conditions of their own. Now each page's version is a condition.

--- a/crates/ladderroute/src/writer.rs
+++ b/crates/ladderroute/src/writer.rs
@@ -96,7 +96,8 @@
 }
 
 enum Written {
-    Yes,
+    /// At this revision.
+    Yes(u64),
     /// The conditions on these keys did not hold.
     No(Vec<String>),
     Token(u64, u64),
@@ -113,8 +114,15 @@
         };
         let result = write(&node, &batch, &won).await;
         let retry = matches!(result, Err(StoreError::Budget(_) | StoreError::Refused(_)));
+        let other = |k: &String| !k.starts_with(keys::JOBS) && k != keys::LEADER;
+        let stale = matches!(&result, Ok(Written::No(failed)) if failed.iter().any(other));
         settle(&node, batch, result).await;
-        if retry {
+        if stale {
+            // An earlier write of unknown outcome was carried out after all: see what it left.
+            log::info!("event=write_overtaken");
+            crate::fresh::once(&node).await;
+        }
+        if retry || stale {
             smol::Timer::after(pause).await;
         }
     }
@@ -229,6 +237,14 @@
     }
     batch.writes.extend(batch.roster.iter().map(|n| lead.books.roster_write(*n)));
     batch.writes.extend(batch.progress.iter().map(|n| lead.books.progress_write(*n)));
+    // A write that comes late, or once more, must not undo a newer one of this same leader. (The
+    // records of jobs have their own conditions; what is dropped with a job is written no more.)
+    let pages = batch.writes.iter().filter_map(|w| match w {
+        Write::Put { key, .. } if !key.starts_with(keys::JOBS) => Some(key),
+        Write::Drop { key } if !key.starts_with(keys::BINDING) => Some(key),
+        _ => None,
+    });
+    batch.conditions.extend(pages.map(|key| state.shared.replica.versions.condition(key)));
     (!batch.deeds.is_empty() || !batch.writes.is_empty()).then_some((batch, won))
 }
 
@@ -242,7 +258,7 @@
     let mut txn = Txn { conditions: vec![still_leader(won.version)], writes: batch.writes.clone() };
     txn.conditions.extend(batch.conditions.iter().cloned());
     match node.store.txn(&txn, Rank::Decision).await? {
-        Decided::Applied(_) => Ok(Written::Yes),
+        Decided::Applied(revision) => Ok(Written::Yes(revision)),
         Decided::Conflict(failed) if failed.iter().any(|k| k == keys::LEADER) => Ok(Written::Lost),
         Decided::Conflict(failed) => Ok(Written::No(failed)),
     }
@@ -265,8 +281,9 @@
     let mut guard = node.lock();
     let state = &mut *guard;
     let Some(lead) = &mut state.shared.lead else { return };
-    let ok = matches!(result, Ok(Written::Yes));
-    if ok {
+    let ok = matches!(result, Ok(Written::Yes(_)));
+    if let Ok(Written::Yes(revision)) = result {
+        state.shared.replica.versions.applied(&batch.writes, revision);
         batch.roster.iter().for_each(|n| lead.books.roster.written(*n));
         batch.progress.iter().for_each(|n| lead.books.progress.written(*n));
     }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -791,20 +791,23 @@
             // A write of an earlier leader fails on its condition.
             if id == by {
                 let ok = now >= self.store_down_until && !self.is_alone(me) && self.rng.u32(0..100) >= 3;
-                self.carry_out(&mut leader, deed, ok);
+                // Now and then it is carried out, but the answer is lost.
+                let told = ok && self.rng.u32(0..100) >= 2;
+                self.carry_out(&mut leader, deed, ok, told);
             }
             self.leader = Some((me, leader, id));
         }
     }
 
-    fn carry_out(&mut self, leader: &mut Leader, deed: Deed, ok: bool) {
+    /// Carries a deed out if `ok`, and tells the leader its outcome, or that it is not known.
+    fn carry_out(&mut self, leader: &mut Leader, deed: Deed, ok: bool, told: bool) {
         let now = self.now;
         match deed {
             Deed::NewToken => {
                 if ok {
                     self.term += 1;
                 }
-                leader.token_result(ok.then_some(self.term), now);
+                leader.token_result(told.then_some(self.term), now);
             }
             Deed::Roster(machine, record) => {
                 let put = record.is_some();
@@ -813,7 +816,7 @@
                 } else if ok {
                     self.roster.remove(&machine);
                 }
-                leader.roster_result(&machine, put, ok);
+                leader.roster_result(&machine, put, told);
             }
             Deed::Progress { job, chunk, bits, .. } => {
                 let mut written = Ranges::default();
@@ -826,7 +829,7 @@
                         });
                     }
                 }
-                leader.progress_result(&job, chunk, ok.then_some(&written));
+                leader.progress_result(&job, chunk, told.then_some(&written));
             }
             Deed::Finish { job } => {
                 let open = self.jobs.get(&job).is_some_and(|j| j.over.is_none());
@@ -842,17 +845,17 @@
                 for j in self.jobs.values_mut().filter(|j| ok && j.revision <= upto && j.spec.shape != Shape::Gang) {
                     j.earlier = Earlier::Anywhere;
                 }
-                leader.begin_result(upto, ok);
+                leader.begin_result(upto, told);
             }
             Deed::Bind { job, attempt, places } => {
                 if let Some(j) = self.jobs.get_mut(&job).filter(|_| ok) {
                     j.earlier = Earlier::Bound(places.into_iter().map(|(m, _, _)| m).collect());
                 }
-                leader.bind_result(&job, attempt, ok, now);
+                leader.bind_result(&job, attempt, told, now);
             }
             Deed::Hire(hire) => {
                 let names = ok.then(|| self.hire(&hire));
-                leader.hired(&hire.name, names, now);
+                leader.hired(&hire.name, names.filter(|_| told), now);
             }
             Deed::Release(names) => {
                 if ok {
@@ -860,7 +863,7 @@
                         self.workers.remove(n);
                     }
                 }
-                leader.released(&names, ok);
+                leader.released(&names, told);
             }
             Deed::Send(..) => {}
         }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod leadership;
 pub mod pages;
 pub mod replica;
+pub mod versions;
--- a/crates/store/src/replica.rs
+++ b/crates/store/src/replica.rs
@@ -1,6 +1,7 @@
 //! A controller's copy of the service's keys, kept current by `/follow`.
 
 use crate::keys;
+use crate::versions::Versions;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -57,6 +58,8 @@
     pub bindings: BTreeMap<String, BTreeMap<u32, BindingRecord>>,
     /// Arrays accepted up to this revision may have begun.
     pub begun: u64,
+    /// Versions of what the leader writes, jobs and leadership apart.
+    pub versions: Versions,
     /// Progress that came before its job's record while loading.
     early: BTreeMap<String, BTreeMap<u32, Vec<u8>>>,
 }
@@ -91,7 +94,10 @@
             }
             match (&c.put, &c.value, &c.dropped) {
                 (Some(key), Some(value), _) => out.push(self.put(key, value, c.version)),
-                (_, _, Some(key)) => out.push(self.remove(key)),
+                (_, _, Some(key)) => {
+                    self.versions.seen_dropped(key, c.version);
+                    out.push(self.remove(key));
+                }
                 _ => {}
             }
         }
@@ -106,6 +112,9 @@
             }
             return Changed::Job(id.to_string());
         }
+        if key != keys::LEADER && key != keys::TERM {
+            self.versions.changed(key, version, true);
+        }
         if let Some(n) = page_number(key, keys::PROGRESS) {
             if let Some(page) = from_value::<ProgressPage>(value) {
                 self.put_progress(&page);
