Give sockets by rank, bound what arrives in part, keep no memory for idle connections

Now: nearly all sockets less the controller's own, the longest idle of the lowest rank ends (users, unasked, workers), answers end connections of users and then workers when sockets run short, one read buffer for all, three report intervals of idleness, a bound on bytes that arrived in part. Tests hold each limit.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod parse;
+pub mod pool;
 pub mod server;
 
 use std::future::Future;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,12 +1,16 @@
 //! The serving side: one task for each connection, bounded in number, memory and time.
 
 use crate::parse::{self, Bad};
+use crate::pool::{Pool, Rank};
 use crate::within;
-use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::future::poll_fn;
+use smol::io::{AsyncRead, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 /// A request as the handler gets it.
@@ -24,11 +28,13 @@
     pub body: Vec<u8>,
     pub retry_after_s: Option<u32>,
     pub close: bool,
+    /// What the connection is for.
+    pub rank: Rank,
 }
 
 impl Response {
     pub fn new(status: u16, body: Vec<u8>) -> Response {
-        Response { status, body, retry_after_s: None, close: false }
+        Response { status, body, retry_after_s: None, close: false, rank: Rank::User }
     }
 
     pub fn retry(mut self, after_s: u32) -> Response {
@@ -36,9 +42,14 @@
         self
     }
 
-    fn write_to(&self, out: &mut Vec<u8>, close: bool) {
+    pub fn of(mut self, rank: Rank) -> Response {
+        self.rank = rank;
+        self
+    }
+
+    fn written(&self, close: bool) -> Vec<u8> {
         use std::io::Write;
-        out.clear();
+        let mut out = Vec::with_capacity(160 + self.body.len());
         let _ = write!(out, "HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", self.status, parse::reason(self.status), self.body.len());
         if !self.body.is_empty() {
             out.extend_from_slice(b"Content-Type: application/cbor\r\n");
@@ -51,6 +62,7 @@
         }
         out.extend_from_slice(b"\r\n");
         out.extend_from_slice(&self.body);
+        out
     }
 }
 
@@ -59,19 +71,32 @@
 pub struct Limits {
     pub connections: usize,
     pub body: usize,
+    /// Bytes of all requests that have arrived in part.
+    pub bytes: usize,
     /// Time for one whole request to arrive once its first byte has.
     pub request: Duration,
     /// Time that a connection may be idle.
     pub idle: Duration,
 }
 
+/// What one read takes at most. All connections share one buffer, so that one that waits holds
+/// no memory for it.
+const READ_AT_ONCE: usize = 16 << 10;
+
+struct Server {
+    limits: Limits,
+    pool: Pool,
+    scratch: RefCell<Vec<u8>>,
+}
+
 /// Serves connections until the listener fails for good.
 pub async fn serve<H, F>(ex: Rc<smol::LocalExecutor<'static>>, listener: TcpListener, limits: Limits, handler: Rc<H>)
 where
     H: Fn(Request) -> F + 'static,
     F: Future<Output = Response> + 'static,
 {
-    let open = Rc::new(Cell::new(0usize));
+    let pool = Pool::new(limits.connections, limits.bytes);
+    let server = Rc::new(Server { limits, pool, scratch: RefCell::new(vec![0; READ_AT_ONCE]) });
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -81,86 +106,119 @@
                 continue;
             }
         };
-        if open.get() >= limits.connections {
-            // Closing at once lets the load balancer and the workers go elsewhere.
-            drop(stream);
-            continue;
-        }
-        open.set(open.get() + 1);
-        let (open, handler) = (open.clone(), handler.clone());
+        // Without room it is closed at once: the load balancer and the workers go elsewhere.
+        let Some(id) = server.pool.enter(stream.clone()) else { continue };
+        let (server, handler) = (server.clone(), handler.clone());
         ex.spawn(async move {
-            let _ = connection(stream, limits, &*handler).await;
-            open.set(open.get() - 1);
+            let mut c = Connection { server: &server, stream, id, buf: Vec::new(), taken: 0 };
+            let _ = c.run(&*handler).await;
+            server.pool.give_back(c.taken);
+            server.pool.leave(id);
         })
         .detach();
     }
 }
 
-async fn connection<H, F>(mut stream: TcpStream, limits: Limits, handler: &H) -> std::io::Result<()>
-where
-    H: Fn(Request) -> F,
-    F: Future<Output = Response>,
-{
-    let _ = stream.set_nodelay(true);
-    let mut buf: Vec<u8> = Vec::new();
-    let mut out = Vec::new();
-    loop {
-        if buf.is_empty() {
-            let mut first = [0u8; 2048];
-            match within(limits.idle, stream.read(&mut first)).await {
-                Some(Ok(n)) if n > 0 => buf.extend_from_slice(&first[..n]),
+struct Connection<'a> {
+    server: &'a Server,
+    stream: TcpStream,
+    id: u64,
+    buf: Vec<u8>,
+    /// Bytes of the pool's that the request under way has taken.
+    taken: usize,
+}
+
+impl Connection<'_> {
+    async fn run<H, F>(&mut self, handler: &H) -> std::io::Result<()>
+    where
+        H: Fn(Request) -> F,
+        F: Future<Output = Response>,
+    {
+        let _ = self.stream.set_nodelay(true);
+        let Limits { idle, request: limit, .. } = self.server.limits;
+        loop {
+            if self.buf.is_empty() && !matches!(within(idle, self.read()).await, Some(Ok(n)) if n > 0) {
+                return Ok(());
+            }
+            if !self.server.pool.busy(self.id) {
+                return Ok(());
+            }
+            let read = within(limit, self.read_request()).await;
+            let (request, close) = match read {
+                Some(Ok(Some(r))) => r,
+                Some(Ok(None)) => return Ok(()),
+                Some(Err(Bad(status))) => return self.refuse(status).await,
+                None => return self.refuse(408).await,
+            };
+            let response = handler(request).await;
+            let close = close || response.close || self.server.pool.short(response.rank);
+            let out = response.written(close);
+            match within(limit, self.stream.write_all(&out)).await {
+                Some(Ok(())) if !close => self.server.pool.idle(self.id, response.rank),
                 _ => return Ok(()),
             }
         }
-        let read = within(limits.request, read_request(&mut stream, &mut buf, limits.body)).await;
-        let (request, close) = match read {
-            Some(Ok(Some(r))) => r,
-            Some(Ok(None)) => return Ok(()),
-            Some(Err(Bad(status))) => return refuse(&mut stream, &mut out, status).await,
-            None => return refuse(&mut stream, &mut out, 408).await,
-        };
-        let response = handler(request).await;
-        let close = close || response.close;
-        response.write_to(&mut out, close);
-        match within(limits.request, stream.write_all(&out)).await {
-            Some(Ok(())) if !close => {}
-            _ => return Ok(()),
+    }
+
+    async fn refuse(&mut self, status: u16) -> std::io::Result<()> {
+        let mut response = Response::new(status, Vec::new());
+        if status == 503 {
+            response = response.retry(1);
         }
+        let out = response.written(true);
+        let _ = within(Duration::from_secs(1), self.stream.write_all(&out)).await;
+        Ok(())
     }
-}
 
-async fn refuse(stream: &mut TcpStream, out: &mut Vec<u8>, status: u16) -> std::io::Result<()> {
-    Response::new(status, Vec::new()).write_to(out, true);
-    let _ = within(Duration::from_secs(1), stream.write_all(out)).await;
-    Ok(())
-}
+    /// Reads what has arrived into the buffer; 0 at the end.
+    async fn read(&mut self) -> std::io::Result<usize> {
+        let n = poll_fn(|cx| {
+            let mut scratch = self.server.scratch.borrow_mut();
+            match Pin::new(&mut self.stream).poll_read(cx, &mut scratch) {
+                Poll::Ready(Ok(n)) => {
+                    self.buf.extend_from_slice(&scratch[..n]);
+                    Poll::Ready(Ok(n))
+                }
+                other => other,
+            }
+        });
+        n.await
+    }
 
-async fn read_request(stream: &mut TcpStream, buf: &mut Vec<u8>, body_limit: usize) -> Result<Option<(Request, bool)>, Bad> {
-    let mut chunk = [0u8; 4096];
-    let head = loop {
-        if let Some(head) = parse::request(buf, body_limit)? {
-            break head;
+    async fn read_request(&mut self) -> Result<Option<(Request, bool)>, Bad> {
+        let head = loop {
+            if let Some(head) = parse::request(&self.buf, self.server.limits.body)? {
+                break head;
+            }
+            if !matches!(self.read().await, Ok(n) if n > 0) {
+                return Ok(None);
+            }
+        };
+        if head.expects_continue {
+            let _ = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         }
-        match stream.read(&mut chunk).await {
-            Ok(n) if n > 0 => buf.extend_from_slice(&chunk[..n]),
-            _ => return Ok(None),
+        let total = head.head_len + head.length;
+        let missing = total.saturating_sub(self.buf.len());
+        if missing > 0 {
+            // Many half-sent bodies must not take the memory of all.
+            if !self.server.pool.take(total) {
+                return Err(Bad(503));
+            }
+            self.taken = total;
+            self.buf.reserve_exact(missing);
         }
-    };
-    if head.expects_continue {
-        let _ = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-    }
-    let total = head.head_len + head.length;
-    while buf.len() < total {
-        match stream.read(&mut chunk).await {
-            Ok(n) if n > 0 => buf.extend_from_slice(&chunk[..n]),
-            _ => return Ok(None),
+        while self.buf.len() < total {
+            if !matches!(self.read().await, Ok(n) if n > 0) {
+                return Ok(None);
+            }
         }
+        self.server.pool.give_back(std::mem::take(&mut self.taken));
+        let body = self.buf[head.head_len..total].to_vec();
+        self.buf.drain(..total);
+        if self.buf.is_empty() {
+            // Idle connections keep no memory.
+            self.buf = Vec::new();
+        }
+        Ok(Some((Request { method: head.method, path: head.path, body }, head.close)))
     }
-    let body = buf[head.head_len..total].to_vec();
-    buf.drain(..total);
-    if buf.is_empty() {
-        // Idle connections keep no memory.
-        *buf = Vec::new();
-    }
-    Ok(Some((Request { method: head.method, path: head.path, body }, head.close)))
 }
--- a/crates/ladderroute/src/api.rs
+++ b/crates/ladderroute/src/api.rs
@@ -2,6 +2,7 @@
 
 use crate::accept::{cancel, later, query, refuse, submit};
 use crate::node::Node;
+use http::pool::Rank;
 use http::server::{Limits, Request, Response};
 use sched::owner::Answer;
 use std::rc::Rc;
@@ -9,19 +10,40 @@
 use wire::cbor;
 use wire::workers::{Report, ReportTo};
 
-/// Part of the sockets that users, workers and health checks may take.
-const CONNECTIONS_SHARE: f64 = 0.8;
+/// Part of the sockets left for connections from outside that is not used: a socket that was
+/// closed is counted a little longer.
+const SPARE_SHARE: f64 = 0.02;
+/// Part of the memory that requests which arrived in part may take.
+const BYTES_SHARE: f64 = 0.125;
+/// What an open connection takes of the memory, at most.
+const CONNECTION_KB: f64 = 8.0;
+/// Part of the memory that open connections may take.
+const CONNECTIONS_SHARE: f64 = 0.4;
+/// Report intervals after which a silent worker's connection is given up.
+const REPORTS_IDLE: f64 = 3.0;
 
-pub async fn serve(node: Rc<Node>, listener: smol::net::TcpListener) {
-    let q = &node.settings.settings.quota;
-    // A connection may hold one body; bodies together stay below a quarter of the memory.
-    let by_memory = (q.memory_mb * 1024.0 * 1024.0 / 4.0 / wire::BODY_LIMIT as f64) as usize * 4;
-    let limits = Limits {
-        connections: ((q.max_sockets as f64 * CONNECTIONS_SHARE) as usize).min(by_memory).max(16),
+/// Sockets that this controller uses itself: its listeners, the other controllers, the store (as
+/// many requests as may be under way within their time limit, about) and the cloud.
+fn own_sockets(others: usize, store_rps: f64) -> usize {
+    2 + crate::peers::most_connections(others) + 2 + (store_rps / 4.0).ceil() as usize + 4
+}
+
+/// Limits of the port, from what the settings allow.
+fn limits(q: &crate::settings::Quota, others: usize, store_rps: f64, report_s: f64) -> Limits {
+    let sockets = q.max_sockets.saturating_sub(own_sockets(others, store_rps));
+    let by_memory = (q.memory_mb * 1024.0 * CONNECTIONS_SHARE / CONNECTION_KB) as usize;
+    Limits {
+        connections: ((sockets as f64 * (1.0 - SPARE_SHARE)) as usize).min(by_memory).max(16),
         body: wire::BODY_LIMIT,
+        bytes: ((q.memory_mb * 1024.0 * 1024.0 * BYTES_SHARE) as usize).max(2 * wire::BODY_LIMIT),
         request: Duration::from_secs_f64(wire::ANSWER_DROPPED_S),
-        idle: Duration::from_secs_f64(node.setup.lease_s.max(wire::ANSWER_DROPPED_S) * 4.0),
-    };
+        idle: Duration::from_secs_f64((report_s * REPORTS_IDLE).max(wire::ANSWER_DROPPED_S * 4.0)),
+    }
+}
+
+pub async fn serve(node: Rc<Node>, listener: smol::net::TcpListener) {
+    let p = &node.settings.settings;
+    let limits = limits(&p.quota, node.settings.known.len(), p.state.rps, node.setup.report_s);
     let ex = node.ex.clone();
     let handler = Rc::new(move |request: Request| {
         let node = node.clone();
@@ -34,8 +56,8 @@
     let path = request.path.split('?').next().unwrap_or("");
     let only = |wanted: &str| (request.method != wanted).then(|| refuse(405, format!("use {wanted}")));
     match path {
-        "/agent/beat" => only("POST").unwrap_or_else(|| report(node, &request.body)),
-        "/ready" => only("GET").unwrap_or_else(|| ready(node)),
+        "/agent/beat" => only("POST").unwrap_or_else(|| report(node, &request.body)).of(Rank::Worker),
+        "/ready" => only("GET").unwrap_or_else(|| ready(node)).of(Rank::Probe),
         "/v2/runs" => match only("POST") {
             Some(r) => r,
             None => submit(node, &request.body).await,
@@ -145,6 +167,23 @@
 mod tests {
     use super::*;
 
+    /// All workers may be at one controller, at one and a half times what was announced.
+    #[test]
+    fn the_port_takes_what_the_settings_allow_and_leaves_what_the_controller_needs_itself() {
+        for (memory_mb, max_sockets, others, rps, machines) in
+            [(188.0, 2829, 4, 70.0, 2750), (188.0, 2057, 2, 250.0, 890), (56.0, 600, 2, 60.0, 260), (200.0, 3500, 0, 80.0, 3300)]
+        {
+            let q = crate::settings::Quota { memory_mb, max_sockets };
+            let l = limits(&q, others, rps, 10.0);
+            assert!(l.connections + own_sockets(others, rps) <= max_sockets);
+            // Each worker may lack a connection for a moment, so that nearly all is enough.
+            assert!(l.connections as f64 > f64::from(machines) * 0.97, "{} for {machines}", l.connections);
+            assert!(l.connections as f64 * CONNECTION_KB / 1024.0 + l.bytes as f64 / 1048576.0 < memory_mb * 0.6);
+        }
+        let tiny = limits(&crate::settings::Quota { memory_mb: 16.0, max_sockets: 40 }, 2, 60.0, 1.0);
+        assert!(tiny.connections >= 16);
+    }
+
     /// A leader that lost the store and the others, but not its users, answered them "not now" at
     /// once and so drew ever more of them from the balancer, which prefers idle nodes.
     #[test]
--- a/crates/ladderroute/src/peers.rs
+++ b/crates/ladderroute/src/peers.rs
@@ -45,9 +45,14 @@
     let _ = stream.shutdown(std::net::Shutdown::Both);
 }
 
+/// Most connections of other controllers: each may have several, old ones that are dead among them.
+pub fn most_connections(others: usize) -> usize {
+    (others + 1) * 4
+}
+
 /// Serves the other controllers' connections.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
-    let most = (node.settings.known.len() + 1) * 4;
+    let most = most_connections(node.settings.known.len());
     let open = Rc::new(std::cell::Cell::new(0usize));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
