Bound what waits for a controller in bytes, authority first; read many frames at once

Cause: read from the code: 4,096 frames might wait for an owner, and each task cleared is one; after a state outage of 30 s at 1.5 times the fleet about that many come at once, the queue overflows, the link ends, and a new regime brings every worker again. Pings and grants waited behind them.

--- a/crates/ladderroute/src/main.rs
+++ b/crates/ladderroute/src/main.rs
@@ -7,6 +7,7 @@
 mod logging;
 mod node;
 mod operator;
+mod outbox;
 mod peers;
 mod renting;
 mod settings;
--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -1,6 +1,7 @@
 //! One controller: its shared state and how the pieces are started.
 
 use crate::operator::Tuning;
+use crate::outbox::Outbox;
 use crate::settings::Settings;
 use sched::leader::{Deed, Earlier, Leader};
 use sched::owner::{Jobs, Owner};
@@ -18,8 +19,9 @@
 use wire::cloud::MachineType;
 use wire::peers::{frame, ToOwner};
 
-/// Frames that may wait for a slow connection between controllers; more ends it.
-const FRAMES_WAITING: usize = 4096;
+/// Part of the memory that messages waiting for one slow connection between controllers may take;
+/// more ends it.
+const OUTBOX_SHARE: f64 = 1.0 / 32.0;
 
 /// A leadership of this controller.
 pub struct Lead {
@@ -34,7 +36,7 @@
 
 /// A connection of another controller to this leader.
 pub struct Link {
-    pub frames: Sender<Vec<u8>>,
+    pub frames: Outbox,
     /// Which process and which of its connections: an older one never replaces a newer one.
     pub start: u64,
     pub count: u64,
@@ -48,8 +50,8 @@
     pub lead: Option<Lead>,
     /// Running tasks by job, as the leader last told.
     pub running: HashMap<String, u32>,
-    /// Frames to the leader, while there is a connection.
-    pub to_leader: Option<Sender<Vec<u8>>>,
+    /// Messages to the leader, while there is a connection.
+    pub to_leader: Option<Outbox>,
     pub store_bad_since: Option<Instant>,
 }
 
@@ -97,6 +99,11 @@
         t.saturating_duration_since(self.began).as_secs_f64()
     }
 
+    /// A queue for a connection to another controller.
+    pub fn outbox(&self) -> Outbox {
+        Outbox::new((self.settings.settings.quota.memory_mb * 1024.0 * 1024.0 * OUTBOX_SHARE) as usize)
+    }
+
     /// The shared state; never held across an await.
     pub fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|e| e.into_inner())
@@ -127,7 +134,7 @@
             for message in owner.drain() {
                 match (&mut shared.lead, &shared.to_leader) {
                     (Some(lead), _) => lead.leader.on_owner(&self.settings.member, message, now),
-                    (None, Some(link)) => send(link, frame(&message)),
+                    (None, Some(link)) => link.send(frame(&message)),
                     _ => {}
                 }
                 idle = false;
@@ -145,7 +152,7 @@
                     }
                     Deed::Send(to, message) => {
                         if let Some(link) = lead.links.get(&to) {
-                            send(&link.frames, frame(&message));
+                            link.frames.send(frame(&message));
                         }
                     }
                     deed @ (Deed::Hire(_) | Deed::Release(_)) => {
@@ -203,18 +210,6 @@
     sched::leader::OpenJob { spec, revision: entry.version, done, earlier }
 }
 
-/// Queues a frame for a connection between controllers.
-pub fn send(link: &Sender<Vec<u8>>, bytes: Vec<u8>) {
-    if link.try_send(bytes).is_err() {
-        // What is lost on the way would leave the two with different pictures.
-        link.close();
-    }
-}
-
-pub fn frames() -> (Sender<Vec<u8>>, smol::channel::Receiver<Vec<u8>>) {
-    smol::channel::bounded(FRAMES_WAITING)
-}
-
 /// Runs the controller until its listeners fail.
 pub fn run(settings: Settings, tuning: Tuning) -> std::io::Result<()> {
     let setup = settings.setup(&tuning);
--- a/crates/ladderroute/src/peers.rs
+++ b/crates/ladderroute/src/peers.rs
@@ -1,6 +1,7 @@
 //! The controllers' own port: owners connect to the leader and keep one stream of frames.
 
-use crate::node::{frames, send, JobRooms, Link, Node};
+use crate::node::{JobRooms, Link, Node};
+use crate::outbox::Outbox;
 use http::within;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
@@ -9,34 +10,50 @@
 use std::time::{Duration, Instant};
 use wire::peers::{frame, unframe, ToLeader, ToOwner, FRAME_LIMIT};
 
-/// Reads one frame's inside; none at the end or for anything that is not ours.
-async fn read_frame(stream: &mut TcpStream) -> Option<Vec<u8>> {
-    let mut head = [0u8; 4];
-    stream.read_exact(&mut head).await.ok()?;
-    let len = u32::from_be_bytes(head) as usize;
-    if len == 0 || len > FRAME_LIMIT {
-        return None;
+/// What one read takes at most.
+const READ_AT_ONCE: usize = 16 << 10;
+
+/// The reading side of a connection: many small frames come with one read.
+struct Frames {
+    stream: TcpStream,
+    buf: Vec<u8>,
+    /// What of it was handed out already.
+    used: usize,
+    chunk: Vec<u8>,
+}
+
+impl Frames {
+    fn new(stream: TcpStream) -> Frames {
+        Frames { stream, buf: Vec::new(), used: 0, chunk: vec![0; READ_AT_ONCE] }
     }
-    let mut inside = Vec::new();
-    // Grows with what arrives, so that a false length costs nothing.
-    let mut chunk = [0u8; 4096];
-    while inside.len() < len {
-        let want = (len - inside.len()).min(chunk.len());
-        let n = stream.read(&mut chunk[..want]).await.ok()?;
-        if n == 0 {
-            return None;
+
+    /// One frame's inside; none at the end or for anything that is not ours.
+    async fn next(&mut self) -> Option<Vec<u8>> {
+        loop {
+            let rest = &self.buf[self.used..];
+            if let Some((head, inside)) = rest.split_first_chunk::<4>() {
+                let len = u32::from_be_bytes(*head) as usize;
+                if len == 0 || len > FRAME_LIMIT {
+                    return None;
+                }
+                if inside.len() >= len {
+                    let inside = inside[..len].to_vec();
+                    self.used += 4 + len;
+                    return Some(inside);
+                }
+            }
+            self.buf.drain(..self.used);
+            self.used = 0;
+            // Grows with what arrives, so that a false length costs nothing.
+            let n = self.stream.read(&mut self.chunk).await.ok().filter(|n| *n > 0)?;
+            self.buf.extend_from_slice(&self.chunk[..n]);
         }
-        inside.extend_from_slice(&chunk[..n]);
     }
-    Some(inside)
 }
 
-/// Writes frames until the channel closes or the connection fails.
-async fn write_frames(mut stream: TcpStream, queue: smol::channel::Receiver<Vec<u8>>, limit: Duration) {
-    while let Ok(mut bytes) = queue.recv().await {
-        while let Ok(more) = queue.try_recv() {
-            bytes.extend_from_slice(&more);
-        }
+/// Writes what is queued until the queue is closed or the connection fails.
+async fn write_frames(mut stream: TcpStream, queue: Outbox, limit: Duration) {
+    while let Some(bytes) = queue.next().await {
         if !matches!(within(limit, stream.write_all(&bytes)).await, Some(Ok(()))) {
             break;
         }
@@ -74,15 +91,16 @@
     }
 }
 
-async fn owner_connection(node: &Rc<Node>, mut stream: TcpStream) {
+async fn owner_connection(node: &Rc<Node>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let limit = Duration::from_secs_f64(wire::ANSWER_DROPPED_S);
-    let Some(Some(first)) = within(limit, read_frame(&mut stream)).await else { return };
+    let mut frames = Frames::new(stream.clone());
+    let Some(Some(first)) = within(limit, frames.next()).await else { return };
     let Some(ToLeader::Hello { member, start, count }) = unframe(&first) else { return };
     if !node.settings.known.iter().any(|p| p.member == member) {
         return;
     }
-    let (sender, queue) = frames();
+    let sender = node.outbox();
     {
         let mut guard = node.lock();
         let Some(lead) = &mut guard.shared.lead else { return };
@@ -97,10 +115,10 @@
         lead.leader.owner_heard(&member, node.now());
         lead.links.insert(member.clone(), Link { frames: sender.clone(), start, count });
     }
-    let writer = node.ex.spawn(write_frames(stream.clone(), queue, limit));
+    let writer = node.ex.spawn(write_frames(stream.clone(), sender.clone(), limit));
     loop {
         // An owner pings often; long silence ends the connection.
-        let Some(Some(inside)) = within(limit, read_frame(&mut stream)).await else { break };
+        let Some(Some(inside)) = within(limit, frames.next()).await else { break };
         let Some(message) = unframe::<ToLeader>(&inside) else { break };
         if sender.is_closed() || !on_owner_message(node, &member, &sender, message) {
             break;
@@ -118,7 +136,7 @@
 }
 
 /// Takes a message of an owner; false if this controller does not lead any more.
-fn on_owner_message(node: &Rc<Node>, member: &str, link: &smol::channel::Sender<Vec<u8>>, message: ToLeader) -> bool {
+fn on_owner_message(node: &Rc<Node>, member: &str, link: &Outbox, message: ToLeader) -> bool {
     let now = node.now();
     let mut guard = node.lock();
     let state = &mut *guard;
@@ -130,7 +148,7 @@
             let until = node.at(lead.won.until).min(now + node.setup.owner_silence_s() * 1.25);
             if let Some(valid) = lead.leader.grant(member, now, until) {
                 let token = lead.leader.token();
-                send(link, frame(&ToOwner::Grant { n, token, valid_ms: (valid * 1000.0) as u64 }));
+                link.send_first(&frame(&ToOwner::Grant { n, token, valid_ms: (valid * 1000.0) as u64 }));
             }
         }
         other => {
@@ -161,13 +179,14 @@
     }
 }
 
-async fn stay(node: &Rc<Node>, leader: &str, mut stream: TcpStream, start: u64, count: u64) {
+async fn stay(node: &Rc<Node>, leader: &str, stream: TcpStream, start: u64, count: u64) {
     let _ = stream.set_nodelay(true);
     let limit = Duration::from_secs_f64(wire::ANSWER_DROPPED_S / 2.0);
-    let (sender, queue) = frames();
+    let sender = node.outbox();
     let hello = ToLeader::Hello { member: node.settings.member.clone(), start, count };
-    let _ = sender.try_send(frame(&hello));
-    let writer = node.ex.spawn(write_frames(stream.clone(), queue, limit));
+    sender.send_first(&frame(&hello));
+    let writer = node.ex.spawn(write_frames(stream.clone(), sender.clone(), limit));
+    let mut frames = Frames::new(stream);
     let pings: Rc<std::cell::RefCell<HashMap<u64, Instant>>> = Rc::default();
     let next = Rc::new(std::cell::Cell::new(0u64));
     let ping = {
@@ -178,7 +197,7 @@
             let mut p = pings.borrow_mut();
             p.insert(n, Instant::now());
             p.retain(|k, _| k + 64 > n);
-            let _ = sender.try_send(frame(&ToLeader::Ping { n }));
+            sender.send_first(&frame(&ToLeader::Ping { n }));
         }
     };
     let pinger = {
@@ -197,7 +216,7 @@
         if !still {
             break;
         }
-        let Some(Some(inside)) = within(limit, read_frame(&mut stream)).await else { break };
+        let Some(Some(inside)) = within(limit, frames.next()).await else { break };
         let Some(message) = unframe::<ToOwner>(&inside) else { break };
         let now = node.now();
         let mut guard = node.lock();
