--- a/crates/ladderroute/src/settings.rs
+++ b/crates/ladderroute/src/settings.rs
@@ -165,14 +165,6 @@
             .map(|t| (t.name.clone(), Team { cpus: t.cpus, cpus_max: t.cpus_max, gpus: t.gpus, gpus_max: t.gpus_max }))
             .collect();
         let guarantee_s = p.objectives.iter().filter(|o| o.kind == "guarantee").find_map(|o| o.within_s);
-        let least = |kind: &str| {
-            let mut out: BTreeMap<String, f64> = BTreeMap::new();
-            for (class, s) in p.objectives.iter().filter(|o| o.kind == kind).filter_map(|o| Some((o.class.clone()?, o.within_s?))) {
-                let least = out.entry(class).or_insert(s);
-                *least = least.min(s);
-            }
-            out
-        };
         Setup {
             teams,
             report_s: p.workers.report_s,
@@ -181,8 +173,6 @@
             list_lag_s: p.cloud.list_lag_s,
             hold_s: tuning.hold_s,
             guarantee_s: guarantee_s.unwrap_or(p.workers.report_s * 10.0),
-            start_s: least("wait"),
-            finish_s: least("finished"),
             wait_s: p.objectives.iter().filter(|o| o.kind == "wait").filter_map(|o| Some((o.class.clone()?, o.within_s?))).collect(),
             patience: tuning.patience,
             keep_boots: tuning.keep_boots,
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -187,8 +187,6 @@
         hold_s: 5.0,
         guarantee_s: 5.0,
         wait_s: BTreeMap::new(),
-        start_s: BTreeMap::new(),
-        finish_s: BTreeMap::new(),
         patience: 0.4,
         keep_boots: 2.0,
     }
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -14,11 +14,6 @@
 const BOOTS_TO_WAIT: f64 = 3.5;
 /// What a slow boot takes of the nominal time, with the start of the gang's tasks.
 const SLOW_BOOT: f64 = 1.25;
-/// Part of the time in which an array's tasks should have started that they may wait for machines
-/// in use or on their way, before more ordinary machines are rented.
-const ARRAY_PATIENCE: f64 = 0.65;
-/// Part of the turnover of machines that is counted on: fetches and reports take the rest.
-const TURNOVER_SHARE: f64 = 0.85;
 /// Most machines of one request (a figure of the protocol).
 const MOST_AT_ONCE: u32 = 50;
 /// Most names of one release (a figure of the protocol).
@@ -176,26 +171,9 @@
         sums.into_iter().filter_map(|(offer, n)| Some(Coming { free: self.cap(&offer.0)?, offer, n })).collect()
     }
 
-    /// CPUs on their way, and in how many seconds they are expected, in steps of a twelfth of the
-    /// time that is charged at least.
-    fn soon(&self, now: Secs) -> Vec<(Offer, Secs, f64)> {
-        let mut sums: BTreeMap<(Offer, u32), f64> = BTreeMap::new();
-        let step = LEAST_CHARGE_S / 12.0;
-        let booting = self.fleet.booting.values().map(|b| ((b.kind.clone(), b.zone.clone(), b.spot), now - b.hired_at, 1));
-        let asked = self.fleet.asked.values().map(|h| ((h.kind.clone(), h.zone.clone(), h.spot), 0.0, h.count));
-        for (offer, age, n) in booting.chain(asked) {
-            let Some(t) = self.types.get(&offer.0) else { continue };
-            let eta = ((t.boot_s - age).max(0.0) / step) as u32;
-            *sums.entry((offer, eta)).or_default() += t.cpus * f64::from(n);
-        }
-        sums.into_iter().map(|((offer, eta), cpus)| (offer, f64::from(eta + 1) * step, cpus)).collect()
-    }
-
     fn rent(&mut self, now: Secs) {
         let scarce = self.scarce();
         let mut coming = self.coming();
-        let mut soon = self.soon(now);
-        let run = self.mean_run_s();
         // Running tasks free their room again and again while a machine boots.
         let turnover = self.turnover();
         let mut ahead = 0.0;
@@ -216,7 +194,6 @@
                 continue;
             }
             let all = self.needs(job, None);
-            let (may_wait, within) = (self.may_wait(job, run, now), job.within);
             let mut left = take_coming(&mut coming, |o| allows(&all, &needs.zone, o), room, n);
             while left > 0 {
                 let mut found = self.cheapest(&needs.kinds, needs.zone.as_deref(), room, left, &wanted, now);
@@ -226,13 +203,7 @@
                 }
                 let Some((offer, cap)) = found else { break };
                 let boot = self.types.get(&offer.0).map_or(LEAST_CHARGE_S, |t| t.boot_s);
-                // What is dear is rented only for what the rest does not start in time.
-                let horizon = if offer.2 || within { boot } else { may_wait.max(boot) };
-                let on_way = soon.iter().filter(|(o, _, _)| allows(&all, &needs.zone, o));
-                let again: f64 = on_way.map(|(_, eta, cpus)| cpus * (horizon - eta).max(0.0) / run).sum();
-                let again = if horizon > boot { turnover * (horizon - boot) + again } else { 0.0 };
-                let started = turnover * boot + again * TURNOVER_SHARE;
-                let served = ((started - ahead) / room.cpus.max(0.01)).floor().clamp(0.0, f64::from(left));
+                let served = ((turnover * boot - ahead) / room.cpus.max(0.01)).floor().clamp(0.0, f64::from(left));
                 ahead += served * room.cpus;
                 left -= served as u32;
                 let times = cap.times(room);
@@ -240,11 +211,8 @@
                     break;
                 }
                 let free = self.most_wanted(&offer, &wanted);
-                // A machine that is up long before the time is over serves more than it holds.
-                let rounds = 1.0 + (horizon - boot) / run * TURNOVER_SHARE;
-                let n = ((f64::from(left / times) / rounds).ceil() as u32).clamp(1, free.max(1));
+                let n = (left / times).clamp(1, free.max(1));
                 coming.push(Coming { offer: offer.clone(), free: cap, n });
-                soon.push((offer.clone(), boot, cap.cpus * f64::from(n)));
                 *wanted.entry(offer.clone()).or_default() += n;
                 left = take_coming(&mut coming, |o| *o == offer, room, left);
             }
@@ -262,29 +230,6 @@
         }
     }
 
-    /// How long a CPU is taken by a task of an array, in the mean of those that wait or run.
-    fn mean_run_s(&self) -> Secs {
-        let open = self.jobs.values().filter(|j| !j.is_gang() && !j.over);
-        let weight = |j: &Job| f64::from(j.ready.len() + j.active.len() as u32) * j.spec.cpus;
-        let (sum, all) = open.fold((0.0, 0.0), |(sum, all), j| (sum + weight(j) * self.run_s(j), all + weight(j)));
-        if all > 0.0 {
-            (sum / all).max(1.0)
-        } else {
-            1.0
-        }
-    }
-
-    /// How long an array's tasks may still wait for their start, as far as its objectives go.
-    fn may_wait(&self, job: &Job, run: Secs, now: Secs) -> Secs {
-        let start = self.setup.start_s.get(&job.spec.class).copied();
-        let done = [self.setup.finish_s.get(&job.spec.class).copied(), job.spec.deadline_s];
-        let by = done.into_iter().flatten().map(|s| s - 2.0 * run).chain(start).fold(f64::MAX, f64::min);
-        if by == f64::MAX {
-            return 0.0;
-        }
-        job.seen + by * ARRAY_PATIENCE - now
-    }
-
     /// Whether any offer on which these tasks may run was not refused lately.
     fn any_offer(&self, needs: &Needs, now: Secs) -> bool {
         needs.kinds.iter().any(|a| {
--- a/crates/sched/src/setup.rs
+++ b/crates/sched/src/setup.rs
@@ -25,10 +25,6 @@
     pub guarantee_s: f64,
     /// By class: within what time its gangs should start.
     pub wait_s: BTreeMap<String, f64>,
-    /// By class: the shortest time within which its tasks should start, and its jobs be done, where
-    /// objectives say so.
-    pub start_s: BTreeMap<String, f64>,
-    pub finish_s: BTreeMap<String, f64>,
     /// Part of that time that a gang may wait for a machine in use rather than have one rented.
     pub patience: f64,
     /// How long an idle machine is kept, as a multiple of its boot time (at least the cloud's
--- a/crates/sched/tests/late_copies.rs
+++ b/crates/sched/tests/late_copies.rs
@@ -24,8 +24,6 @@
         hold_s: 5.0,
         guarantee_s: 5.0,
         wait_s: BTreeMap::new(),
-        start_s: BTreeMap::new(),
-        finish_s: BTreeMap::new(),
         patience: 0.4,
         keep_boots: 2.0,
     }
