Let array tasks wait at the owners and fill what a report shows to be free, in its answer

A task's end showed in a report whose answer could not start the next one: the leader learnt of the room half a second later, gave it away, and the start waited for the machine's next report. Now tasks for which the pass found no room wait at the owners, as many as become free in twice that reaction time, and the first machine of the part that reports room takes them; after five times it they are handed back.

--- a/crates/ladderroute/src/api.rs
+++ b/crates/ladderroute/src/api.rs
@@ -1,7 +1,7 @@
 //! The port for users, workers and health checks.
 
 use crate::accept::{cancel, later, query, refuse, submit};
-use crate::node::Node;
+use crate::node::{JobRooms, Node};
 use http::pool::Rank;
 use http::server::{Limits, Request, Response};
 use sched::owner::Answer;
@@ -132,7 +132,7 @@
     let now = node.now();
     let mut guard = node.lock();
     let state = &mut *guard;
-    let answer = state.owner.on_report(&report, now);
+    let answer = state.owner.on_report(&report, now, &JobRooms(&state.shared.replica));
     log::debug!(
         "event=report machine={} session={} seq={} token={} tasks={} answer={answer:?}",
         report.machine,
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -609,7 +609,7 @@
                     if self.defect == Defect::TrustAnyReport {
                         report.token = u64::MAX;
                     }
-                    let answer = self.controllers[to].owner.on_report(&report, now);
+                    let answer = self.controllers[to].owner.on_report(&report, now, &Book(&self.jobs));
                     if let Some(d) = self.delay() {
                         let m = Message::Answer { worker: report.machine.clone(), session: report.session, seq: report.seq, answer };
                         self.messages.push((now + d, m));
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -376,7 +376,7 @@
     }
 
     /// CPUs per second that running array tasks free for others.
-    fn turnover(&self) -> f64 {
+    pub(crate) fn turnover(&self) -> f64 {
         let arrays = self.jobs.values().filter(|j| j.spec.shape == Shape::Array);
         arrays.map(|j| j.active.len() as f64 * j.spec.cpus / self.run_s(j)).sum()
     }
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -46,7 +46,8 @@
 /// Where a task in somebody's hands is.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Place {
-    /// Given to an owner, which is expected to choose that machine.
+    /// Given to an owner, which is expected to choose that machine; where no machine is named, the
+    /// first of its part with room.
     Given(String, String),
     On(String),
     /// In the hands of an owner that was lost; settled with the group of its machines.
@@ -190,6 +191,14 @@
     pub tasks: Vec<(String, u32)>,
 }
 
+/// The owner at which a task waits for the first room that becomes free.
+fn waits_at(place: &Place) -> Option<&str> {
+    match place {
+        Place::Given(owner, machine) if machine.is_empty() => Some(owner),
+        _ => None,
+    }
+}
+
 /// Counters and lists for logs and the display.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Summary {
@@ -236,6 +245,8 @@
     pub(crate) begun: u64,
     pub(crate) begun_asked: u64,
     pub(crate) team_used: BTreeMap<String, Room>,
+    /// CPUs of tasks that wait for room, by owner.
+    pub(crate) ahead: BTreeMap<String, f64>,
     pub(crate) groups: BTreeMap<u64, LimboGroup>,
     pub(crate) next_group: u64,
     pub(crate) start_open: bool,
@@ -344,6 +355,7 @@
             begun,
             begun_asked: begun,
             team_used: BTreeMap::new(),
+            ahead: BTreeMap::new(),
             groups: BTreeMap::new(),
             next_group: 0,
             start_open: true,
@@ -594,6 +606,9 @@
         };
         let room = job.room();
         job.ready.remove(index);
+        if let Some(owner) = waits_at(&active.place) {
+            *self.ahead.entry(owner.to_string()).or_default() += room.cpus;
+        }
         if let Place::Given(_, name) | Place::On(name) = &active.place {
             if let Some(m) = self.machines.get_mut(name) {
                 if m.tasks.insert((id.into(), index), active.attempt).is_none() {
@@ -610,6 +625,9 @@
         let job = self.jobs.get_mut(id)?;
         let active = job.active.remove(&index)?;
         let room = job.room();
+        if let Some(cpus) = waits_at(&active.place).and_then(|owner| self.ahead.get_mut(owner)) {
+            *cpus -= room.cpus;
+        }
         if let Place::Given(_, name) | Place::On(name) = &active.place {
             if let Some(m) = self.machines.get_mut(name) {
                 if m.tasks.remove(&(id.to_string(), index)).is_some() {
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -7,7 +7,7 @@
 
 use crate::index::{Index, Spot};
 use crate::part;
-use crate::place::Room;
+use crate::place::{tier, Room};
 use crate::setup::Setup;
 use crate::Secs;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -43,7 +43,7 @@
 /// Most machines in one message to the leader, so that it stays small.
 const VIEWS_AT_ONCE: usize = 64;
 /// Parts of a report interval for which changes that reports bring are collected.
-const VIEWS_PER_REPORT: f64 = 20.0;
+pub(crate) const VIEWS_PER_REPORT: f64 = 20.0;
 
 struct Machine {
     kind: String,
@@ -93,6 +93,15 @@
     until: Secs,
 }
 
+/// Tasks that wait for room to become free in this part.
+struct Ahead {
+    job: String,
+    attempt: u64,
+    needs: Needs,
+    indexes: VecDeque<u32>,
+    until: Secs,
+}
+
 /// The owner's book.
 pub struct Owner {
     me: String,
@@ -105,6 +114,7 @@
     extra_s: Secs,
     machines: BTreeMap<String, Machine>,
     holds: BTreeMap<u64, Hold>,
+    ahead: VecDeque<Ahead>,
     out: Vec<ToLeader>,
     /// Machines as placement looks at them, and those that changed since.
     index: Index,
@@ -127,6 +137,7 @@
             extra_s: 0.0,
             machines: BTreeMap::new(),
             holds: BTreeMap::new(),
+            ahead: VecDeque::new(),
             out: Vec::new(),
             index: Index::default(),
             stale: BTreeSet::new(),
@@ -207,6 +218,10 @@
                 }
             }
             ToOwner::Give { job, attempt, needs, tasks } => self.give(job, attempt, &needs, &tasks, jobs),
+            ToOwner::Ahead { job, attempt, needs, tasks, wait_ms } => {
+                let indexes = tasks.iter().flat_map(|(a, n)| *a..a.saturating_add(*n)).collect();
+                self.ahead.push_back(Ahead { job, attempt, needs, indexes, until: now + wait_ms as f64 / 1000.0 });
+            }
             ToOwner::Hold { job, attempt, needs, places, wait_ms } => {
                 let until = now + wait_ms as f64 / 1000.0;
                 let held = self.hold(job, attempt, &needs, places, until, jobs);
@@ -242,6 +257,8 @@
     fn regime(&mut self, token: u64, prev: u64, members: Vec<String>, extra_ms: u64, cards: Vec<wire::peers::MachineCard>, now: Secs) {
         // Room that was lent ends with the regime: the leader releases its waiting gangs.
         self.holds.clear();
+        // What waits for room is nowhere yet; the leader takes it back once all is accounted for.
+        self.ahead.clear();
         self.out.clear();
         if self.token != prev || prev == 0 {
             self.machines.clear();
@@ -268,7 +285,7 @@
     }
 
     /// Decides the answer to a report; `now` must be read just before.
-    pub fn on_report(&mut self, report: &Report, now: Secs) -> Answer {
+    pub fn on_report(&mut self, report: &Report, now: Secs, jobs: &dyn Jobs) -> Answer {
         if !self.has_authority(now) || self.token == 0 {
             return Answer::NotNow;
         }
@@ -334,15 +351,66 @@
                 }
             }
         }
-        let orders = orders(m);
+        let mut orders = orders(m);
+        self.fill(&report.machine, &mut orders, jobs);
+        let Some(m) = self.machines.get(&report.machine) else { return Answer::NotNow };
         if m.dirty {
             self.stale.insert(report.machine.clone());
         }
         Answer::Orders(Orders { token, orders })
     }
 
+    /// Fills what a machine's report shows to be free with tasks that wait for room, in the very
+    /// answer: otherwise the room waits for the leader and then for the machine's next report.
+    fn fill(&mut self, name: &str, orders: &mut Vec<Order>, jobs: &dyn Jobs) {
+        if self.ahead.is_empty() {
+            return;
+        }
+        let Some(m) = self.machines.get(name).filter(|m| m.open()) else { return };
+        let Some(mut free) = self.free(name, m, jobs) else { return };
+        let (kind, zone, spot) = (m.kind.clone(), m.zone.clone(), m.spot);
+        let mut started: Vec<(TaskRef, Room, String)> = Vec::new();
+        for a in self.ahead.iter_mut() {
+            let room = Room::of(&a.needs);
+            // A job that is over is not known any more.
+            if tier(&a.needs, &kind, &zone, spot).is_none() || jobs.room(&a.job).is_none() {
+                continue;
+            }
+            while free.holds(room) && started.len() < STARTS_AT_ONCE {
+                let Some(index) = a.indexes.pop_front() else { break };
+                free.sub(room);
+                started.push((TaskRef { job: a.job.clone(), index, attempt: a.attempt }, room, a.needs.image.clone()));
+            }
+        }
+        if started.is_empty() {
+            return;
+        }
+        self.ahead.retain(|a| !a.indexes.is_empty());
+        let Some(m) = self.machines.get_mut(name) else { return };
+        for (task, room, image) in started {
+            orders.push(Order::Start { task: task_name(&task.job, task.index), attempt: task.attempt });
+            remember(m, &image);
+            m.pending.insert(task, room);
+        }
+        m.dirty = true;
+    }
+
+    /// Hands back what has waited for room too long.
+    fn end_waits(&mut self, now: Secs) {
+        let out = &mut self.out;
+        self.ahead.retain_mut(|a| {
+            let keep = now < a.until;
+            if !keep {
+                let tasks = crate::ranges::runs(std::mem::take(&mut a.indexes));
+                out.push(ToLeader::HandBack { job: std::mem::take(&mut a.job), attempt: a.attempt, tasks });
+            }
+            keep
+        });
+    }
+
     /// Lets holds and leases run out.
     pub fn tick(&mut self, now: Secs) {
+        self.end_waits(now);
         if now - self.shown_at >= self.setup.report_s / VIEWS_PER_REPORT {
             self.shown_at = now;
             self.show = true;
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -20,14 +20,22 @@
     limits: BTreeMap<String, Room>,
     /// A gang that has waited long, and the machines set aside for it.
     aside: Option<(String, Needs)>,
+    /// CPUs that tasks may wait for at each owner, once that was asked.
+    ahead: Option<BTreeMap<String, f64>>,
 }
 
+/// Tasks may wait at an owner for what becomes free in so many times the time that the leader needs
+/// to learn of room and to give it away.
+const AHEAD: f64 = 2.0;
+/// What found no room after this many times the same is handed back.
+const AHEAD_WAIT: f64 = 5.0;
+
 impl Leader {
     pub(crate) fn schedule(&mut self, now: Secs) {
         self.refresh_index();
         self.mark_within();
         let scarce = self.scarce();
-        let mut pass = Pass { limits: self.limits(), aside: self.set_aside(&scarce, now) };
+        let mut pass = Pass { limits: self.limits(), aside: self.set_aside(&scarce, now), ahead: None };
         let mut order: Vec<_> = self
             .jobs
             .iter()
@@ -278,7 +286,63 @@
         }
         if placed < quota {
             self.fleet.unmet.push((id.into(), quota - placed));
+            if !zoned {
+                self.give_ahead(id, needs, quota - placed, pass, now);
+            }
+        }
+    }
+
+    /// The time after which room that a report showed has a task from here.
+    fn reaction_s(&self) -> Secs {
+        self.setup.report_s.min(1.0) / 2.0 + self.setup.report_s / crate::owner::VIEWS_PER_REPORT
+    }
+
+    /// CPUs that tasks may wait for at each owner: what array tasks free there in a short time,
+    /// less what waits already.
+    fn ahead_room(&self) -> BTreeMap<String, f64> {
+        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| m.open()) {
+            *used.entry(&m.owner).or_default() += m.used.cpus;
+        }
+        let all: f64 = used.values().sum();
+        let free = self.turnover() * self.reaction_s() * AHEAD;
+        let waits = |owner: &str| self.ahead.get(owner).copied().unwrap_or(0.0);
+        used.into_iter().map(|(owner, cpus)| (owner.to_string(), free * cpus / all.max(1.0) - waits(owner))).collect()
+    }
+
+    /// Lets tasks that found no room wait at the owners for the first that becomes free: a task's
+    /// end and the next one's start then take one report and its answer.
+    fn give_ahead(&mut self, id: &str, needs: &Needs, most: u32, pass: &mut Pass, now: Secs) {
+        let mut room = pass.ahead.take().unwrap_or_else(|| self.ahead_room());
+        let mut needs = needs.clone();
+        if let Some(aside) = pass.aside_for(id) {
+            needs.kinds.retain(|k| !aside.kinds.iter().any(|a| a.kind == k.kind && a.spot == k.spot));
+        }
+        let Some(job) = self.jobs.get(id).filter(|_| !needs.kinds.is_empty()) else {
+            pass.ahead = Some(room);
+            return;
+        };
+        let (each, team) = (job.room(), job.spec.team.clone());
+        let mut indexes = job.ready.iter().take(most as usize).collect::<Vec<u32>>().into_iter();
+        let attempt = self.next_attempt();
+        let wait_ms = (self.reaction_s() * AHEAD_WAIT * 1000.0) as u64;
+        let mut given = 0;
+        for (owner, cpus) in room.iter_mut() {
+            let n = (*cpus / each.cpus.max(0.01)).floor().max(0.0) as usize;
+            let mine: Vec<u32> = indexes.by_ref().take(n).collect();
+            if mine.is_empty() {
+                continue;
+            }
+            *cpus -= each.cpus * mine.len() as f64;
+            given += mine.len() as u32;
+            for index in &mine {
+                self.give_active(id, *index, attempt, owner.clone(), String::new(), now);
+            }
+            let message = ToOwner::Ahead { job: id.into(), attempt, needs: needs.clone(), tasks: runs(mine), wait_ms };
+            self.deeds.push(Deed::Send(owner.clone(), message));
         }
+        pass.charge(&team, each, given);
+        pass.ahead = Some(room);
     }
 
     fn see_image(&mut self, machine: &str, image: &str) {
--- a/crates/sched/tests/late_copies.rs
+++ b/crates/sched/tests/late_copies.rs
@@ -65,14 +65,14 @@
     let regime = ToOwner::Regime { token: 5, prev: 0, members: vec!["rung-1".into()], extra_ms: 0, machines: vec![card] };
     owner.on_leader(regime, 10.0, &NoJobs);
     owner.set_authority(1e9);
-    assert!(matches!(owner.on_report(&report(2, 57, 4), 10.5), Answer::Orders(o) if o.token == 5 && o.orders.is_empty()));
+    assert!(matches!(owner.on_report(&report(2, 57, 4), 10.5, &NoJobs), Answer::Orders(o) if o.token == 5 && o.orders.is_empty()));
     owner.tick(10.5 + setup().lease_certainly_over_s() + 0.1);
     owner.drain();
-    assert_eq!(owner.on_report(&report(2, 58, 5), 25.0), Answer::NotNow);
+    assert_eq!(owner.on_report(&report(2, 58, 5), 25.0, &NoJobs), Answer::NotNow);
     // The worker itself is back, in a new session, and learns the token first.
-    assert!(matches!(owner.on_report(&report(3, 60, 4), 26.0), Answer::Orders(_)));
-    assert_eq!(owner.on_report(&report(2, 59, 5), 26.5), Answer::NotNow);
-    assert!(matches!(owner.on_report(&report(3, 61, 5), 27.0), Answer::Orders(_)));
+    assert!(matches!(owner.on_report(&report(3, 60, 4), 26.0, &NoJobs), Answer::Orders(_)));
+    assert_eq!(owner.on_report(&report(2, 59, 5), 26.5, &NoJobs), Answer::NotNow);
+    assert!(matches!(owner.on_report(&report(3, 61, 5), 27.0, &NoJobs), Answer::Orders(_)));
     owner.tick(28.0);
     let back = |m: &ToLeader| matches!(m, ToLeader::Machines(v) if v.iter().any(|v| v.session == 3 && !v.lapsed));
     assert!(owner.drain().iter().any(back));
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -114,6 +114,15 @@
         needs: Needs,
         tasks: Vec<(u32, u32)>,
     },
+    /// Array tasks to start on whichever machine of the part reports room for them first; what
+    /// found none in time is handed back.
+    Ahead {
+        job: String,
+        attempt: u64,
+        needs: Needs,
+        tasks: Vec<(u32, u32)>,
+        wait_ms: u64,
+    },
     /// Set room aside for tasks of a gang.
     Hold {
         job: String,
