--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -210,6 +210,9 @@
     /// CPUs of machines that are up, and what possibly runs of them: ordinary and cheap ones.
     pub cpus: [u32; 2],
     pub cpus_used: [u32; 2],
+    /// CPUs of tasks that are known to run, and that wait at owners for room.
+    pub cpus_running: u32,
+    pub cpus_ahead: u32,
 }
 
 pub struct Leader {
@@ -301,7 +304,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         write!(
             f,
-            "queued={} running={} machines={} booting={} unaccounted={} cpus={} cpus_used={} spot_cpus={} spot_cpus_used={}",
+            "queued={} running={} machines={} booting={} unaccounted={} cpus={} cpus_used={} spot_cpus={} spot_cpus_used={} running_cpus={} ahead_cpus={}",
             self.queued,
             self.running,
             self.machines,
@@ -310,7 +313,9 @@
             self.cpus[0],
             self.cpus_used[0],
             self.cpus[1],
-            self.cpus_used[1]
+            self.cpus_used[1],
+            self.cpus_running,
+            self.cpus_ahead
         )
     }
 }
@@ -452,6 +457,9 @@
             cpus: [false, true].map(|spot| {
                 self.machines.values().filter(|m| m.spot == spot).map(|m| self.cap(&m.kind).map_or(0.0, |c| c.cpus)).sum::<f64>() as u32
             }),
+            cpus_running: self.jobs.values().map(|j| j.active.values().filter(|a| a.running).count() as f64 * j.spec.cpus).sum::<f64>()
+                as u32,
+            cpus_ahead: self.ahead.values().sum::<f64>() as u32,
             cpus_used: [false, true].map(|spot| self.machines.values().filter(|m| m.spot == spot).map(|m| m.used.cpus).sum::<f64>() as u32),
         }
     }
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -217,7 +217,7 @@
                     self.stale.insert(machine);
                 }
             }
-            ToOwner::Give { job, attempt, needs, tasks } => self.give(job, attempt, &needs, &tasks, jobs),
+            ToOwner::Give { job, attempt, needs, tasks } => self.give(job, attempt, &needs, &tasks, now, jobs),
             ToOwner::Ahead { job, attempt, needs, tasks, wait_ms } => {
                 let indexes = tasks.iter().flat_map(|(a, n)| *a..a.saturating_add(*n)).collect();
                 self.ahead.push_back(Ahead { job, attempt, needs, indexes, until: now + wait_ms as f64 / 1000.0 });
@@ -485,11 +485,20 @@
         Some(free)
     }
 
-    fn give(&mut self, job: String, attempt: u64, needs: &Needs, runs: &[(u32, u32)], jobs: &dyn Jobs) {
+    fn give(&mut self, job: String, attempt: u64, needs: &Needs, runs: &[(u32, u32)], now: Secs, jobs: &dyn Jobs) {
         let room = Room::of(needs);
         self.refresh_index(jobs);
         let mut indexes = runs.iter().flat_map(|(a, n)| *a..a.saturating_add(*n)).peekable();
-        for f in self.index.fits(needs) {
+        let mut found = self.index.fits(needs);
+        // A start goes with the answer to a report: of machines that suit alike, the one that
+        // reports next starts first.
+        let quarter = self.setup.report_s / 4.0;
+        let silent = |name: &str| self.machines.get(name).map_or(0, |m| ((now - m.answered) / quarter).clamp(0.0, 4.0) as u32);
+        found.sort_by_cached_key(|f| {
+            let (slow, tier, empty, fetch, left) = f.rank;
+            (slow, tier, empty, fetch, std::cmp::Reverse(silent(&f.name)), left, f.name.clone())
+        });
+        for f in found {
             if indexes.peek().is_none() {
                 break;
             }
