--- a/crates/ladderroute/src/accept.rs
+++ b/crates/ladderroute/src/accept.rs
@@ -142,7 +142,10 @@
             },
             _ => later(node, "the outcome is not known yet"),
         },
-        Err(StoreError::Budget(s)) => refuse(429, "too many submissions at present").retry(s.ceil().clamp(1.0, 30.0) as u32),
+        Err(StoreError::Budget(s)) => {
+            log::debug!("event=submission_refused job={id} again_s={s:.2}");
+            refuse(429, "too many submissions at present").retry(s.ceil().clamp(1.0, 30.0) as u32)
+        }
         Err(_) => {
             node.store_ok(false);
             later(node, "the state service does not answer")
--- a/crates/ladderroute/src/lead.rs
+++ b/crates/ladderroute/src/lead.rs
@@ -11,19 +11,20 @@
 use store::leadership::{take, usable, Won};
 use wire::users::Shape;
 
-/// Parts of the store's request and write rates that the leader takes; the others share the
-/// rest. Its decisions are packed, so that submissions get most of the writes.
-const LEADER_SHARES: (f64, f64) = (0.3, 0.4);
+/// Parts of the store's request and write rates that the leader takes. Of the requests the others
+/// share the rest, since a renewal that the store refused would cost the leadership. Writes come
+/// in bursts, seldom at several controllers at once, and one that is refused is only made again:
+/// so the others share nearly all of them beside the leader.
+const LEADER_SHARES: (f64, f64) = (0.3, 0.55);
 const ALL_SHARE: f64 = 0.95;
 
 /// A controller's parts of the store's request and write rates, with so many others.
 pub fn store_shares(leading: bool, others: usize) -> (f64, f64) {
-    let part = |leader: f64| match (others, leading) {
-        (0, _) => ALL_SHARE,
-        (_, true) => leader,
-        (n, false) => (ALL_SHARE - leader) / n as f64,
-    };
-    (part(LEADER_SHARES.0), part(LEADER_SHARES.1))
+    match (others, leading) {
+        (0, _) => (ALL_SHARE, ALL_SHARE),
+        (_, true) => LEADER_SHARES,
+        (n, false) => ((ALL_SHARE - LEADER_SHARES.0) / n as f64, ALL_SHARE / n as f64),
+    }
 }
 
 /// Tries to become the leader whenever there is none.
