Record arrays as begun one by one: what waits its turn stays untouched for a later leader

Cause: one watermark said which arrays might have begun. Jobs within a guarantee go first, so it moved to the newest at once, and after a change of leader every queued array waited until all machines had reported, hung ones and all. Now the record also names the accepted arrays that wait, written before an array's first start as before, for those that have room or whose turn comes soon.

--- a/crates/ladderroute/src/lead.rs
+++ b/crates/ladderroute/src/lead.rs
@@ -103,7 +103,7 @@
     let earlier = |spec: &wire::users::Job, version: u64| match (spec.shape, replica.bound_machines(&spec.id)) {
         (Shape::Gang, Some(machines)) => Earlier::Bound(machines),
         (Shape::Gang, None) => Earlier::Untouched,
-        _ if version <= replica.begun => Earlier::Anywhere,
+        _ if replica.begun.covers(version) => Earlier::Anywhere,
         _ => Earlier::Untouched,
     };
     let open = |e: &store::replica::JobEntry| {
@@ -113,7 +113,7 @@
     };
     let jobs = replica.jobs.values().filter_map(open).collect();
     let seed = node.seed.replace(node.seed.get().wrapping_add(1));
-    let (me, setup, begun) = (&node.settings.member, node.setup.clone(), replica.begun);
+    let (me, setup, begun) = (&node.settings.member, node.setup.clone(), replica.begun.upto);
     let mut leader = Leader::new(me, setup, seed, won.token, value_kb, jobs, &replica.roster, begun, node.now());
     leader.set_lately_cancelled(replica.lately_cancelled(Duration::from_secs_f64(node.setup.lease_s + node.setup.cancel_s)));
     if let Some(types) = state.shared.catalog.clone() {
--- a/crates/ladderroute/src/writer.rs
+++ b/crates/ladderroute/src/writer.rs
@@ -14,7 +14,7 @@
 use store::pages::Pages;
 use store::replica::Replica;
 use wire::store::{
-    to_value, BegunRecord, BindingRecord, Condition, JobRecord, LeaderRecord, ProgressPage, Recorded, RosterPage, RosterRecord, Txn, Write,
+    to_value, BindingRecord, Condition, JobRecord, LeaderRecord, ProgressPage, Recorded, RosterPage, RosterRecord, Txn, Write,
 };
 
 /// Part of a value that the entries of a page may fill, by their own sizes.
@@ -132,7 +132,7 @@
     match d {
         Deed::NewToken => 0,
         Deed::Bind { .. } => 1,
-        Deed::Roster(_, Some(_)) | Deed::Begin { .. } => 2,
+        Deed::Roster(_, Some(_)) | Deed::Begin(_) => 2,
         Deed::Finish { .. } => 3,
         _ => 4,
     }
@@ -156,9 +156,9 @@
         _ => 2,
     };
     let first = waiting.first().map(class);
-    let (mut upto, mut full) = (None::<u64>, false);
+    let mut full = false;
     for deed in waiting {
-        let room = most.saturating_sub(batch.writes.len() + batch.roster.len() + batch.progress.len() + usize::from(upto.is_some()));
+        let room = most.saturating_sub(batch.writes.len() + batch.roster.len() + batch.progress.len());
         if full || Some(class(&deed)) != first || first == Some(0) && !batch.deeds.is_empty() {
             lead.writes.push_back(deed);
             continue;
@@ -181,7 +181,9 @@
                     batch.progress.push(page);
                 }
             }
-            Deed::Begin { upto: n } if room > 0 || upto.is_some() => upto = upto.max(Some(*n)),
+            Deed::Begin(record) if room > 0 => {
+                batch.writes.push(Write::Put { key: keys::BEGUN.into(), value: to_value(record), lease: None });
+            }
             Deed::Bind { job, attempt, places } => {
                 // Long bindings take several records, each below the value limit.
                 let each = ((value_kb * 1024.0 / 64.0) as usize).max(1);
@@ -224,9 +226,6 @@
         }
         batch.deeds.push(deed);
     }
-    if let Some(upto) = upto {
-        batch.writes.push(Write::Put { key: keys::BEGUN.into(), value: to_value(&BegunRecord { upto }), lease: None });
-    }
     if first != Some(0) && first != Some(1) {
         // Pages with old entries, as far as there is room.
         while batch.writes.len() + batch.roster.len() + batch.progress.len() < most {
@@ -313,7 +312,7 @@
                 }
                 lead.leader.finish_result(&job, ok);
             }
-            Deed::Begin { upto } => lead.leader.begin_result(upto, ok),
+            Deed::Begin(record) => lead.leader.begin_result(&record, ok),
             Deed::Roster(name, _) => lead.leader.roster_result(&name, true, ok),
             Deed::Progress { job, chunk, bits } => {
                 let mut written = Ranges::default();
--- a/crates/model/src/plain.rs
+++ b/crates/model/src/plain.rs
@@ -64,6 +64,10 @@
         leader_with(s, machines)
     }
 
+    fn all_begun(upto: u64) -> wire::store::BegunRecord {
+        wire::store::BegunRecord { upto, waiting: Vec::new() }
+    }
+
     fn leader_with(s: sched::setup::Setup, machines: &[(&str, &str)]) -> Leader {
         let mut l = Leader::new("rung-0", s, 1, 1, 4.0, Vec::new(), &BTreeMap::new(), 0, 0.0);
         l.catalog(vec![machine_type("small", 4.0, 16.0, 0.3), machine_type("large", 16.0, 64.0, 1.1)]);
@@ -143,7 +147,7 @@
                     earlier: Earlier::Untouched,
                 });
             }
-            l.begin_result(jobs.len() as u64, true);
+            l.begin_result(&all_begun(jobs.len() as u64), true);
             l.tick(5.1, 0);
             let mut order: Vec<Job> = Vec::new();
             // Within the guarantee first, each in order of creation.
@@ -192,7 +196,7 @@
             let spec = Rc::new(job(i, &format!("team-{team}"), Shape::Array, tasks, 1.0));
             l.add_job(OpenJob { spec, revision: u64::from(i) + 1, done: Ranges::default(), earlier: Earlier::Untouched });
         }
-        l.begin_result(13, true);
+        l.begin_result(&all_begun(13), true);
         l.tick(5.1, 0);
         let got = placed(&l.drain());
         for i in 4..13 {
@@ -244,7 +248,7 @@
         let add = |l: &mut Leader, id: u32, team: &str, tasks: u32, cpus: f64| {
             let spec = Rc::new(job(id, team, Shape::Array, tasks, cpus));
             l.add_job(OpenJob { spec, revision: u64::from(id), done: Ranges::default(), earlier: Earlier::Untouched });
-            l.begin_result(u64::from(id), true);
+            l.begin_result(&all_begun(u64::from(id)), true);
         };
         add(&mut l, 1, "blue", 4, 1.0);
         l.tick(6.0, 0);
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -838,14 +838,14 @@
                 }
                 leader.finish_result(&job, ok && open);
             }
-            Deed::Begin { upto } => {
-                if ok {
-                    self.begun = self.begun.max(upto);
+            Deed::Begin(record) => {
+                for j in self.jobs.values_mut().filter(|j| ok && j.spec.shape != Shape::Gang) {
+                    j.earlier = if record.covers(j.revision) { Earlier::Anywhere } else { Earlier::Untouched };
                 }
-                for j in self.jobs.values_mut().filter(|j| ok && j.revision <= upto && j.spec.shape != Shape::Gang) {
-                    j.earlier = Earlier::Anywhere;
+                if ok {
+                    self.begun = self.begun.max(record.upto);
                 }
-                leader.begin_result(upto, told);
+                leader.begin_result(&record, told);
             }
             Deed::Bind { job, attempt, places } => {
                 if let Some(j) = self.jobs.get_mut(&job).filter(|_| ok) {
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use wire::cloud::{Hire, MachineType};
 use wire::peers::{TaskRef, ToOwner};
-use wire::store::RosterRecord;
+use wire::store::{BegunRecord, RosterRecord};
 use wire::users::{Job as Spec, Shape};
 
 /// What the leader wants done outside.
@@ -22,10 +22,8 @@
     Send(String, ToOwner),
     NewToken,
     Roster(String, Option<RosterRecord>),
-    /// Record that tasks of the arrays accepted up to a revision may be given out from now on.
-    Begin {
-        upto: u64,
-    },
+    /// Record of which arrays tasks may be given out from now on.
+    Begin(BegunRecord),
     Progress {
         job: String,
         chunk: u32,
@@ -84,6 +82,15 @@
     Ending,
 }
 
+/// Whether the store says that tasks of an array may have been given out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Begun {
+    No,
+    /// There is room for it, so that a record is due, or on its way.
+    Asked,
+    Yes,
+}
+
 pub(crate) struct Job {
     pub spec: Rc<Spec>,
     pub revision: u64,
@@ -100,6 +107,7 @@
     pub uncertain: bool,
     /// Machines on which it may be, if it was started; none stands for any.
     pub suspects: Option<BTreeSet<String>>,
+    pub begun: Begun,
     pub backoff_until: Secs,
     pub failures: u32,
     pub phase: Phase,
@@ -244,9 +252,9 @@
     pub(crate) stale: BTreeSet<String>,
     /// Machines of unknown content.
     pub(crate) unknown: BTreeSet<String>,
-    /// Arrays accepted up to this revision are recorded as begun; asked for is more perhaps.
-    pub(crate) begun: u64,
-    pub(crate) begun_asked: u64,
+    /// No array accepted later is recorded as begun; and a new record is on its way to the store.
+    pub(crate) begun_upto: u64,
+    pub(crate) begun_asked: bool,
     pub(crate) team_used: BTreeMap<String, Room>,
     /// CPUs of tasks that wait for room, by owner.
     pub(crate) ahead: BTreeMap<String, f64>,
@@ -295,6 +303,10 @@
     Bound(BTreeSet<String>),
 }
 
+/// Bits of a progress record for each revision that the record of begun arrays may name: half of
+/// what a value holds.
+const BITS_PER_WAITING: usize = 48;
+
 /// Tasks per progress record: a bitmap in hexadecimal takes half of what a value may hold.
 pub fn chunk_bits(value_kb: f64) -> u32 {
     ((value_kb * 2048.0) as u32).max(8) / 8 * 8
@@ -331,7 +343,7 @@
         value_kb: f64,
         jobs: Vec<OpenJob>,
         roster: &BTreeMap<String, RosterRecord>,
-        begun: u64,
+        begun_upto: u64,
         now: Secs,
     ) -> Leader {
         let mut l = Leader {
@@ -357,8 +369,8 @@
             index: Index::default(),
             stale: BTreeSet::new(),
             unknown: BTreeSet::new(),
-            begun,
-            begun_asked: begun,
+            begun_upto,
+            begun_asked: false,
             team_used: BTreeMap::new(),
             ahead: BTreeMap::new(),
             groups: BTreeMap::new(),
@@ -518,6 +530,7 @@
             ready,
             active: BTreeMap::new(),
             uncertain: j.earlier != Earlier::Untouched,
+            begun: if j.earlier == Earlier::Untouched { Begun::No } else { Begun::Yes },
             suspects: match j.earlier {
                 Earlier::Bound(machines) => Some(machines),
                 _ => None,
@@ -530,9 +543,6 @@
             spec: j.spec,
         };
         self.fleet.arrived(&job.spec);
-        if !job.is_gang() {
-            self.ask_begin(job.revision);
-        }
         self.by_age.insert((job.revision, job.spec.id.clone()));
         self.jobs.insert(job.spec.id.clone(), job);
         self.wake = true;
@@ -754,21 +764,30 @@
         self.jobs.get(id).map(|j| j.done.clone()).unwrap_or_default()
     }
 
-    /// Has the record moved on that arrays up to a revision may have begun.
-    pub(crate) fn ask_begin(&mut self, upto: u64) {
-        if upto > self.begun_asked {
-            self.begun_asked = upto;
-            self.deeds.push(Deed::Begin { upto });
+    /// Has it recorded which arrays begin, if any are to and no record is on its way.
+    pub(crate) fn ask_begin(&mut self) {
+        if self.begun_asked || !self.jobs.values().any(|j| j.begun == Begun::Asked) {
+            return;
         }
+        self.begun_asked = true;
+        let arrays = || self.jobs.values().filter(|j| !j.is_gang() && !j.over);
+        let upto = arrays().map(|j| j.revision).fold(self.begun_upto, u64::max);
+        let mut waiting: Vec<u64> = arrays().filter(|j| j.begun == Begun::No).map(|j| j.revision).collect();
+        waiting.sort_unstable();
+        // One that is not named is only taken to have begun.
+        waiting.truncate(self.chunk_bits as usize / BITS_PER_WAITING);
+        self.deeds.push(Deed::Begin(BegunRecord { upto, waiting }));
     }
 
-    /// The record that arrays up to a revision have begun is durable, or could not be written
-    /// (the next pass asks again).
-    pub fn begin_result(&mut self, upto: u64, written: bool) {
+    /// The record of what has begun is durable, or its outcome is not known (the next pass asks
+    /// again).
+    pub fn begin_result(&mut self, record: &BegunRecord, written: bool) {
+        self.begun_asked = false;
         if written {
-            self.begun = self.begun.max(upto);
-        } else {
-            self.begun_asked = self.begun;
+            self.begun_upto = self.begun_upto.max(record.upto);
+        }
+        for j in self.jobs.values_mut().filter(|j| j.begun != Begun::Yes && record.covers(j.revision)) {
+            j.begun = if written { Begun::Yes } else { Begun::No };
         }
         self.wake = true;
     }
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -5,7 +5,7 @@
 //! and does not block those behind it.
 
 use crate::index::{Found, Spot};
-use crate::leader::{Active, Deed, Job, Leader, Machine, Phase, Place};
+use crate::leader::{Active, Begun, Deed, Job, Leader, Machine, Phase, Place};
 use crate::place::{Room, SLACK};
 use crate::ranges::runs;
 use crate::Secs;
@@ -22,6 +22,8 @@
     aside: Option<(String, Needs)>,
     /// CPUs that tasks may wait for at each owner, once that was asked.
     ahead: Option<BTreeMap<String, f64>>,
+    /// CPUs of array tasks that found no room so far.
+    queued: f64,
 }
 
 /// Tasks may wait at an owner for what becomes free in so many times the time that the leader needs
@@ -35,7 +37,7 @@
         self.refresh_index();
         self.mark_within();
         let scarce = self.scarce();
-        let mut pass = Pass { limits: self.limits(), aside: self.set_aside(&scarce, now), ahead: None };
+        let mut pass = Pass { limits: self.limits(), aside: self.set_aside(&scarce, now), ahead: None, queued: 0.0 };
         let mut order: Vec<_> = self
             .jobs
             .iter()
@@ -64,6 +66,7 @@
                 self.place_array(&id, &needs, quota, &mut pass, now);
             }
         }
+        self.ask_begin();
     }
 
     /// The gang of several tasks that has waited longest, if too long, and where machines are left
@@ -238,13 +241,22 @@
 
     fn place_array(&mut self, id: &str, needs: &Needs, quota: u32, pass: &mut Pass, now: Secs) {
         let Some(job) = self.jobs.get(id) else { return };
+        let found = self.index.fits_beside(needs, pass.aside_for(id));
         // Recorded before its first start, so that a later leader knows which jobs an earlier
         // one has never touched and need not wait for every machine with them.
-        if job.revision > self.begun {
-            self.ask_begin(job.revision);
+        if job.begun != Begun::Yes {
+            let fits = found.iter().map(|f| f.times).fold(0, u32::saturating_add).min(quota);
+            if fits < quota {
+                self.fleet.unmet.push((id.into(), quota - fits));
+            }
+            // Those whose turn comes soon are recorded in time.
+            let soon = pass.queued <= self.turnover() * self.reaction_s() * AHEAD_WAIT;
+            pass.queued += f64::from(quota - fits) * job.spec.cpus;
+            if let Some(job) = self.jobs.get_mut(id).filter(|_| soon || fits > 0) {
+                job.begun = Begun::Asked;
+            }
             return;
         }
-        let found = self.index.fits_beside(needs, pass.aside_for(id));
         let Some(job) = self.jobs.get(id) else { return };
         let zoned = job.spec.one_zone || job.spec.spread;
         let mut limits = if zoned { self.zone_limits(job, &found) } else { Some(BTreeMap::new()) };
@@ -285,6 +297,7 @@
             self.deeds.push(Deed::Send(owner, ToOwner::Give { job: id.into(), attempt, needs, tasks: runs(indexes) }));
         }
         if placed < quota {
+            pass.queued += room.cpus * f64::from(quota - placed);
             self.fleet.unmet.push((id.into(), quota - placed));
             if !zoned {
                 self.give_ahead(id, needs, quota - placed, pass, now);
--- a/crates/sched/tests/late_copies.rs
+++ b/crates/sched/tests/leader_and_owner.rs
@@ -1,4 +1,4 @@
-//! Late copies of reports: what they show is past, and must not change what is known.
+//! Cases of the leader and of owners, one by one.
 
 use sched::leader::{Deed, Earlier, Leader, OpenJob};
 use sched::owner::{Answer, Jobs, Owner};
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use wire::cloud::MachineType;
-use wire::peers::{MachineCard, MachineView, TaskRef, TaskView, ToLeader, ToOwner};
+use wire::peers::{Allowed, MachineCard, MachineView, Needs, TaskRef, TaskView, ToLeader, ToOwner};
 use wire::store::RosterRecord;
 use wire::users::{Job, Priority, Shape};
 use wire::workers::{Report, TaskReport, TaskState, Why};
@@ -99,12 +99,24 @@
     TaskView { task: TaskRef { job: "wk-1".into(), index, attempt }, state, why, saved: false }
 }
 
-/// The end of another attempt completes the task, but the attempt that is on a machine still uses
-/// its room and its team's limit, and is stopped.
-#[test]
-fn an_attempt_stays_charged_when_another_one_is_done() {
-    let spec = Rc::new(Job {
-        id: "wk-1".into(),
+fn small() -> MachineType {
+    MachineType {
+        name: "small".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 32.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 0.3,
+        boot_s: 10.0,
+        zones: vec!["a".into()],
+    }
+}
+
+fn array(id: &str) -> Rc<Job> {
+    Rc::new(Job {
+        id: id.into(),
         class: "c".into(),
         team: "red".into(),
         shape: Shape::Array,
@@ -124,23 +136,19 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
-    });
+    })
+}
+
+/// The end of another attempt completes the task, but the attempt that is on a machine still uses
+/// its room and its team's limit, and is stopped.
+#[test]
+fn an_attempt_stays_charged_when_another_one_is_done() {
+    let spec = array("wk-1");
     let open = OpenJob { spec, revision: 1, done: Ranges::default(), earlier: Earlier::Anywhere };
     let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
     let roster = BTreeMap::from([("host-1".to_string(), record.clone()), ("host-2".to_string(), record)]);
     let mut leader = Leader::new("rung-0", setup(), 1, 1, 4.0, vec![open], &roster, 1, 0.0);
-    leader.catalog(vec![MachineType {
-        name: "small".into(),
-        cpus: 8.0,
-        gpus: 0.0,
-        memory_gb: 32.0,
-        cache_gb: 50.0,
-        fetch_gb_per_s: 1.0,
-        price: 1.0,
-        spot_price: 0.3,
-        boot_s: 10.0,
-        zones: vec!["a".into()],
-    }]);
+    leader.catalog(vec![small()]);
     leader.tick(0.0, 0);
     let running = view_of(0, 9, TaskState::Running, None);
     leader.on_owner("rung-0", ToLeader::Machines(vec![machine_view("host-1", vec![running])]), 1.0);
@@ -153,3 +161,82 @@
     let stop = |d: &Deed| matches!(d, Deed::Send(_, ToOwner::Stop { machine, task, .. }) if machine == "host-1" && task.attempt == 9);
     assert!(leader.drain().iter().any(stop));
 }
+
+/// An array that waits for its turn is named as untouched, so that a later leader starts it at
+/// once, while it still has to learn what runs on some machine that does not report.
+#[test]
+fn arrays_that_wait_their_turn_are_not_recorded_as_begun() {
+    let mut leader = Leader::new("rung-0", setup(), 1, 1, 4.0, Vec::new(), &BTreeMap::new(), 0, 0.0);
+    leader.tick(0.0, 0);
+    for (i, id) in ["wk-1", "wk-2", "wk-3"].iter().enumerate() {
+        let earlier = Earlier::Untouched;
+        leader.add_job(OpenJob { spec: array(id), revision: 10 + i as u64, done: Ranges::default(), earlier });
+    }
+    leader.tick(1.0, 0);
+    let record = leader.drain().into_iter().find_map(|d| match d {
+        Deed::Begin(record) => Some(record),
+        _ => None,
+    });
+    let record = record.expect("the first in the queue begins");
+    assert_eq!((record.upto, record.waiting.as_slice()), (12, &[11, 12][..]));
+    assert_eq!([9, 10, 11, 12, 13].map(|r| record.covers(r)), [true, true, false, false, false]);
+    // Of unknown outcome: it is asked for again.
+    leader.begin_result(&record, false);
+    leader.tick(2.0, 0);
+    assert!(leader.drain().iter().any(|d| matches!(d, Deed::Begin(again) if *again == record)));
+}
+
+struct OneJob;
+
+impl Jobs for OneJob {
+    fn room(&self, job: &str) -> Option<Room> {
+        (job == "wk-1").then_some(Room { cpus: 4.0, gpus: 0.0, memory_gb: 1.0 })
+    }
+    fn image(&self, job: &str) -> Option<String> {
+        (job == "wk-1").then(|| "i".into())
+    }
+}
+
+/// Reports are seldom where tasks are short: a task that waits for room starts with the answer to
+/// the very report that shows it; one that finds none in time goes back; a job that is over gets
+/// nothing.
+#[test]
+fn tasks_that_wait_at_an_owner_fill_what_a_report_shows_to_be_free() {
+    let mut owner = Owner::new("rung-1", setup());
+    let card = MachineCard { name: "host-1".into(), kind: "small".into(), zone: "a".into(), spot: false, usable: true };
+    let regime = ToOwner::Regime { token: 5, prev: 0, members: vec!["rung-1".into()], extra_ms: 0, machines: vec![card] };
+    owner.on_leader(regime, 10.0, &OneJob);
+    owner.on_leader(ToOwner::Catalog { types: vec![small()] }, 10.0, &OneJob);
+    owner.set_authority(1e9);
+    let starts = |answer: Answer| match answer {
+        Answer::Orders(o) => o.orders.iter().filter(|o| matches!(o, wire::workers::Order::Start { .. })).count(),
+        _ => 0,
+    };
+    let mut busy = report(1, 1, 5);
+    busy.tasks = vec![("wk-1/8", 3), ("wk-1/9", 3)]
+        .into_iter()
+        .map(|(t, attempt)| TaskReport { task: t.into(), attempt, state: TaskState::Running, why: None, saved: None })
+        .collect();
+    assert_eq!(starts(owner.on_report(&busy, 11.0, &OneJob)), 0);
+    let needs = Needs {
+        cpus: 4.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        kinds: vec![Allowed { kind: "small".into(), spot: false, tier: 0 }],
+        zone: None,
+    };
+    let ahead = |job: &str| ToOwner::Ahead { job: job.into(), attempt: 7, needs: needs.clone(), tasks: vec![(0, 3)], wait_ms: 4000 };
+    owner.on_leader(ahead("wk-2"), 11.1, &OneJob);
+    owner.on_leader(ahead("wk-1"), 11.2, &OneJob);
+    (busy.seq, busy.tasks) = (2, busy.tasks[..1].to_vec());
+    assert_eq!(starts(owner.on_report(&busy, 12.0, &OneJob)), 1, "one has ended, one takes its place");
+    owner.drain();
+    owner.tick(15.5);
+    let back: Vec<_> = owner.drain();
+    let handed = |job: &str, tasks: &[(u32, u32)]| {
+        back.iter().any(|m| matches!(m, ToLeader::HandBack { job: j, attempt: 7, tasks: t } if j == job && t == tasks))
+    };
+    assert!(handed("wk-2", &[(0, 3)]) && handed("wk-1", &[(1, 2)]), "{back:?}");
+}
--- a/crates/store/src/keys.rs
+++ b/crates/store/src/keys.rs
@@ -8,7 +8,7 @@
 pub const PROGRESS: &str = "lr/progress/";
 pub const ROSTER: &str = "lr/roster/";
 pub const BINDING: &str = "lr/binding/";
-/// Up to which revision arrays may have begun.
+/// Which arrays may have begun.
 pub const BEGUN: &str = "lr/begun";
 
 pub fn job(id: &str) -> String {
--- a/crates/store/src/replica.rs
+++ b/crates/store/src/replica.rs
@@ -56,8 +56,8 @@
     pub progress_pages: BTreeMap<u32, ProgressPage>,
     /// Machines of each gang's newest binding, by record.
     pub bindings: BTreeMap<String, BTreeMap<u32, BindingRecord>>,
-    /// Arrays accepted up to this revision may have begun.
-    pub begun: u64,
+    /// Which arrays may have begun.
+    pub begun: BegunRecord,
     /// Versions of what the leader writes, jobs and leadership apart.
     pub versions: Versions,
     /// Progress that came before its job's record while loading.
@@ -134,7 +134,7 @@
             }
         } else if key == keys::BEGUN {
             if let Some(b) = from_value::<BegunRecord>(value) {
-                self.begun = b.upto;
+                self.begun = b;
             }
         } else if key == keys::LEADER {
             self.leader = from_value(value).map(|l| (l, version));
--- a/crates/store/src/versions.rs
+++ b/crates/store/src/versions.rs
@@ -82,7 +82,7 @@
                 let late = rng.u32(0..4) == 0;
                 let ok = !late && apply(&mut store, &mut revision, &txn);
                 if ok && rng.u32(0..4) > 0 {
-                    let value = to_value(&BegunRecord { upto: content });
+                    let value = to_value(&BegunRecord { upto: content, waiting: Vec::new() });
                     let writes: Vec<Write> = keys.into_iter().map(|key| Write::Put { key, value: value.clone(), lease: None }).collect();
                     known.applied(&writes, revision);
                     done += 1;
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -156,11 +156,20 @@
     pub groups: Vec<(RosterRecord, Vec<String>)>,
 }
 
-/// Tasks of the arrays accepted up to this revision may have been given out; of later ones
-/// certainly none.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+/// Tasks of the arrays accepted up to a revision may have been given out, less those accepted at
+/// the revisions that are named as waiting; of later ones certainly none.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct BegunRecord {
     pub upto: u64,
+    #[serde(default)]
+    pub waiting: Vec<u64>,
+}
+
+impl BegunRecord {
+    /// Whether tasks of an array accepted at this revision may have been given out.
+    pub fn covers(&self, revision: u64) -> bool {
+        revision <= self.upto && !self.waiting.contains(&revision)
+    }
 }
 
 /// Where a gang was bound: machine, first task, number of tasks.
