--- a/crates/ladderroute/src/settings.rs
+++ b/crates/ladderroute/src/settings.rs
@@ -165,6 +165,11 @@
             .map(|t| (t.name.clone(), Team { cpus: t.cpus, cpus_max: t.cpus_max, gpus: t.gpus, gpus_max: t.gpus_max }))
             .collect();
         let guarantee_s = p.objectives.iter().filter(|o| o.kind == "guarantee").find_map(|o| o.within_s);
+        // Of several objectives for the start of one class the shortest counts.
+        let mut wait_s: BTreeMap<String, f64> = BTreeMap::new();
+        for (class, s) in p.objectives.iter().filter(|o| o.kind == "wait").filter_map(|o| Some((o.class.clone()?, o.within_s?))) {
+            wait_s.entry(class).and_modify(|least| *least = least.min(s)).or_insert(s);
+        }
         Setup {
             teams,
             report_s: p.workers.report_s,
@@ -173,7 +178,7 @@
             list_lag_s: p.cloud.list_lag_s,
             hold_s: tuning.hold_s,
             guarantee_s: guarantee_s.unwrap_or(p.workers.report_s * 10.0),
-            wait_s: p.objectives.iter().filter(|o| o.kind == "wait").filter_map(|o| Some((o.class.clone()?, o.within_s?))).collect(),
+            wait_s,
             patience: tuning.patience,
             keep_boots: tuning.keep_boots,
         }
@@ -236,6 +241,16 @@
 max_sockets = 500
 "#;
 
+    /// The last one listed counted, so that gangs due in 100 s waited as if due in 250 s.
+    #[test]
+    fn of_several_start_objectives_of_a_class_the_shortest_counts() {
+        let text = format!(
+            "{GOOD}\n[[settings.objectives]]\nkind = \"wait\"\nclass = \"x\"\nwithin_s = 100.0\nshare = 0.8\n\n[[settings.objectives]]\nkind = \"wait\"\nclass = \"x\"\nwithin_s = 250.0\nshare = 0.9\n"
+        );
+        let s = Settings::parse(&text, "f").unwrap();
+        assert_eq!(s.setup(&crate::operator::Tuning::default()).wait_s.get("x"), Some(&100.0));
+    }
+
     #[test]
     fn unknown_fields_are_skipped_and_known_ones_used() {
         let s = Settings::parse(GOOD, "f").unwrap();
