Charge jobs that are cancelled before all machines are known, each by its own room

Cause: a job cancelled under a new leader before any of its tasks was seen left the books with its charge, though its tasks might still run on a machine that hung: a team's limit could be given away twice. Found by reading; the new test gives out four tasks instead of two without it.

--- a/crates/ladderroute/src/lead.rs
+++ b/crates/ladderroute/src/lead.rs
@@ -4,6 +4,7 @@
 use crate::writer::{writer, Books};
 use sched::leader::{Earlier, Leader};
 use sched::owner::Owner;
+use sched::place::Room;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -115,7 +116,9 @@
     let seed = node.seed.replace(node.seed.get().wrapping_add(1));
     let (me, setup, begun) = (&node.settings.member, node.setup.clone(), replica.begun.upto);
     let mut leader = Leader::new(me, setup, seed, won.token, value_kb, jobs, &replica.roster, begun, node.now());
-    leader.set_lately_cancelled(replica.lately_cancelled(Duration::from_secs_f64(node.setup.lease_s + node.setup.cancel_s)));
+    let cancelled = replica.lately_cancelled(Duration::from_secs_f64(node.setup.lease_s + node.setup.cancel_s));
+    let room = |(team, (cpus, gpus))| (team, Room { cpus, gpus, memory_gb: 0.0 });
+    leader.set_lately_cancelled(cancelled.into_iter().map(room));
     if let Some(types) = state.shared.catalog.clone() {
         leader.catalog(types);
     }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -767,7 +767,8 @@
         let seed = self.rng.u64(..);
         let mut leader = Leader::new(&name(me), self.setup.clone(), seed, self.term, 4.0, jobs, roster, self.begun, now);
         let lately = |j: &&JobState| j.cancelled && j.over.is_some_and(|at| now - at < self.setup.lease_s + self.setup.cancel_s);
-        leader.set_lately_cancelled(self.jobs.values().filter(lately).map(|j| j.spec.team.clone()).collect());
+        let room = |s: &Job| Room { cpus: s.cpus, gpus: s.gpus, memory_gb: 0.0 }.scaled(s.tasks);
+        leader.set_lately_cancelled(self.jobs.values().filter(lately).map(|j| (j.spec.team.clone(), room(&j.spec))));
         leader.catalog(self.types.clone());
         self.leader_until = now + TTL * 0.95;
         for c in &mut self.controllers {
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -261,8 +261,9 @@
     pub(crate) groups: BTreeMap<u64, LimboGroup>,
     pub(crate) next_group: u64,
     pub(crate) start_open: bool,
-    /// Teams with a job cancelled so lately that its tasks may still be on unknown machines.
-    pub(crate) lately_cancelled: BTreeSet<String>,
+    /// By team: what jobs that were cancelled so lately that their tasks may still be on unknown
+    /// machines could use together.
+    pub(crate) lately_cancelled: BTreeMap<String, Room>,
     pub(crate) regime_at: Secs,
     pub(crate) fleet: crate::fleet::Fleet,
     pub(crate) deeds: Vec<Deed>,
@@ -376,7 +377,7 @@
             groups: BTreeMap::new(),
             next_group: 0,
             start_open: true,
-            lately_cancelled: BTreeSet::new(),
+            lately_cancelled: BTreeMap::new(),
             regime_at: now,
             fleet: crate::fleet::Fleet::default(),
             deeds: Vec::new(),
@@ -555,6 +556,12 @@
         };
         job.over = true;
         job.ready = Ranges::default();
+        if job.uncertain {
+            // Cancelled before all machines are known: what was not seen of it may still be there.
+            let unseen = (job.spec.tasks - job.done.len().min(job.spec.tasks)).saturating_sub(job.active.len() as u32);
+            let (team, room) = (job.spec.team.clone(), job.room().scaled(unseen));
+            self.lately_cancelled.entry(team).or_default().add(room);
+        }
         let phase = std::mem::replace(&mut job.phase, Phase::Ending);
         let clears = std::mem::take(&mut job.clears);
         self.release_hold(&phase);
@@ -792,9 +799,12 @@
         self.wake = true;
     }
 
-    /// Teams whose tasks may be on unknown machines though their jobs are over.
-    pub fn set_lately_cancelled(&mut self, teams: BTreeSet<String>) {
-        self.lately_cancelled = teams;
+    /// Jobs whose tasks may be on unknown machines though they are over, by team and room.
+    pub fn set_lately_cancelled(&mut self, jobs: impl IntoIterator<Item = (String, Room)>) {
+        self.lately_cancelled.clear();
+        for (team, room) in jobs {
+            self.lately_cancelled.entry(team).or_default().add(room);
+        }
     }
 
     /// Whether work waits for machines of unknown content.
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -106,16 +106,14 @@
         let (mut foreign, mut unknown) = (Room::default(), Room::default());
         self.machines.values().filter(|m| m.foreign && !m.unknown).for_each(|m| sum(&mut foreign, m));
         self.machines.values().filter(|m| m.unknown).for_each(|m| sum(&mut unknown, m));
-        if !self.lately_cancelled.contains(team) {
-            let mut most = Room::default();
-            for j in self.jobs.values().filter(|j| j.uncertain && j.spec.team == team) {
-                let n = f64::from(j.spec.tasks - j.done.len().min(j.spec.tasks)) - j.active.len() as f64;
-                most.cpus += n.max(0.0) * j.spec.cpus;
-                most.gpus += n.max(0.0) * j.spec.gpus;
-            }
-            unknown.cpus = unknown.cpus.min(most.cpus);
-            unknown.gpus = unknown.gpus.min(most.gpus);
-        }
+        let mut most = self.lately_cancelled.get(team).copied().unwrap_or_default();
+        for j in self.jobs.values().filter(|j| j.uncertain && j.spec.team == team) {
+            let n = f64::from(j.spec.tasks - j.done.len().min(j.spec.tasks)) - j.active.len() as f64;
+            most.cpus += n.max(0.0) * j.spec.cpus;
+            most.gpus += n.max(0.0) * j.spec.gpus;
+        }
+        unknown.cpus = unknown.cpus.min(most.cpus);
+        unknown.gpus = unknown.gpus.min(most.gpus);
         foreign.add(unknown);
         foreign
     }
--- a/crates/sched/tests/leader_and_owner.rs
+++ b/crates/sched/tests/leader_and_owner.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use wire::cloud::MachineType;
 use wire::peers::{Allowed, MachineCard, MachineView, Needs, TaskRef, TaskView, ToLeader, ToOwner};
-use wire::store::RosterRecord;
+use wire::store::{BegunRecord, RosterRecord};
 use wire::users::{Job, Priority, Shape};
 use wire::workers::{Report, TaskReport, TaskState, Why};
 
@@ -162,6 +162,33 @@
     assert!(leader.drain().iter().any(stop));
 }
 
+/// A job is cancelled while the new leader does not know yet what runs on a machine that hangs:
+/// its tasks may still be there, and count against the team's limit.
+#[test]
+fn a_job_cancelled_before_all_machines_are_known_still_counts() {
+    let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
+    let roster: BTreeMap<_, _> = ["host-1", "host-2", "host-3"].map(|n| (n.to_string(), record.clone())).into();
+    let open = |id: &str, revision, earlier| OpenJob { spec: array(id), revision, done: Ranges::default(), earlier };
+    let old = open("wk-1", 1, Earlier::Anywhere);
+    let mut leader = Leader::new("rung-0", setup(), 1, 1, 4.0, vec![old], &roster, 1, 0.0);
+    leader.catalog(vec![small()]);
+    leader.tick(0.0, 0);
+    let known = ["host-2", "host-3"].map(|n| machine_view(n, Vec::new()));
+    leader.on_owner("rung-0", ToLeader::Machines(known.into()), 1.0);
+    leader.job_over("wk-1");
+    leader.add_job(open("wk-2", 2, Earlier::Untouched));
+    leader.add_job(open("wk-3", 3, Earlier::Untouched));
+    leader.begin_result(&BegunRecord { upto: 3, waiting: Vec::new() }, true);
+    leader.drain();
+    leader.tick(2.0, 0);
+    let given = |d: Deed| match d {
+        Deed::Send(_, ToOwner::Give { tasks, .. }) => tasks.iter().map(|(_, n)| n).sum::<u32>(),
+        _ => 0,
+    };
+    let given: u32 = leader.drain().into_iter().map(given).sum();
+    assert_eq!(given, 2, "of 16 CPUs two tasks of 4 may still run");
+}
+
 /// An array that waits for its turn is named as untouched, so that a later leader starts it at
 /// once, while it still has to learn what runs on some machine that does not report.
 #[test]
--- a/crates/store/src/replica.rs
+++ b/crates/store/src/replica.rs
@@ -19,8 +19,9 @@
     pub version: u64,
     pub created_ms: u64,
     pub tasks: u32,
-    /// Team, and when this controller learned that the job is over.
+    /// Team, CPUs and GPUs of all tasks, and when this controller learned that the job is over.
     pub team: String,
+    pub room: (f64, f64),
     pub over_since: Option<Instant>,
     pub job: Option<Rc<Job>>,
     /// Done tasks as the store knows them: chunk to bitmap.
@@ -163,10 +164,10 @@
         }
     }
 
-    /// Teams with a job of which it became known within `span` that it is cancelled.
-    pub fn lately_cancelled(&self, span: Duration) -> BTreeSet<String> {
+    /// Teams and rooms of the jobs of which it became known within `span` that they are cancelled.
+    pub fn lately_cancelled(&self, span: Duration) -> Vec<(String, (f64, f64))> {
         let lately = |e: &&JobEntry| e.state == Recorded::Cancelled && e.over_since.is_some_and(|t| t.elapsed() < span);
-        self.jobs.values().filter(lately).map(|e| e.team.clone()).collect()
+        self.jobs.values().filter(lately).map(|e| (e.team.clone(), e.room)).collect()
     }
 
     /// Machines on which a gang may have been started: those of the records with the newest
@@ -190,6 +191,7 @@
             created_ms: r.created_ms,
             tasks: r.job.tasks,
             team: r.job.team.clone(),
+            room: (r.job.cpus * f64::from(r.job.tasks), r.job.gpus * f64::from(r.job.tasks)),
             over_since: (!open).then(Instant::now),
             job: open.then(|| Rc::new(r.job)),
             progress,
