--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -14,6 +14,9 @@
 const BOOTS_TO_WAIT: f64 = 3.5;
 /// What a slow boot takes of the nominal time, with the start of the gang's tasks.
 const SLOW_BOOT: f64 = 1.25;
+/// Report intervals for which an idle machine is kept at least: work that was given to it may
+/// show only then.
+const REPORTS_KEPT: f64 = 1.25;
 /// Most machines of one request (a figure of the protocol).
 const MOST_AT_ONCE: u32 = 50;
 /// Most names of one release (a figure of the protocol).
@@ -441,6 +444,8 @@
     fn return_idle(&mut self, now: Secs) {
         let mut release: Vec<String> = Vec::new();
         let warm = self.kept_warm();
+        // While work waits until all machines are known, idle ones are not idle for lack of work.
+        let blocked = self.waits_for_unknown();
         let names: Vec<String> = self.machines.keys().cloned().collect();
         for name in names {
             let Some(m) = self.machines.get_mut(&name) else { continue };
@@ -449,11 +454,11 @@
             }
             let boot = self.types.get(&m.kind).map_or(LEAST_CHARGE_S, |t| t.boot_s);
             let cheapness = self.types.get(&m.kind).map_or(1.0, |t| if m.spot { t.price / t.spot_price.max(1e-9) } else { 1.0 });
-            if !m.tasks.is_empty() || !m.held.is_empty() || !m.quiet || self.fleet.kept.contains(&name) {
+            if !m.tasks.is_empty() || !m.held.is_empty() || !m.quiet || blocked || self.fleet.kept.contains(&name) {
                 m.idle_since = now;
             }
             let for_gangs = warm.get(&(m.kind.clone(), m.spot)).copied().unwrap_or(0.0);
-            let keep = (boot * self.setup.keep_boots * cheapness).max(for_gangs);
+            let keep = (boot * self.setup.keep_boots * cheapness).max(for_gangs).max(self.setup.report_s * REPORTS_KEPT);
             let faulty = m.failed_jobs.len() >= 2;
             let lost = m.lapsed_at.is_some_and(|at| now - at > boot);
             if (lost || m.rostered == Rostered::Yes && (now - m.idle_since > keep || faulty)) && !m.drain {
