--- a/crates/ladderroute/src/renting.rs
+++ b/crates/ladderroute/src/renting.rs
@@ -9,6 +9,8 @@
 
 /// Prices are read once in this many lists.
 const LISTS_PER_CATALOG: u32 = 5;
+/// Most machines in one page of the list (a figure of the protocol).
+const MOST_LISTED: u32 = 500;
 /// Tries of one hire under the same name before its outcome is left to the list.
 const HIRE_TRIES: u32 = 4;
 
@@ -55,7 +57,11 @@
         }
         let mut since = Some(String::new());
         while let Some(after) = since.take() {
-            let path = if after.is_empty() { "/machines?most=200".to_string() } else { format!("/machines?since={after}&most=200") };
+            let path = if after.is_empty() {
+                format!("/machines?most={MOST_LISTED}")
+            } else {
+                format!("/machines?since={after}&most={MOST_LISTED}")
+            };
             let Ok(answer) = node.cloud.ask("GET", &path, &[], limit(&node)).await else { break };
             let Some(list) = (answer.status == 200).then(|| cbor::decode::<MachineList>(&answer.body).ok()).flatten() else { break };
             with_leader(&node, |l, now| l.listed(&list.machines, now));
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -8,7 +8,7 @@
 use bitcode::{Decode, Encode};
 
 /// Version of this format; controllers of different versions do not talk.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Largest frame that is accepted.
 pub const FRAME_LIMIT: usize = 1 << 20;
 
