--- a/crates/ladderroute/src/operator.rs
+++ b/crates/ladderroute/src/operator.rs
@@ -20,7 +20,7 @@
 
 impl Default for Tuning {
     fn default() -> Tuning {
-        Tuning { hold_s: 10.0, leader_lease_share: 0.36, keep_boots: 0.55, patience: 0.3 }
+        Tuning { hold_s: 10.0, leader_lease_share: 0.36, keep_boots: 0.8, patience: 0.3 }
     }
 }
 
