--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -179,8 +179,7 @@
         let mut coming = self.coming();
         // Running tasks free their room again and again while a machine boots.
         let turnover = self.turnover();
-        // What waits at the owners takes of that first.
-        let mut ahead = self.ahead.values().fold(0.0, |sum, cpus| sum + cpus.max(0.0));
+        let mut ahead = 0.0;
         let gang_waits = self.fleet.unmet.iter().any(|(id, _)| self.jobs.get(id).is_some_and(|j| j.is_gang()));
         let mut busy: Option<Busy> = None;
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
