--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -17,6 +17,8 @@
 /// Report intervals for which an idle machine is kept at least: work that was given to it may
 /// show only then.
 const REPORTS_KEPT: f64 = 1.25;
+/// Part of all machines that a new leader returns soon if they are the only ones not heard.
+const FEW_UNKNOWN: f64 = 0.02;
 /// Most machines of one request (a figure of the protocol).
 const MOST_AT_ONCE: u32 = 50;
 /// Most names of one release (a figure of the protocol).
@@ -474,7 +476,12 @@
                 release.push(name);
             }
         }
-        if self.waits_for_unknown() && now - self.regime_at > 2.0 * wire::ANSWER_DROPPED_S + 1.5 * self.setup.report_s {
+        // Nearly all were heard and the last of them a while ago, long enough for a worker whose report
+        // was lost to try again: the few that are left are dead, and all work would wait for them.
+        let few = self.unknown.len() as f64 <= self.machines.len() as f64 * FEW_UNKNOWN;
+        let heard = now - self.known_at.max(self.regime_at) <= wire::ANSWER_DROPPED_S * 1.25;
+        let long = now - self.regime_at > 2.0 * wire::ANSWER_DROPPED_S + 1.5 * self.setup.report_s;
+        if self.waits_for_unknown() && (long || few && !heard) {
             // Long enough for a worker to give up twice on a controller that does not answer.
             // Work waits for machines that do not report: once returned they are accounted for.
             let silent: Vec<String> = self.machines.iter().filter(|(_, m)| m.unknown && !m.releasing).map(|(n, _)| n.clone()).collect();
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -266,6 +266,8 @@
     /// machines could use together.
     pub(crate) lately_cancelled: BTreeMap<String, Room>,
     pub(crate) regime_at: Secs,
+    /// When a machine of unknown content was last accounted for.
+    pub(crate) known_at: Secs,
     pub(crate) fleet: crate::fleet::Fleet,
     pub(crate) deeds: Vec<Deed>,
     pub(crate) wake: bool,
@@ -381,6 +383,7 @@
             start_open: true,
             lately_cancelled: BTreeMap::new(),
             regime_at: now,
+            known_at: now,
             fleet: crate::fleet::Fleet::default(),
             deeds: Vec::new(),
             wake: false,
--- a/crates/sched/src/views.rs
+++ b/crates/sched/src/views.rs
@@ -74,6 +74,7 @@
             m.accounted = true;
             if std::mem::take(&mut m.unknown) {
                 self.unknown.remove(&v.name);
+                self.known_at = now;
             }
         }
         self.stale.insert(v.name.clone());
--- a/crates/sched/tests/leader_and_owner.rs
+++ b/crates/sched/tests/leader_and_owner.rs
@@ -221,6 +221,30 @@
     assert_eq!(regimes(false).len(), 4);
 }
 
+/// Six dead machines of 1,779 kept all arrays that had begun waiting for 21 s after an end of all
+/// controllers, though all others had reported within three.
+#[test]
+fn a_few_machines_that_stay_silent_are_returned_soon() {
+    let returned_at = |silent: usize| {
+        let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
+        let names: Vec<String> = (0..100).map(|i| format!("host-{i}")).collect();
+        let roster: BTreeMap<_, _> = names.iter().map(|n| (n.clone(), record.clone())).collect();
+        let old = OpenJob { spec: array("wk-1"), revision: 1, done: Ranges::default(), earlier: Earlier::Anywhere };
+        let mut leader = Leader::new("rung-0", Setup { report_s: 10.0, ..setup() }, 1, 1, 4.0, vec![old], &roster, 1, 0.0);
+        leader.catalog(vec![small()]);
+        leader.tick(0.0, 0);
+        let known = names[silent..].iter().map(|n| machine_view(n, Vec::new())).collect();
+        leader.on_owner("rung-0", ToLeader::Machines(known), 2.0);
+        leader.drain();
+        (20..400).map(|t| f64::from(t) / 10.0).find(|now| {
+            leader.tick(*now, 0);
+            leader.drain().iter().any(|d| matches!(d, Deed::Release(names) if names.len() == silent))
+        })
+    };
+    assert!(returned_at(2).is_some_and(|at| (7.0..9.0).contains(&at)), "{:?}", returned_at(2));
+    assert!(returned_at(10).is_some_and(|at| at > 20.0), "{:?}", returned_at(10));
+}
+
 /// An array that waits for its turn is named as untouched, so that a later leader starts it at
 /// once, while it still has to learn what runs on some machine that does not report.
 #[test]
