Read the whole change again: one piece each, and less done twice

No behaviour is meant to change. - An owner takes tasks on a machine in one place (give, bind, fill); a report is settled before room is filled, so that starts are listed once, 400 in one answer in all; before, room that was filled came on top of them. - A connection that is ended for another leaves the pool at once; the flag and the count beside it are gone. - Renting for arrays and for gangs shares its last step; which types are scarce is computed once a run. - A pass sums unknown machines once for all teams, the turnover once until more is given, and takes no task indexes where nothing may wait at the owners. - The single cases of leader and owner moved to the model's tests, which have the same machines and jobs already.

--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -26,8 +26,6 @@
     rank: Rank,
     /// When it became idle, counted in such events; none while a request is under way.
     idle: Option<u64>,
-    /// It was told to end.
-    ending: bool,
 }
 
 pub struct Pool {
@@ -36,8 +34,6 @@
     entries: RefCell<BTreeMap<u64, Entry>>,
     /// Idle connections, the lowest rank and the longest idle first.
     idle: RefCell<BTreeSet<(Rank, u64, u64)>>,
-    /// Connections that were told to end and are still counted.
-    ending: Cell<usize>,
     bytes: Cell<usize>,
     count: Cell<u64>,
 }
@@ -45,15 +41,7 @@
 impl Pool {
     /// At most so many connections, and bytes of requests that have arrived in part.
     pub fn new(most: usize, most_bytes: usize) -> Pool {
-        Pool {
-            most,
-            most_bytes,
-            entries: RefCell::default(),
-            idle: RefCell::default(),
-            ending: Cell::new(0),
-            bytes: Cell::new(0),
-            count: Cell::new(0),
-        }
+        Pool { most, most_bytes, entries: RefCell::default(), idle: RefCell::default(), bytes: Cell::new(0), count: Cell::new(0) }
     }
 
     pub fn open(&self) -> usize {
@@ -68,20 +56,17 @@
     /// Takes a connection in; where there is no room, in place of the one that is idle longest
     /// of the lowest rank. None if all are in use.
     pub fn enter(&self, stream: TcpStream) -> Option<u64> {
-        if self.open() - self.ending.get() >= self.most {
+        if self.open() >= self.most {
             // Dead connections of machines that lost power look idle; refusing the newest
             // would keep out those very machines when they are back.
             let first = self.idle.borrow_mut().pop_first();
             let (_, _, id) = first?;
-            if let Some(e) = self.entries.borrow_mut().get_mut(&id) {
-                e.idle = None;
-                e.ending = true;
+            if let Some(e) = self.entries.borrow_mut().remove(&id) {
                 let _ = e.stream.shutdown(std::net::Shutdown::Both);
-                self.ending.set(self.ending.get() + 1);
             }
         }
         let (id, at) = (self.next(), self.next());
-        self.entries.borrow_mut().insert(id, Entry { stream, rank: Rank::New, idle: Some(at), ending: false });
+        self.entries.borrow_mut().insert(id, Entry { stream, rank: Rank::New, idle: Some(at) });
         self.idle.borrow_mut().insert((Rank::New, at, id));
         Some(id)
     }
@@ -120,7 +105,6 @@
             if let Some(at) = e.idle {
                 self.idle.borrow_mut().remove(&(e.rank, at, id));
             }
-            self.ending.set(self.ending.get() - usize::from(e.ending));
         }
     }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -172,7 +172,7 @@
 
     /// Reads what has arrived into the buffer; 0 at the end.
     async fn read(&mut self) -> std::io::Result<usize> {
-        let n = poll_fn(|cx| {
+        poll_fn(|cx| {
             let mut scratch = self.server.scratch.borrow_mut();
             match Pin::new(&mut self.stream).poll_read(cx, &mut scratch) {
                 Poll::Ready(Ok(n)) => {
@@ -181,8 +181,8 @@
                 }
                 other => other,
             }
-        });
-        n.await
+        })
+        .await
     }
 
     async fn read_request(&mut self) -> Result<Option<(Request, bool)>, Bad> {
--- a/crates/model/src/plain.rs
+++ b/crates/model/src/plain.rs
@@ -51,7 +51,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::world::{job, machine_type, setup};
+    use crate::world::{job, machine_type, machine_view, setup};
     use sched::leader::{Deed, Earlier, Leader, OpenJob};
     use sched::ranges::Ranges;
     use std::rc::Rc;
@@ -74,20 +74,7 @@
         l.tick(5.0, 0);
         l.drain();
         for (name, kind) in machines {
-            let v = MachineView {
-                token: 1,
-                name: (*name).into(),
-                kind: (*kind).into(),
-                zone: "a".into(),
-                spot: false,
-                session: 1,
-                lapsed: false,
-                notice_s: None,
-                tasks: Vec::new(),
-                pending: Vec::new(),
-                usable: false,
-                deaf: false,
-            };
+            let v = MachineView { usable: false, ..machine_view(name, kind, Vec::new()) };
             l.on_owner("rung-0", ToLeader::Machines(vec![v]), 5.0);
             l.roster_result(name, true, true);
         }
@@ -227,22 +214,7 @@
         let mut l = Leader::new("rung-0", s, 1, 1, 4.0, Vec::new(), &BTreeMap::new(), 0, 0.0);
         l.catalog(vec![machine_type("small", 4.0, 16.0, 0.3)]);
         l.tick(5.0, 0);
-        let view = |tasks: Vec<wire::peers::TaskView>| {
-            ToLeader::Machines(vec![MachineView {
-                token: 1,
-                name: "host-1".into(),
-                kind: "small".into(),
-                zone: "a".into(),
-                spot: false,
-                session: 1,
-                lapsed: false,
-                notice_s: None,
-                tasks,
-                pending: Vec::new(),
-                usable: true,
-                deaf: false,
-            }])
-        };
+        let view = |tasks: Vec<wire::peers::TaskView>| ToLeader::Machines(vec![machine_view("host-1", "small", tasks)]);
         l.on_owner("rung-0", view(Vec::new()), 5.0);
         l.roster_result("host-1", true, true);
         let add = |l: &mut Leader, id: u32, team: &str, tasks: u32, cpus: f64| {
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use wire::cloud::{Hire, MachineType};
-use wire::peers::{ToLeader, ToOwner};
+use wire::peers::{MachineView, TaskView, ToLeader, ToOwner};
 use wire::store::RosterRecord;
 use wire::users::{Job, Priority, Shape};
 use wire::workers::{Order, Orders, Report, TaskReport, TaskState, Why};
@@ -993,6 +993,24 @@
     }
 }
 
+/// A machine in zone `a` as its owner shows it under the first token.
+pub fn machine_view(name: &str, kind: &str, tasks: Vec<TaskView>) -> MachineView {
+    MachineView {
+        token: 1,
+        name: name.into(),
+        kind: kind.into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        lapsed: false,
+        notice_s: None,
+        tasks,
+        pending: Vec::new(),
+        usable: true,
+        deaf: false,
+    }
+}
+
 /// A job as tests submit it.
 pub fn job(id: u32, team: &str, shape: Shape, tasks: u32, cpus: f64) -> Job {
     Job {
--- a/crates/sched/tests/leader_and_owner.rs
+++ b/crates/model/tests/leader_and_owner.rs
@@ -1,5 +1,6 @@
 //! Cases of the leader and of owners, one by one.
 
+use model::world::{job, machine_type};
 use sched::leader::{Deed, Earlier, Leader, OpenJob};
 use sched::owner::{Answer, Jobs, Owner};
 use sched::place::Room;
@@ -10,23 +11,12 @@
 use wire::cloud::MachineType;
 use wire::peers::{Allowed, MachineCard, MachineView, Needs, TaskRef, TaskView, ToLeader, ToOwner};
 use wire::store::{BegunRecord, RosterRecord};
-use wire::users::{Job, Priority, Shape};
+use wire::users::{Job, Shape};
 use wire::workers::{Report, TaskReport, TaskState, Why};
 
 fn setup() -> Setup {
     let team = Team { cpus: 8.0, cpus_max: 16.0, gpus: 0.0, gpus_max: 0.0 };
-    Setup {
-        teams: BTreeMap::from([("red".to_string(), team)]),
-        report_s: 1.0,
-        lease_s: 8.0,
-        cancel_s: 25.0,
-        list_lag_s: 4.0,
-        hold_s: 5.0,
-        guarantee_s: 5.0,
-        wait_s: BTreeMap::new(),
-        patience: 0.4,
-        keep_boots: 2.0,
-    }
+    Setup { teams: BTreeMap::from([("red".to_string(), team)]), ..model::world::setup() }
 }
 
 struct NoJobs;
@@ -55,16 +45,22 @@
     }
 }
 
-/// A new owner's only answer tells the worker the token; the next report, which shows it, is held
-/// up until after the lease has ended. The worker has then forgotten what that report shows, and
-/// the leader has given it to another machine.
-#[test]
-fn a_report_of_a_lease_that_is_over_does_not_count_though_none_counted_before() {
+/// An owner whose part is one machine, since token 5.
+fn owner_of_host_1() -> Owner {
     let mut owner = Owner::new("rung-1", setup());
     let card = MachineCard { name: "host-1".into(), kind: "small".into(), zone: "a".into(), spot: false, usable: true };
     let regime = ToOwner::Regime { token: 5, prev: 0, members: vec!["rung-1".into()], extra_ms: 0, machines: vec![card] };
     owner.on_leader(regime, 10.0, &NoJobs);
     owner.set_authority(1e9);
+    owner
+}
+
+/// A new owner's only answer tells the worker the token; the next report, which shows it, is held
+/// up until after the lease has ended. The worker has then forgotten what that report shows, and
+/// the leader has given it to another machine.
+#[test]
+fn a_report_of_a_lease_that_is_over_does_not_count_though_none_counted_before() {
+    let mut owner = owner_of_host_1();
     assert!(matches!(owner.on_report(&report(2, 57, 4), 10.5, &NoJobs), Answer::Orders(o) if o.token == 5 && o.orders.is_empty()));
     owner.tick(10.5 + setup().lease_certainly_over_s() + 0.1);
     owner.drain();
@@ -79,20 +75,7 @@
 }
 
 fn machine_view(name: &str, tasks: Vec<TaskView>) -> MachineView {
-    MachineView {
-        token: 1,
-        name: name.into(),
-        kind: "small".into(),
-        zone: "a".into(),
-        spot: false,
-        session: 1,
-        lapsed: false,
-        notice_s: None,
-        tasks,
-        pending: Vec::new(),
-        usable: true,
-        deaf: false,
-    }
+    model::world::machine_view(name, "small", tasks)
 }
 
 fn view_of(index: u32, attempt: u64, state: TaskState, why: Option<Why>) -> TaskView {
@@ -100,43 +83,11 @@
 }
 
 fn small() -> MachineType {
-    MachineType {
-        name: "small".into(),
-        cpus: 8.0,
-        gpus: 0.0,
-        memory_gb: 32.0,
-        cache_gb: 50.0,
-        fetch_gb_per_s: 1.0,
-        price: 1.0,
-        spot_price: 0.3,
-        boot_s: 10.0,
-        zones: vec!["a".into()],
-    }
+    MachineType { boot_s: 10.0, zones: vec!["a".into()], ..machine_type("small", 8.0, 32.0, 1.0) }
 }
 
 fn array(id: &str) -> Rc<Job> {
-    Rc::new(Job {
-        id: id.into(),
-        class: "c".into(),
-        team: "red".into(),
-        shape: Shape::Array,
-        priority: Priority::Standard,
-        tasks: 2,
-        cpus: 4.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "i".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: 9.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    })
+    Rc::new(Job { id: id.into(), spot: false, ..job(1, "red", Shape::Array, 2, 4.0) })
 }
 
 /// The end of another attempt completes the task, but the attempt that is on a machine still uses
@@ -285,12 +236,8 @@
 /// nothing.
 #[test]
 fn tasks_that_wait_at_an_owner_fill_what_a_report_shows_to_be_free() {
-    let mut owner = Owner::new("rung-1", setup());
-    let card = MachineCard { name: "host-1".into(), kind: "small".into(), zone: "a".into(), spot: false, usable: true };
-    let regime = ToOwner::Regime { token: 5, prev: 0, members: vec!["rung-1".into()], extra_ms: 0, machines: vec![card] };
-    owner.on_leader(regime, 10.0, &OneJob);
+    let mut owner = owner_of_host_1();
     owner.on_leader(ToOwner::Catalog { types: vec![small()] }, 10.0, &OneJob);
-    owner.set_authority(1e9);
     let starts = |answer: Answer| match answer {
         Answer::Orders(o) => o.orders.iter().filter(|o| matches!(o, wire::workers::Order::Start { .. })).count(),
         _ => 0,
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -157,8 +157,9 @@
             return;
         }
         self.fleet.last = now;
-        self.rent(now);
-        self.return_idle(now);
+        let scarce = self.scarce();
+        self.rent(&scarce, now);
+        self.return_idle(&scarce, now);
     }
 
     fn coming(&self) -> Vec<Coming> {
@@ -176,8 +177,7 @@
         sums.into_iter().filter_map(|(offer, n)| Some(Coming { free: self.cap(&offer.0)?, offer, n })).collect()
     }
 
-    fn rent(&mut self, now: Secs) {
-        let scarce = self.scarce();
+    fn rent(&mut self, scarce: &BTreeSet<(String, bool)>, now: Secs) {
         let mut coming = self.coming();
         // Running tasks free their room again and again while a machine boots.
         let turnover = self.turnover();
@@ -189,7 +189,7 @@
         for (id, n) in self.fleet.unmet.clone() {
             let Some(job) = self.jobs.get(&id) else { continue };
             let room = job.room();
-            let needs = self.needs_sparing(job, &scarce);
+            let needs = self.needs_sparing(job, scarce);
             if job.is_gang() {
                 let mut slots = busy.take().unwrap_or_else(|| self.busy_until(&needs, now));
                 if !self.can_wait(&id, &needs, &mut slots, now) {
@@ -211,15 +211,10 @@
                 let served = ((turnover * boot - ahead) / room.cpus.max(0.01)).floor().clamp(0.0, f64::from(left));
                 ahead += served * room.cpus;
                 left -= served as u32;
-                let times = cap.times(room);
-                if left == 0 || times == 0 {
+                if left == 0 || cap.times(room) == 0 {
                     break;
                 }
-                let free = self.most_wanted(&offer, &wanted);
-                let n = (left / times).clamp(1, free.max(1));
-                coming.push(Coming { offer: offer.clone(), free: cap, n });
-                *wanted.entry(offer.clone()).or_default() += n;
-                left = take_coming(&mut coming, |o| *o == offer, room, left);
+                left = self.want(offer, cap, room, left, &mut coming, &mut wanted);
             }
         }
         for ((kind, zone, spot), mut count) in wanted {
@@ -235,6 +230,15 @@
         }
     }
 
+    /// Has machines of an offer rented for `left` tasks, as many as may be asked for at present; says
+    /// how many tasks remain. At least one task must fit.
+    fn want(&self, offer: Offer, cap: Room, room: Room, left: u32, coming: &mut Vec<Coming>, wanted: &mut BTreeMap<Offer, u32>) -> u32 {
+        let n = (left / cap.times(room)).clamp(1, self.most_wanted(&offer, wanted).max(1));
+        coming.push(Coming { offer: offer.clone(), free: cap, n });
+        *wanted.entry(offer.clone()).or_default() += n;
+        take_coming(coming, |o| *o == offer, room, left)
+    }
+
     /// Whether any offer on which these tasks may run was not refused lately.
     fn any_offer(&self, needs: &Needs, now: Secs) -> bool {
         needs.kinds.iter().any(|a| {
@@ -307,14 +311,10 @@
         left = take_coming(coming, |o| allows(needs, &needs.zone, o), room, left);
         while left > 0 {
             let Some((offer, cap)) = self.cheapest(&needs.kinds, needs.zone.as_deref(), room, left, wanted, now) else { break };
-            let times = cap.times(room);
-            if times == 0 {
+            if cap.times(room) == 0 {
                 break;
             }
-            let n = (left / times).clamp(1, self.most_wanted(&offer, wanted).max(1));
-            coming.push(Coming { offer: offer.clone(), free: cap, n });
-            *wanted.entry(offer.clone()).or_default() += n;
-            left = take_coming(coming, |o| *o == offer, room, left);
+            left = self.want(offer, cap, room, left, coming, wanted);
         }
     }
 
@@ -428,8 +428,7 @@
 
     /// How long machines are kept for the next gang of a class that has no other type, and that
     /// could hardly start in time on a machine that must boot first.
-    fn kept_warm(&self) -> BTreeMap<(String, bool), f64> {
-        let scarce = self.scarce();
+    fn kept_warm(&self, scarce: &BTreeSet<(String, bool)>) -> BTreeMap<(String, bool), f64> {
         let mut out: BTreeMap<(String, bool), f64> = BTreeMap::new();
         for (class, shape) in self.fleet.shapes.iter().filter(|(_, s)| s.gang) {
             let Some(within) = self.setup.wait_s.get(class) else { continue };
@@ -443,9 +442,9 @@
         out
     }
 
-    fn return_idle(&mut self, now: Secs) {
+    fn return_idle(&mut self, scarce: &BTreeSet<(String, bool)>, now: Secs) {
         let mut release: Vec<String> = Vec::new();
-        let warm = self.kept_warm();
+        let warm = self.kept_warm(scarce);
         // While work waits until all machines are known, idle ones are not idle for lack of work.
         let blocked = self.waits_for_unknown();
         let names: Vec<String> = self.machines.keys().cloned().collect();
@@ -481,7 +480,7 @@
         let few = self.unknown.len() as f64 <= self.machines.len() as f64 * FEW_UNKNOWN;
         let heard = now - self.known_at.max(self.regime_at) <= wire::ANSWER_DROPPED_S * 1.25;
         let long = now - self.regime_at > 2.0 * wire::ANSWER_DROPPED_S + 1.5 * self.setup.report_s;
-        if self.waits_for_unknown() && (long || few && !heard) {
+        if blocked && (long || few && !heard) {
             // Long enough for a worker to give up twice on a controller that does not answer.
             // Work waits for machines that do not report: once returned they are accounted for.
             let silent: Vec<String> = self.machines.iter().filter(|(_, m)| m.unknown && !m.releasing).map(|(n, _)| n.clone()).collect();
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -771,7 +771,7 @@
         }
     }
 
-    /// What is done of a job at present, to remember what a write contains.
+    /// What is done of a job at present.
     pub fn done_of(&self, id: &str) -> Ranges {
         self.jobs.get(id).map(|j| j.done.clone()).unwrap_or_default()
     }
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -351,9 +351,10 @@
                 }
             }
         }
-        let mut orders = orders(m);
-        self.fill(&report.machine, &mut orders, jobs);
+        settle(m);
+        self.fill(&report.machine, jobs);
         let Some(m) = self.machines.get(&report.machine) else { return Answer::NotNow };
+        let orders = orders(m);
         if m.dirty {
             self.stale.insert(report.machine.clone());
         }
@@ -362,37 +363,25 @@
 
     /// Fills what a machine's report shows to be free with tasks that wait for room, in the very
     /// answer: otherwise the room waits for the leader and then for the machine's next report.
-    fn fill(&mut self, name: &str, orders: &mut Vec<Order>, jobs: &dyn Jobs) {
+    fn fill(&mut self, name: &str, jobs: &dyn Jobs) {
         if self.ahead.is_empty() {
             return;
         }
         let Some(m) = self.machines.get(name).filter(|m| m.open()) else { return };
         let Some(mut free) = self.free(name, m, jobs) else { return };
-        let (kind, zone, spot) = (m.kind.clone(), m.zone.clone(), m.spot);
-        let mut started: Vec<(TaskRef, Room, String)> = Vec::new();
+        let Some(m) = self.machines.get_mut(name) else { return };
         for a in self.ahead.iter_mut() {
-            let room = Room::of(&a.needs);
             // A job that is over is not known any more.
-            if tier(&a.needs, &kind, &zone, spot).is_none() || jobs.room(&a.job).is_none() {
+            if tier(&a.needs, &m.kind, &m.zone, m.spot).is_none() || jobs.room(&a.job).is_none() {
                 continue;
             }
-            while free.holds(room) && started.len() < STARTS_AT_ONCE {
-                let Some(index) = a.indexes.pop_front() else { break };
-                free.sub(room);
-                started.push((TaskRef { job: a.job.clone(), index, attempt: a.attempt }, room, a.needs.image.clone()));
-            }
-        }
-        if started.is_empty() {
-            return;
+            let room = Room::of(&a.needs);
+            let most = STARTS_AT_ONCE.saturating_sub(m.pending.len());
+            let n = (free.times(room) as usize).min(a.indexes.len()).min(most);
+            free.sub(room.scaled(n as u32));
+            take_on(m, &a.job, a.attempt, a.indexes.drain(..n), room, &a.needs.image);
         }
         self.ahead.retain(|a| !a.indexes.is_empty());
-        let Some(m) = self.machines.get_mut(name) else { return };
-        for (task, room, image) in started {
-            orders.push(Order::Start { task: task_name(&task.job, task.index), attempt: task.attempt });
-            remember(m, &image);
-            m.pending.insert(task, room);
-        }
-        m.dirty = true;
     }
 
     /// Hands back what has waited for room too long.
@@ -503,13 +492,7 @@
                 break;
             }
             let Some(m) = self.machines.get_mut(&*f.name) else { continue };
-            let mut n = 0;
-            for index in indexes.by_ref().take(f.times as usize) {
-                m.pending.insert(TaskRef { job: job.clone(), index, attempt }, room);
-                n += 1;
-            }
-            remember(m, &needs.image);
-            m.dirty = true;
+            let n = take_on(m, &job, attempt, indexes.by_ref().take(f.times as usize), room, &needs.image);
             self.index.take(&f.name, room, n, &needs.image);
             self.stale.insert(f.name.to_string());
         }
@@ -549,11 +532,7 @@
         }
         for (name, first, n) in h.places {
             if let Some(m) = self.machines.get_mut(&name) {
-                for index in first..first + n {
-                    m.pending.insert(TaskRef { job: h.job.clone(), index, attempt }, h.room);
-                }
-                remember(m, &h.image);
-                m.dirty = true;
+                take_on(m, &h.job, attempt, first..first + n, h.room, &h.image);
             }
         }
     }
@@ -584,6 +563,18 @@
     }
 }
 
+/// A machine is to start tasks of a job, with the answers to its reports; says how many.
+fn take_on(m: &mut Machine, job: &str, attempt: u64, indexes: impl Iterator<Item = u32>, room: Room, image: &str) -> u32 {
+    let before = m.pending.len();
+    m.pending.extend(indexes.map(|index| (TaskRef { job: job.into(), index, attempt }, room)));
+    let n = m.pending.len() - before;
+    if n > 0 {
+        remember(m, image);
+        m.dirty = true;
+    }
+    n as u32
+}
+
 fn remember(m: &mut Machine, image: &str) {
     m.images.retain(|i| i != image);
     m.images.push_front(image.to_string());
@@ -607,10 +598,9 @@
     }
 }
 
-/// Orders for a machine whose newest report has just been taken. That report settles every
-/// earlier order: a start that it lacks did not take effect and never will.
-fn orders(m: &mut Machine) -> Vec<Order> {
-    let mut out = Vec::new();
+/// The newest report of a machine has just been taken. It settles every earlier order: a start that
+/// it lacks did not take effect and never will.
+fn settle(m: &mut Machine) {
     let before = m.pending.len();
     let (tasks, stops) = (&m.tasks, &m.stops);
     m.pending.retain(|t, _| !tasks.contains_key(t) && !stops.contains_key(t));
@@ -620,6 +610,11 @@
     m.dirty |= m.pending.len() != before;
     m.clears.retain(|t| tasks.get(t).is_some_and(|v| v.state == TaskState::Exited));
     m.stops.retain(|t, _| tasks.get(t).is_some_and(|v| v.state != TaskState::Exited));
+}
+
+/// Orders for a machine whose newest report was settled.
+fn orders(m: &Machine) -> Vec<Order> {
+    let mut out = Vec::new();
     for t in &m.clears {
         out.push(Order::Clear { task: task_name(&t.job, t.index), attempt: t.attempt });
     }
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -24,6 +24,8 @@
     ahead: Option<BTreeMap<String, f64>>,
     /// CPUs of array tasks that found no room so far.
     queued: f64,
+    /// CPUs that array tasks free in a second; none once more were given.
+    turnover: Option<f64>,
 }
 
 /// Tasks may wait at an owner for what becomes free in so many times the time that the leader needs
@@ -37,7 +39,7 @@
         self.refresh_index();
         self.mark_within();
         let scarce = self.scarce();
-        let mut pass = Pass { limits: self.limits(), aside: self.set_aside(&scarce, now), ahead: None, queued: 0.0 };
+        let mut pass = Pass { limits: self.limits(), aside: self.set_aside(&scarce, now), ahead: None, queued: 0.0, turnover: None };
         let mut order: Vec<_> = self
             .jobs
             .iter()
@@ -99,13 +101,19 @@
         }
     }
 
-    /// What machines of unknown content may take from a team's limit: all they have, but no
-    /// more than the team's jobs that may be there could use.
-    pub(crate) fn unknown_room(&self, team: &str) -> Room {
-        let sum = |out: &mut Room, m: &Machine| out.add(self.cap(&m.kind).unwrap_or_default());
+    /// What machines with tasks of unknown jobs have together, and those of unknown content.
+    fn unseen_rooms(&self) -> (Room, Room) {
         let (mut foreign, mut unknown) = (Room::default(), Room::default());
-        self.machines.values().filter(|m| m.foreign && !m.unknown).for_each(|m| sum(&mut foreign, m));
-        self.machines.values().filter(|m| m.unknown).for_each(|m| sum(&mut unknown, m));
+        for m in self.machines.values().filter(|m| m.unknown || m.foreign) {
+            let sum = if m.unknown { &mut unknown } else { &mut foreign };
+            sum.add(self.cap(&m.kind).unwrap_or_default());
+        }
+        (foreign, unknown)
+    }
+
+    /// What those may take from a team's limit: all they have, but of unknown content no more than
+    /// the team's jobs that may be there could use.
+    fn unseen_by(&self, team: &str, (mut foreign, mut unknown): (Room, Room)) -> Room {
         let mut most = self.lately_cancelled.get(team).copied().unwrap_or_default();
         for j in self.jobs.values().filter(|j| j.uncertain && j.spec.team == team) {
             let n = f64::from(j.spec.tasks - j.done.len().min(j.spec.tasks)) - j.active.len() as f64;
@@ -120,13 +128,13 @@
 
     /// What each team may still use, beside what its tasks use, hold, or may use unseen.
     fn limits(&self) -> BTreeMap<String, Room> {
-        let unseen = self.machines.values().any(|m| m.unknown || m.foreign);
+        let unseen = self.unseen_rooms();
         let mut out: BTreeMap<String, Room> = BTreeMap::new();
         for (name, t) in &self.setup.teams {
             let mut free = Room { cpus: t.cpus_max, gpus: t.gpus_max, memory_gb: f64::MAX };
             let charge = |free: &mut Room, r: Room| free.sub(Room { memory_gb: 0.0, ..r });
-            if unseen {
-                charge(&mut free, self.unknown_room(name));
+            if unseen != Default::default() {
+                charge(&mut free, self.unseen_by(name, unseen));
             }
             charge(&mut free, self.team_used.get(name).copied().unwrap_or_default());
             out.insert(name.clone(), free);
@@ -248,7 +256,8 @@
                 self.fleet.unmet.push((id.into(), quota - fits));
             }
             // Those whose turn comes soon are recorded in time.
-            let soon = pass.queued <= self.turnover() * self.reaction_s() * AHEAD_WAIT;
+            let turnover = *pass.turnover.get_or_insert_with(|| self.turnover());
+            let soon = pass.queued <= turnover * self.reaction_s() * AHEAD_WAIT;
             pass.queued += f64::from(quota - fits) * job.spec.cpus;
             if let Some(job) = self.jobs.get_mut(id).filter(|_| soon || fits > 0) {
                 job.begun = Begun::Asked;
@@ -324,36 +333,37 @@
     /// Lets tasks that found no room wait at the owners for the first that becomes free: a task's
     /// end and the next one's start then take one report and its answer.
     fn give_ahead(&mut self, id: &str, needs: &Needs, most: u32, pass: &mut Pass, now: Secs) {
-        let mut room = pass.ahead.take().unwrap_or_else(|| self.ahead_room());
-        let mut needs = needs.clone();
-        if let Some(aside) = pass.aside_for(id) {
-            needs.kinds.retain(|k| !aside.kinds.iter().any(|a| a.kind == k.kind && a.spot == k.spot));
+        let Some(job) = self.jobs.get(id) else { return };
+        let (each, team) = (job.room(), job.spec.team.clone());
+        let aside = pass.aside_for(id).map_or(&[][..], |a| &a.kinds);
+        let kinds: Vec<Allowed> =
+            needs.kinds.iter().filter(|k| !aside.iter().any(|a| a.kind == k.kind && a.spot == k.spot)).cloned().collect();
+        if kinds.is_empty() {
+            return;
         }
-        let Some(job) = self.jobs.get(id).filter(|_| !needs.kinds.is_empty()) else {
-            pass.ahead = Some(room);
+        let room = pass.ahead.get_or_insert_with(|| self.ahead_room());
+        let fits = |cpus: f64| (cpus / each.cpus.max(0.01)).floor().max(0.0) as u32;
+        let n = room.values().map(|cpus| fits(*cpus)).fold(0, u32::saturating_add).min(most);
+        if n == 0 {
             return;
-        };
-        let (each, team) = (job.room(), job.spec.team.clone());
-        let mut indexes = job.ready.iter().take(most as usize).collect::<Vec<u32>>().into_iter();
+        }
+        let mut indexes = job.ready.iter().take(n as usize).collect::<Vec<u32>>().into_iter();
+        let needs = Needs { kinds, ..needs.clone() };
         let attempt = self.next_attempt();
         let wait_ms = (self.reaction_s() * AHEAD_WAIT * 1000.0) as u64;
-        let mut given = 0;
         for (owner, cpus) in room.iter_mut() {
-            let n = (*cpus / each.cpus.max(0.01)).floor().max(0.0) as usize;
-            let mine: Vec<u32> = indexes.by_ref().take(n).collect();
+            let mine: Vec<u32> = indexes.by_ref().take(fits(*cpus) as usize).collect();
             if mine.is_empty() {
                 continue;
             }
             *cpus -= each.cpus * mine.len() as f64;
-            given += mine.len() as u32;
             for index in &mine {
                 self.give_active(id, *index, attempt, owner.clone(), String::new(), now);
             }
             let message = ToOwner::Ahead { job: id.into(), attempt, needs: needs.clone(), tasks: runs(mine), wait_ms };
             self.deeds.push(Deed::Send(owner.clone(), message));
         }
-        pass.charge(&team, each, given);
-        pass.ahead = Some(room);
+        pass.charge(&team, each, n);
     }
 
     fn see_image(&mut self, machine: &str, image: &str) {
@@ -538,6 +548,7 @@
         if let Some(free) = self.limits.get_mut(team) {
             free.sub(Room { memory_gb: 0.0, ..room.scaled(n) });
         }
+        self.turnover = None;
     }
 }
 
--- a/crates/store/src/pages.rs
+++ b/crates/store/src/pages.rs
@@ -58,7 +58,7 @@
 
     /// A page that the store does not hold as it is here.
     pub fn next_dirty(&self) -> Option<u32> {
-        self.dirty.first().copied()
+        self.next_dirty_beside(&[])
     }
 
     /// The same, not among some that are being written already.
