Bound the age of what a leader knows: answers, starts, and authority after an outage

Cause, from reading: authority came back with an answered renewal alone. An outage preserves the store's leases, so the same leader resumed with a picture from before it, renewed workers' leases and started tasks of jobs that were cancelled meanwhile; repeated, that passes cancel_s.

Change: sched::authority decides in one place until when reports may be answered and tasks started, from the authority and from when the last answered look was sent. Owners get the leader's age in order behind its messages (Known), and use their own looks too. Whoever confirms a cancellation tells the leader (Cancelled), the leader tells all owners (Over); owners stop what they know to be over in every answer, also in one to a report that does not count, and start none of it. The world's controllers now learn of cancellations by looks of their own; the old guard of the world's defect IgnoreCancel stays as strict.

--- a/crates/ladderroute/src/accept.rs
+++ b/crates/ladderroute/src/accept.rs
@@ -9,6 +9,7 @@
 use store::keys;
 use store::replica::JobEntry;
 use wire::cbor;
+use wire::peers::{frame, ToLeader};
 use wire::store::{from_value, to_value, Condition, JobRecord, Recorded, Txn, Write};
 use wire::users::{Accepted, Job, JobState, Progress, Refusal, Shape};
 
@@ -211,6 +212,10 @@
                 let state = &mut *guard;
                 state.shared.replica.put_job(id, record, version);
                 node.tell_leader(&mut state.shared, id);
+                if let Some(leader) = &state.shared.to_leader {
+                    // The shorter way only: the leader's own look at the store is the proof.
+                    leader.send(frame(&ToLeader::Cancelled { job: id.into() }));
+                }
                 node.pump(state);
                 return accepted(200, id, JobState::Cancelled);
             }
--- a/crates/ladderroute/src/fresh.rs
+++ b/crates/ladderroute/src/fresh.rs
@@ -5,7 +5,7 @@
 use smol::channel::Sender;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use store::budget::Rank;
 use store::client::StoreError;
 use store::keys;
@@ -63,9 +63,10 @@
     if !loaded {
         return false;
     }
+    let sent = Instant::now();
     match node.store.follow(keys::ALL, since, Duration::ZERO, Rank::Decision).await {
         Ok(changes) => {
-            node.take_changes(&changes);
+            node.take_changes(&changes, sent);
             node.store_ok(true);
             true
         }
@@ -104,9 +105,10 @@
             }
         }
         let since = node.lock().shared.replica.revision;
+        let sent = Instant::now();
         match node.store.follow(keys::ALL, since, wait, Rank::Decision).await {
             Ok(changes) => {
-                node.take_changes(&changes);
+                node.take_changes(&changes, sent);
                 node.store_ok(true);
                 // More changes gather meanwhile; the next request brings them together.
                 smol::Timer::after(pace).await;
@@ -124,6 +126,7 @@
 async fn load(node: &Rc<Node>) -> Result<(), StoreError> {
     let mut replica = store::replica::Replica::default();
     let (mut since, mut first) = (None::<String>, true);
+    let sent = Instant::now();
     loop {
         let page = node.store.range(keys::ALL, since.as_deref(), Rank::Decision).await?;
         replica.load(&page, first);
@@ -133,7 +136,8 @@
             break;
         }
     }
-    let mut state = node.lock();
+    let mut guard = node.lock();
+    let state = &mut *guard;
     log::info!("event=loaded jobs={} revision={}", replica.jobs.len(), replica.revision);
     state.shared.replica = replica;
     state.shared.loaded = true;
@@ -141,5 +145,7 @@
     for id in ids {
         node.tell_leader(&mut state.shared, &id);
     }
+    node.pump(state);
+    state.learn(node.at(sent));
     Ok(())
 }
--- a/crates/ladderroute/src/lead.rs
+++ b/crates/ladderroute/src/lead.rs
@@ -19,6 +19,9 @@
 const LEADER_SHARES: (f64, f64) = (0.3, 0.55);
 const ALL_SHARE: f64 = 0.95;
 
+/// Looks of the leader in its store lease, when nothing else makes them.
+const LOOKS_PER_LEASE: u32 = 5;
+
 /// A controller's parts of the store's request and write rates, with so many others.
 pub fn store_shares(leading: bool, others: usize) -> (f64, f64) {
     match (others, leading) {
@@ -77,13 +80,14 @@
     let tasks = [
         node.ex.spawn(clock(node.clone())),
         node.ex.spawn(writer(node.clone())),
+        node.ex.spawn(keep_looking(node.clone(), ttl / LOOKS_PER_LEASE)),
         node.ex.spawn(crate::renting::rent(node.clone())),
         node.ex.spawn(crate::renting::watch_cloud(node.clone())),
     ];
     renew(node, ttl).await;
     drop(tasks);
     let mut state = node.lock();
-    state.owner.set_authority(f64::MIN);
+    state.owner.authority.set(f64::MIN);
     if let Some(lead) = state.shared.lead.take() {
         for link in lead.links.values() {
             link.frames.close();
@@ -117,7 +121,7 @@
     let (me, setup, begun) = (&node.settings.member, node.setup.clone(), replica.begun.upto);
     let mut leader = Leader::new(me, setup, seed, won.token, value_kb, jobs, &replica.roster, begun, node.now());
     let cancelled = replica.lately_cancelled(Duration::from_secs_f64(node.setup.lease_s + node.setup.cancel_s));
-    let room = |(team, (cpus, gpus))| (team, Room { cpus, gpus, memory_gb: 0.0 });
+    let room = |(id, team, (cpus, gpus))| (id, team, Room { cpus, gpus, memory_gb: 0.0 });
     leader.set_lately_cancelled(cancelled.into_iter().map(room));
     if let Some(types) = state.shared.catalog.clone() {
         leader.catalog(types);
@@ -129,7 +133,8 @@
     }
     // The book of earlier regimes must not answer on this leadership's authority.
     state.owner = Owner::new(&node.settings.member, node.setup.clone());
-    state.owner.set_authority(node.at(won.until));
+    state.owner.authority.set(node.at(won.until));
+    state.owner.authority.learn(state.shared.looked);
     let books = Books::load(replica, value_kb);
     state.shared.lead =
         Some(Lead { leader, won: won.clone(), books, writes: Default::default(), cloud: Default::default(), links: HashMap::new() });
@@ -151,17 +156,13 @@
             let until = sent + usable(ttl);
             match result {
                 Ok(()) => {
-                    if let Some(lead) = &mut state.shared.lead {
-                        lead.won.until = lead.won.until.max(until);
-                    }
-                    state.owner.set_authority(node.at(until));
+                    state.owner.authority.renew(node.at(until), node.now());
                     paused = false;
                 }
                 Err(StoreError::NoLease) => return,
                 Err(e) => {
                     wait = ttl / 20;
-                    let over = state.shared.lead.as_ref().is_some_and(|l| Instant::now() > l.won.until);
-                    if over && !paused {
+                    if !state.owner.has_authority(node.now()) && !paused {
                         paused = true;
                         log::info!("event=authority_paused error=\"{e}\"");
                     }
@@ -172,6 +173,20 @@
     }
 }
 
+/// Keeps what the leader knows of the store fresh: authority reaches no further than that allows. On
+/// a busy day users' questions and the watch do it.
+async fn keep_looking(node: Rc<Node>, every: Duration) {
+    loop {
+        let age = node.now() - node.lock().shared.looked;
+        if age >= every.as_secs_f64() {
+            crate::fresh::once(&node).await;
+            smol::Timer::after(every / 2).await;
+        } else {
+            smol::Timer::after(every - Duration::from_secs_f64(age.max(0.0))).await;
+        }
+    }
+}
+
 /// Lets time pass for the leader.
 async fn clock(node: Rc<Node>) {
     let step = Duration::from_secs_f64((node.setup.report_s / 10.0).clamp(0.05, 0.1));
@@ -182,8 +197,8 @@
         let mut guard = node.lock();
         let state = &mut *guard;
         let Some(lead) = &mut state.shared.lead else { return };
-        if Instant::now() > lead.won.until {
-            // Nothing is decided without authority; it may come back with a renewal.
+        if !state.owner.has_authority(now) {
+            // Nothing is decided without authority; it may come back with a renewal and a look.
             continue;
         }
         lead.leader.tick(now, node.settings.known.len());
--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -18,6 +18,7 @@
 use store::replica::{Changed, Replica};
 use wire::cloud::MachineType;
 use wire::peers::{frame, ToOwner};
+use wire::store::Recorded;
 
 /// Part of the memory that messages waiting for one slow connection between controllers may take;
 /// more ends it.
@@ -46,6 +47,8 @@
 pub struct Shared {
     pub replica: Replica,
     pub loaded: bool,
+    /// When the last look at the store that brought the replica up to date was sent.
+    pub looked: f64,
     pub catalog: Option<Vec<MachineType>>,
     pub lead: Option<Lead>,
     /// Running tasks by job, as the leader last told.
@@ -61,10 +64,17 @@
     pub shared: Shared,
 }
 
+impl State {
+    /// The replica holds all that the store held at `at`, and what follows of it was done.
+    pub fn learn(&mut self, at: f64) {
+        self.shared.looked = self.shared.looked.max(at);
+        self.owner.authority.learn(at);
+    }
+}
+
 pub struct Node {
     pub settings: Settings,
     pub setup: Setup,
-    pub tuning: Tuning,
     pub store: Store,
     pub cloud: http::client::Client,
     pub ex: Rc<smol::LocalExecutor<'static>>,
@@ -87,6 +97,9 @@
     fn image(&self, job: &str) -> Option<String> {
         Some(self.0.jobs.get(job)?.job.as_ref()?.image.clone())
     }
+    fn over(&self, job: &str) -> bool {
+        self.0.jobs.get(job).is_some_and(|e| e.state != Recorded::Open)
+    }
 }
 
 impl Node {
@@ -109,10 +122,9 @@
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// The leader's store lease: a part of the workers' lease, and no more than half the time after
-    /// which a worker drops an answer.
+    /// The leader's store lease.
     pub fn leader_ttl(&self) -> Duration {
-        Duration::from_secs_f64((self.setup.lease_s * self.tuning.leader_lease_share).clamp(0.5, wire::ANSWER_DROPPED_S * 0.5))
+        Duration::from_secs_f64(self.setup.leader_lease_s)
     }
 
     /// Notes whether the store answers, for `/ready`.
@@ -171,8 +183,9 @@
         }
     }
 
-    /// Takes changes of the store's keys into the replica and tells the leader.
-    pub fn take_changes(&self, changes: &wire::store::Changes) {
+    /// Takes changes of the store's keys, as a look sent at `sent` found them, into the replica and
+    /// tells the leader.
+    pub fn take_changes(&self, changes: &wire::store::Changes, sent: Instant) {
         let mut guard = self.lock();
         let state = &mut *guard;
         for changed in state.shared.replica.apply(changes) {
@@ -180,7 +193,9 @@
                 self.tell_leader(&mut state.shared, &id);
             }
         }
+        // What was cancelled is stopped before any report is answered on the strength of this look.
         self.pump(state);
+        state.learn(self.at(sent));
     }
 
     /// Tells the leader, if it is here, what the replica says of a job.
@@ -228,10 +243,13 @@
         to_rent: smol::channel::bounded(1),
         seed: Cell::new(fastrand::u64(..)),
         setup,
-        tuning,
         settings,
     });
     log::info!("event=start member={} api={} back={}", node.settings.member, node.settings.api_addr, node.settings.back);
+    if !node.setup.cancels_in_time() {
+        let (lease_s, cancel_s) = (node.setup.lease_s, node.setup.cancel_s);
+        log::error!("event=settings_tight lease_s={lease_s} cancel_s={cancel_s} error=\"a cancelled task may run on for longer than cancel_s while the state service fails\"");
+    }
     let run = ex.clone();
     smol::block_on(run.run(async move {
         let api = smol::net::TcpListener::bind(node.settings.api_addr).await?;
--- a/crates/ladderroute/src/peers.rs
+++ b/crates/ladderroute/src/peers.rs
@@ -145,10 +145,13 @@
     match message {
         ToLeader::Ping { n } => {
             // Authority of an owner ends before the leader's own, and soon after the last ping.
-            let until = node.at(lead.won.until).min(now + node.setup.owner_silence_s() * 1.25);
+            let authority = &state.owner.authority;
+            let until = authority.answers_until().min(now + node.setup.owner_silence_s() * 1.25);
             if let Some(valid) = lead.leader.grant(member, now, until) {
                 let token = lead.leader.token();
                 link.send_first(&frame(&ToOwner::Grant { n, token, valid_ms: (valid * 1000.0) as u64 }));
+                // Behind all that the leader has made of what it knows.
+                link.send(frame(&ToOwner::Known { n, age_ms: ((now - authority.known()) * 1000.0).ceil() as u64 }));
             }
         }
         other => {
@@ -224,10 +227,17 @@
         match message {
             ToOwner::Grant { n, token, valid_ms } => {
                 // Counted from the ping's sending, so that delays only shorten it.
-                let sent = pings.borrow_mut().remove(&n);
+                let sent = pings.borrow().get(&n).copied();
                 if let Some(sent) = sent.filter(|_| joined && token == state.owner.token()) {
                     let until = node.at(sent) + valid_ms as f64 / 1000.0 * (1.0 - 2.0 * store::leadership::DRIFT);
-                    state.owner.set_authority(until);
+                    state.owner.authority.set(until);
+                }
+            }
+            ToOwner::Known { n, age_ms } => {
+                // Counted back from the ping's sending: delays only make it older.
+                if let Some(sent) = pings.borrow_mut().remove(&n).filter(|_| joined) {
+                    let age = age_ms as f64 / 1000.0 * (1.0 + 2.0 * store::leadership::DRIFT);
+                    state.owner.authority.learn(node.at(sent) - age);
                 }
             }
             ToOwner::Display { running } => state.shared.running = running.into_iter().collect(),
@@ -236,7 +246,7 @@
                     if !joined {
                         // Authority from an earlier leader is not authority under this one.
                         joined = true;
-                        state.owner.set_authority(f64::MIN);
+                        state.owner.authority.set(f64::MIN);
                         state.shared.to_leader = Some(sender.clone());
                     }
                     ping();
--- a/crates/ladderroute/src/settings.rs
+++ b/crates/ladderroute/src/settings.rs
@@ -177,6 +177,8 @@
             cancel_s: p.workers.cancel_s,
             list_lag_s: p.cloud.list_lag_s,
             hold_s: tuning.hold_s,
+            // No more than half the time after which a worker drops an answer.
+            leader_lease_s: (p.workers.lease_s * tuning.leader_lease_share).clamp(0.5, wire::ANSWER_DROPPED_S * 0.5),
             guarantee_s: guarantee_s.unwrap_or(p.workers.report_s * 10.0),
             wait_s,
             patience: tuning.patience,
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -90,6 +90,14 @@
     to_leader: VecDeque<(f64, ToLeader)>,
     pings: VecDeque<(f64, f64)>,
     regime: bool,
+    /// What the leader knew when it answered pings, behind its messages: when that arrives, and its age.
+    knows: VecDeque<(f64, f64)>,
+    /// The store answers this controller with refusals until then, and no other.
+    refused_until: f64,
+    /// When the last look at the store that was answered was sent.
+    seen: f64,
+    /// A look that is under way: when it was sent and when its answer comes.
+    look: Option<(f64, f64)>,
 }
 
 struct JobState {
@@ -104,15 +112,19 @@
     earlier: Earlier,
 }
 
-struct Book<'a>(&'a BTreeMap<String, JobState>);
+/// The jobs as a controller's replica has them, which is as old as its last look at the store.
+struct Book<'a>(&'a BTreeMap<String, JobState>, f64);
 
 impl Jobs for Book<'_> {
     fn room(&self, job: &str) -> Option<Room> {
-        let s = &self.0.get(job)?.spec;
+        let s = &self.0.get(job).filter(|_| !self.over(job))?.spec;
         Some(Room { cpus: s.cpus, gpus: s.gpus, memory_gb: s.memory_gb })
     }
     fn image(&self, job: &str) -> Option<String> {
-        Some(self.0.get(job)?.spec.image.clone())
+        Some(self.0.get(job).filter(|_| !self.over(job))?.spec.image.clone())
+    }
+    fn over(&self, job: &str) -> bool {
+        self.0.get(job).is_some_and(|j| j.over.is_some_and(|at| at <= self.1))
     }
 }
 
@@ -127,7 +139,8 @@
     workers: BTreeMap<String, Worker>,
     controllers: Vec<Controller>,
     leader: Option<(usize, Leader, u64)>,
-    leader_until: f64,
+    /// When the leader's lease in the store ends, if it is not renewed.
+    lease_end: f64,
     /// No new leader before this: the old one's lease in the store still runs.
     free_at: f64,
     term: u64,
@@ -147,6 +160,8 @@
     pub held_up: u32,
     /// Reports in a hundred of which a copy comes late, up to three leases.
     pub late_copies: u32,
+    /// Whether who confirms a cancellation tells the leader, too.
+    pub hints: bool,
     completed: BTreeSet<(String, u32)>,
     pub broken: BTreeSet<String>,
     pub starts: u64,
@@ -185,6 +200,7 @@
         cancel_s: 25.0,
         list_lag_s: 4.0,
         hold_s: 5.0,
+        leader_lease_s: TTL,
         guarantee_s: 5.0,
         wait_s: BTreeMap::new(),
         patience: 0.4,
@@ -213,7 +229,7 @@
             workers: BTreeMap::new(),
             controllers,
             leader: None,
-            leader_until: 0.0,
+            lease_end: 0.0,
             free_at: 0.0,
             term: 0,
             revision: 0,
@@ -228,6 +244,7 @@
             troubles: BTreeMap::new(),
             held_up: 3,
             late_copies: 0,
+            hints: true,
             completed: BTreeSet::new(),
             broken: BTreeSet::new(),
             starts: 0,
@@ -240,37 +257,21 @@
         self.broken.insert(rule.to_string());
     }
 
-    pub fn submit(&mut self, mut spec: Job) {
+    /// A job is accepted; the leader learns of it with its next look at the store.
+    pub fn submit(&mut self, spec: Job) {
         self.revision += 1;
         let id = spec.id.clone();
-        let told = {
-            let real = Rc::new(spec.clone());
-            self.jobs.insert(
-                id.clone(),
-                JobState {
-                    spec: real,
-                    accepted: self.now,
-                    begun_at: None,
-                    revision: self.revision,
-                    done: Ranges::default(),
-                    over: None,
-                    cancelled: false,
-                    earlier: Earlier::Untouched,
-                },
-            );
-            if self.defect == Defect::IgnoreTypes {
-                spec.types = None;
-                spec.zone = None;
-            }
-            Rc::new(spec)
+        let state = JobState {
+            spec: Rc::new(spec),
+            accepted: self.now,
+            begun_at: None,
+            revision: self.revision,
+            done: Ranges::default(),
+            over: None,
+            cancelled: false,
+            earlier: Earlier::Untouched,
         };
-        let revision = self.revision;
-        if self.kept_from_leader(&told) {
-            return;
-        }
-        if let Some((_, leader, _)) = &mut self.leader {
-            leader.add_job(OpenJob { spec: told, revision, done: Ranges::default(), earlier: Earlier::Untouched });
-        }
+        self.jobs.insert(id, state);
     }
 
     fn kept_from_leader(&self, spec: &Job) -> bool {
@@ -281,16 +282,36 @@
         }
     }
 
-    pub fn cancel(&mut self, id: &str) {
+    /// A user cancels a job; any controller that reaches the store confirms it, at once. False if
+    /// none does, or the job is over.
+    pub fn cancel(&mut self, id: &str) -> bool {
         let now = self.now;
-        let Some(j) = self.jobs.get_mut(id).filter(|j| j.over.is_none()) else { return };
+        let able: Vec<usize> = (0..3).filter(|i| self.reaches_store(*i)).collect();
+        if able.is_empty() {
+            return false;
+        }
+        let by = able[self.rng.usize(0..able.len())];
+        let Some(j) = self.jobs.get_mut(id).filter(|j| j.over.is_none()) else { return false };
         j.over = Some(now);
         j.cancelled = true;
-        if self.defect != Defect::IgnoreCancel {
-            if let Some((_, leader, _)) = &mut self.leader {
-                leader.job_over(id);
+        if self.defect == Defect::IgnoreCancel {
+            return true;
+        }
+        match &mut self.leader {
+            Some((me, leader, _)) if *me == by => leader.job_over(id),
+            _ if self.hints && self.controllers[by].joined => {
+                let at = self.controllers[by].to_leader.back().map_or(0.0, |(at, _)| *at).max(now + 0.05);
+                self.controllers[by].to_leader.push_back((at, ToLeader::Cancelled { job: id.into() }));
             }
+            _ => {}
         }
+        true
+    }
+
+    /// Whether the store answers this controller now.
+    fn reaches_store(&self, i: usize) -> bool {
+        let up = self.now >= self.controllers[i].down_until && self.now >= self.controllers[i].refused_until;
+        up && self.now >= self.store_down_until && !self.is_alone(i)
     }
 
     /// Random jobs, cancellations and troubles for `seconds`, then quiet for `calm`.
@@ -390,7 +411,7 @@
     fn end_leader(&mut self) {
         self.leader = None;
         // The store keeps the key until the lease has run out.
-        self.free_at = self.free_at.max(self.leader_until + 0.1);
+        self.free_at = self.free_at.max(self.lease_end + 0.1);
         for c in &mut self.controllers {
             disconnect(c, self.now + 0.2);
         }
@@ -414,6 +435,7 @@
 
     fn step(&mut self) {
         self.now += STEP;
+        self.run_looks();
         self.run_workers();
         self.deliver();
         self.run_controllers();
@@ -609,7 +631,8 @@
                     if self.defect == Defect::TrustAnyReport {
                         report.token = u64::MAX;
                     }
-                    let answer = self.controllers[to].owner.on_report(&report, now, &Book(&self.jobs));
+                    let book = Book(&self.jobs, self.known_to(to));
+                    let answer = self.controllers[to].owner.on_report(&report, now, &book);
                     if let Some(d) = self.delay() {
                         let m = Message::Answer { worker: report.machine.clone(), session: report.session, seq: report.seq, answer };
                         self.messages.push((now + d, m));
@@ -623,6 +646,7 @@
     fn run_controllers(&mut self) {
         let now = self.now;
         let led = self.leader.as_ref().map(|(i, _, _)| *i);
+        let ignorant = self.defect == Defect::IgnoreCancel;
         for i in 0..self.controllers.len() {
             if now < self.controllers[i].down_until {
                 continue;
@@ -644,9 +668,14 @@
                 let Some((_, message)) = c.to_owner.pop_front() else { break };
                 if matches!(message, ToOwner::Regime { .. }) && !c.regime {
                     c.regime = true;
-                    c.owner.set_authority(f64::MIN);
+                    c.owner.authority.set(f64::MIN);
                 }
-                c.owner.on_leader(message, now, &Book(&self.jobs));
+                let seen = if ignorant { f64::MIN } else { c.seen };
+                c.owner.on_leader(message, now, &Book(&self.jobs, seen));
+            }
+            while c.knows.front().is_some_and(|(at, _)| *at <= now) {
+                let Some((_, known)) = c.knows.pop_front() else { break };
+                c.owner.authority.learn(known);
             }
             let mut at = c.to_leader.back().map_or(0.0, |(at, _)| *at).max(now + wait);
             for m in c.owner.drain() {
@@ -668,19 +697,21 @@
                 leader.owner_lost(&name(i));
                 disconnect(&mut self.controllers[i], now + 0.2);
             }
-            if now > self.leader_until + TTL * 0.1 {
-                self.end_leader();
-                return;
-            }
-        } else if now >= self.store_down_until {
-            self.leader_until = now + TTL * 0.95;
-        } else if now > self.leader_until + TTL * 0.1 {
-            // Its lease is gone; it may have renewed in vain.
-            self.free_at = self.store_down_until + TTL;
+        }
+        if self.reaches_store(me) {
+            self.lease_end = now + TTL;
+            self.controllers[me].owner.authority.renew(now + TTL * 0.95, now);
+        } else if now < self.store_down_until {
+            // An outage preserves the leases; afterwards they get their full time again.
+            self.lease_end = self.store_down_until + TTL;
+        } else if now > self.lease_end {
             self.end_leader();
             return;
         }
-        self.controllers[me].owner.set_authority(self.leader_until);
+        let (answers_until, known) = {
+            let a = &self.controllers[me].owner.authority;
+            (a.answers_until(), a.known())
+        };
         for i in 0..self.controllers.len() {
             let c = &mut self.controllers[i];
             if i == me || now < c.down_until || !c.joined {
@@ -689,10 +720,13 @@
             while c.pings.front().is_some_and(|(at, _)| *at <= now) {
                 let Some((_, sent)) = c.pings.pop_front() else { break };
                 leader.owner_heard(&name(i), now);
-                let until = self.leader_until.min(now + self.setup.owner_silence_s() * 1.25);
+                let until = answers_until.min(now + self.setup.owner_silence_s() * 1.25);
                 if let Some(valid) = leader.grant(&name(i), now, until) {
                     if c.regime && c.owner.token() == leader.token() {
-                        c.owner.set_authority(sent + valid);
+                        c.owner.authority.set(sent + valid);
+                        // Behind all that was sent before it.
+                        let at = c.to_owner.back().map_or(0.0, |(at, _)| *at).max(now + 0.02);
+                        c.knows.push_back((at, sent - (now - known)));
                     }
                 }
             }
@@ -701,7 +735,7 @@
                 leader.on_owner(&name(i), m, now);
             }
         }
-        if now < self.leader_until {
+        if now < answers_until {
             leader.tick(now, 2);
         }
         if !leader.index_agrees() {
@@ -719,7 +753,8 @@
                     Deed::Send(to, message) => {
                         let i = (0..3).find(|i| name(*i) == to).unwrap_or(0);
                         if i == me {
-                            self.controllers[me].owner.on_leader(message, now, &Book(&self.jobs));
+                            let seen = self.known_to(me);
+                            self.controllers[me].owner.on_leader(message, now, &Book(&self.jobs, seen));
                         } else if self.controllers[i].joined {
                             let wait = 0.02 + self.rng.f64() * 0.15;
                             let c = &mut self.controllers[i];
@@ -745,19 +780,12 @@
         if now < self.free_at || now < self.store_down_until {
             return;
         }
-        let up: Vec<usize> = (0..3).filter(|i| now >= self.controllers[*i].down_until && !self.is_alone(*i)).collect();
+        let up: Vec<usize> = (0..3).filter(|i| self.reaches_store(*i)).collect();
         let Some(me) = (!up.is_empty()).then(|| up[self.rng.usize(0..up.len())]) else { return };
         self.term += 1;
         self.revision += 1;
         self.leaders += 1;
-        let open = |j: &JobState| {
-            let mut spec = (*j.spec).clone();
-            if self.defect == Defect::IgnoreTypes {
-                spec.types = None;
-                spec.zone = None;
-            }
-            OpenJob { spec: Rc::new(spec), revision: j.revision, done: j.done.clone(), earlier: j.earlier.clone() }
-        };
+        let open = |j: &JobState| self.told(j);
         let ignore = self.defect == Defect::IgnoreCancel;
         let lost = |j: &JobState| self.defect == Defect::LoseJobs && j.revision & 1 == 0;
         let known = |j: &&JobState| (j.over.is_none() || ignore && j.cancelled) && !lost(j) && !self.kept_from_leader(&j.spec);
@@ -768,17 +796,76 @@
         let mut leader = Leader::new(&name(me), self.setup.clone(), seed, self.term, 4.0, jobs, roster, self.begun, now);
         let lately = |j: &&JobState| j.cancelled && j.over.is_some_and(|at| now - at < self.setup.lease_s + self.setup.cancel_s);
         let room = |s: &Job| Room { cpus: s.cpus, gpus: s.gpus, memory_gb: 0.0 }.scaled(s.tasks);
-        leader.set_lately_cancelled(self.jobs.values().filter(lately).map(|j| (j.spec.team.clone(), room(&j.spec))));
+        let lately = self.jobs.values().filter(lately).map(|j| (j.spec.id.clone(), j.spec.team.clone(), room(&j.spec)));
+        leader.set_lately_cancelled(lately);
         leader.catalog(self.types.clone());
-        self.leader_until = now + TTL * 0.95;
+        self.lease_end = now + TTL;
+        let c = &mut self.controllers[me];
+        c.owner = Owner::new(&name(me), self.setup.clone());
+        c.owner.authority.set(now + TTL * 0.95);
+        c.owner.authority.learn(now);
+        // What changes at this very instant comes with the next look.
+        (c.seen, c.look) = (now - STEP / 10.0, None);
         for c in &mut self.controllers {
             disconnect(c, now + 0.1);
         }
         self.leader = Some((me, leader, self.revision));
     }
 
+    /// A job as the leader gets to know it.
+    fn told(&self, j: &JobState) -> OpenJob {
+        let mut spec = (*j.spec).clone();
+        if self.defect == Defect::IgnoreTypes {
+            spec.types = None;
+            spec.zone = None;
+        }
+        OpenJob { spec: Rc::new(spec), revision: j.revision, done: j.done.clone(), earlier: j.earlier.clone() }
+    }
+
     // ---- store and cloud ----
 
+    /// Controllers look at the store every few steps; answers take their time. What a look shows
+    /// is known before anything else is done on the strength of it.
+    fn run_looks(&mut self) {
+        let now = self.now;
+        for i in 0..self.controllers.len() {
+            if let Some((sent, _)) = self.controllers[i].look.filter(|(_, at)| now >= *at) {
+                self.controllers[i].look = None;
+                if self.reaches_store(i) {
+                    self.learn(i, sent);
+                }
+            }
+            if self.controllers[i].look.is_none() && now - self.controllers[i].seen >= TTL / 5.0 && self.reaches_store(i) {
+                let slow = if self.rng.u32(0..100) < 2 { 1.2 } else { 0.1 };
+                self.controllers[i].look = Some((now, now + self.rng.f64() * slow));
+            }
+        }
+    }
+
+    /// Up to when a controller's replica shows what is over.
+    fn known_to(&self, i: usize) -> f64 {
+        if self.defect == Defect::IgnoreCancel {
+            return f64::MIN;
+        }
+        self.controllers[i].seen
+    }
+
+    fn learn(&mut self, i: usize, sent: f64) {
+        let before = std::mem::replace(&mut self.controllers[i].seen, sent);
+        if let Some((_, mut leader, id)) = self.leader.take_if(|(me, _, _)| *me == i) {
+            let new = |at: f64| at > before && at <= sent;
+            for j in self.jobs.values().filter(|j| new(j.accepted) && !self.kept_from_leader(&j.spec)) {
+                leader.add_job(self.told(j));
+            }
+            if self.defect != Defect::IgnoreCancel {
+                let over = self.jobs.iter().filter(|(_, j)| j.over.is_some_and(new));
+                over.for_each(|(id, _)| leader.job_over(id));
+            }
+            self.leader = Some((i, leader, id));
+        }
+        self.controllers[i].owner.authority.learn(sent);
+    }
+
     fn run_writes(&mut self) {
         let now = self.now;
         let mut i = 0;
@@ -963,6 +1050,10 @@
         to_leader: VecDeque::new(),
         pings: VecDeque::new(),
         regime: false,
+        knows: VecDeque::new(),
+        refused_until: 0.0,
+        seen: f64::MIN,
+        look: None,
     }
 }
 
@@ -972,6 +1063,7 @@
     c.to_owner.clear();
     c.to_leader.clear();
     c.pings.clear();
+    c.knows.clear();
 }
 
 fn report_of(machine: &str, w: &Worker) -> Report {
--- a/crates/model/tests/leader_and_owner.rs
+++ b/crates/model/tests/leader_and_owner.rs
@@ -28,6 +28,9 @@
     fn image(&self, _: &str) -> Option<String> {
         None
     }
+    fn over(&self, _: &str) -> bool {
+        false
+    }
 }
 
 fn report(session: u64, seq: u64, token: u64) -> Report {
@@ -51,7 +54,8 @@
     let card = MachineCard { name: "host-1".into(), kind: "small".into(), zone: "a".into(), spot: false, usable: true };
     let regime = ToOwner::Regime { token: 5, prev: 0, members: vec!["rung-1".into()], extra_ms: 0, machines: vec![card] };
     owner.on_leader(regime, 10.0, &NoJobs);
-    owner.set_authority(1e9);
+    owner.authority.set(1e9);
+    owner.authority.learn(1e9);
     owner
 }
 
@@ -229,6 +233,9 @@
     fn image(&self, job: &str) -> Option<String> {
         (job == "wk-1").then(|| "i".into())
     }
+    fn over(&self, job: &str) -> bool {
+        job != "wk-1"
+    }
 }
 
 /// Reports are seldom where tasks are short: a task that waits for room starts with the answer to
--- /dev/null
+++ b/crates/sched/src/authority.rs
@@ -0,0 +1,71 @@
+//! How long a controller may answer workers' reports and start tasks: until its authority ends,
+//! and no longer than its knowledge of the store allows.
+//!
+//! A cancellation is confirmed by any controller on the store's word alone. What was confirmed
+//! after the last answered look was sent is not known here. An answer that prolongs a lease at `t`
+//! lets a task run until `t` + lease, so it is given only while that ends within `cancel_s` of the
+//! look (`Setup::knowledge_s`); starts need knowledge as fresh as the leadership itself
+//! (`Setup::start_knowledge_s`). An outage preserves the store's leases, so that a leader may come
+//! back with a picture from before it: its authority then counts only with a look sent after the
+//! renewal was answered.
+
+use crate::setup::Setup;
+use crate::Secs;
+
+/// Authority and the age of what is known.
+#[derive(Clone, Debug)]
+pub struct Authority {
+    until: Secs,
+    /// When the last look at the store that was answered was sent, here or by the leader.
+    known: Secs,
+    /// When authority that had run out came back: looks sent before do not count.
+    back: Secs,
+    answer_s: Secs,
+    start_s: Secs,
+}
+
+impl Authority {
+    pub fn new(setup: &Setup) -> Authority {
+        let (answer_s, start_s) = (setup.knowledge_s(), setup.start_knowledge_s());
+        Authority { until: f64::MIN, known: f64::MIN, back: f64::MIN, answer_s, start_s }
+    }
+
+    /// Takes authority until an instant that the caller has proved.
+    pub fn set(&mut self, until: Secs) {
+        self.until = until;
+    }
+
+    /// A renewal of the leadership was answered at `now`.
+    pub fn renew(&mut self, until: Secs, now: Secs) {
+        if now >= self.until {
+            self.back = now;
+        }
+        self.until = self.until.max(until);
+    }
+
+    /// All that the store held at `at` is known here.
+    pub fn learn(&mut self, at: Secs) {
+        self.known = self.known.max(at);
+    }
+
+    pub fn known(&self) -> Secs {
+        self.known
+    }
+
+    /// Until when reports may be answered.
+    pub fn answers_until(&self) -> Secs {
+        self.bounded(self.answer_s)
+    }
+
+    /// Until when tasks may be started.
+    pub fn starts_until(&self) -> Secs {
+        self.bounded(self.start_s)
+    }
+
+    fn bounded(&self, age: Secs) -> Secs {
+        if self.known < self.back {
+            return f64::MIN;
+        }
+        self.until.min(self.known + age)
+    }
+}
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -265,6 +265,9 @@
     /// By team: what jobs that were cancelled so lately that their tasks may still be on unknown
     /// machines could use together.
     pub(crate) lately_cancelled: BTreeMap<String, Room>,
+    /// Jobs that are over, of which tasks may still run, and since when this leader knows: owners
+    /// are told, those of later regimes too.
+    pub(crate) lately_over: BTreeMap<String, Secs>,
     pub(crate) regime_at: Secs,
     /// When a machine of unknown content was last accounted for.
     pub(crate) known_at: Secs,
@@ -382,6 +385,7 @@
             next_group: 0,
             start_open: true,
             lately_cancelled: BTreeMap::new(),
+            lately_over: BTreeMap::new(),
             regime_at: now,
             known_at: now,
             fleet: crate::fleet::Fleet::default(),
@@ -556,11 +560,20 @@
 
     /// The store says that a job is over (done or cancelled).
     pub fn job_over(&mut self, id: &str) {
-        let Some(job) = self.jobs.get_mut(id) else {
+        // It may be told twice: by the controller that confirmed it, and by the store.
+        let Some(job) = self.jobs.get_mut(id).filter(|j| !j.over) else {
             return;
         };
         job.over = true;
         job.ready = Ranges::default();
+        if job.uncertain || !job.active.is_empty() {
+            // Owners hold starts that no view has shown yet.
+            self.lately_over.insert(id.into(), self.time);
+            for member in self.members.clone() {
+                self.send(&member, ToOwner::Over { jobs: vec![id.into()] });
+            }
+        }
+        let Some(job) = self.jobs.get_mut(id) else { return };
         if job.uncertain {
             // Cancelled before all machines are known: what was not seen of it may still be there.
             let unseen = (job.spec.tasks - job.done.len().min(job.spec.tasks)).saturating_sub(job.active.len() as u32);
@@ -804,11 +817,12 @@
         self.wake = true;
     }
 
-    /// Jobs whose tasks may be on unknown machines though they are over, by team and room.
-    pub fn set_lately_cancelled(&mut self, jobs: impl IntoIterator<Item = (String, Room)>) {
+    /// Jobs whose tasks may be on unknown machines though they are over: id, team and room.
+    pub fn set_lately_cancelled(&mut self, jobs: impl IntoIterator<Item = (String, String, Room)>) {
         self.lately_cancelled.clear();
-        for (team, room) in jobs {
+        for (id, team, room) in jobs {
             self.lately_cancelled.entry(team).or_default().add(room);
+            self.lately_over.insert(id, self.time);
         }
     }
 
@@ -870,6 +884,8 @@
     /// Does what is due: `known` is the number of other controllers in the settings.
     pub fn tick(&mut self, now: Secs, known: usize) {
         self.time = now;
+        let remembered = self.setup.cancel_s + self.setup.lease_certainly_over_s();
+        self.lately_over.retain(|_, since| now - *since < remembered);
         self.review_regime(now, known);
         if !self.regime_set {
             return;
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -1,5 +1,6 @@
 //! Decisions of ladderroute, sans I/O: time, random numbers and events are arguments.
 
+pub mod authority;
 pub mod fleet;
 pub mod index;
 pub mod leader;
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -5,6 +5,7 @@
 //! the orders of every earlier owner, and later ones are ordered by (session, seq). So a
 //! report that was held up in the network is never taken for the present.
 
+use crate::authority::Authority;
 use crate::index::{Index, Spot};
 use crate::part;
 use crate::place::{tier, Room};
@@ -20,6 +21,8 @@
 pub trait Jobs {
     fn room(&self, job: &str) -> Option<Room>;
     fn image(&self, job: &str) -> Option<String>;
+    /// Whether the job is known to be done or cancelled.
+    fn over(&self, job: &str) -> bool;
 }
 
 /// The answer to a report.
@@ -109,12 +112,15 @@
     token: u64,
     members: Vec<String>,
     types: BTreeMap<String, MachineType>,
-    authority: Secs,
+    pub authority: Authority,
     regime_at: Secs,
     extra_s: Secs,
     machines: BTreeMap<String, Machine>,
     holds: BTreeMap<u64, Hold>,
     ahead: VecDeque<Ahead>,
+    /// Jobs that the leader said are over, and when: their tasks are stopped and never started,
+    /// whether this controller's own replica knows it or not.
+    over: BTreeMap<String, Secs>,
     out: Vec<ToLeader>,
     /// Machines as placement looks at them, and those that changed since.
     index: Index,
@@ -128,16 +134,17 @@
     pub fn new(me: &str, setup: Setup) -> Owner {
         Owner {
             me: me.into(),
+            authority: Authority::new(&setup),
             setup,
             token: 0,
             members: Vec::new(),
             types: BTreeMap::new(),
-            authority: f64::MIN,
             regime_at: 0.0,
             extra_s: 0.0,
             machines: BTreeMap::new(),
             holds: BTreeMap::new(),
             ahead: VecDeque::new(),
+            over: BTreeMap::new(),
             out: Vec::new(),
             index: Index::default(),
             stale: BTreeSet::new(),
@@ -170,13 +177,9 @@
         self.token
     }
 
-    /// Takes the authority to answer until an instant that the caller has proved.
-    pub fn set_authority(&mut self, until: Secs) {
-        self.authority = until;
-    }
-
+    /// Whether reports may be answered now.
     pub fn has_authority(&self, now: Secs) -> bool {
-        now < self.authority
+        now < self.authority.answers_until()
     }
 
     /// What is to be told to the leader. What reports change is collected for a short while;
@@ -244,7 +247,13 @@
                     m.clears.insert(task);
                 }
             }
-            ToOwner::Grant { .. } | ToOwner::Display { .. } => {}
+            ToOwner::Over { jobs: ids } => {
+                for id in ids {
+                    self.drop_ahead(|job| job == id);
+                    self.over.insert(id, now);
+                }
+            }
+            ToOwner::Grant { .. } | ToOwner::Known { .. } | ToOwner::Display { .. } => {}
         }
     }
 
@@ -309,9 +318,15 @@
         if !m.lapsed {
             m.heard = m.heard.max(report.session);
         }
+        let over = |job: &str| self.over.contains_key(job) || jobs.over(job);
         if report.token < m.since {
-            // The answer tells the worker the token; the report that shows it will count.
-            return Answer::Orders(Orders { token, orders: Vec::new() });
+            // The answer tells the worker the token; the report that shows it will count. It prolongs
+            // the lease, though, and leaders may change faster than workers report: what is over is
+            // stopped all the same, for that is safe whenever the report was sent.
+            let live = report.tasks.iter().filter(|t| t.state != TaskState::Exited);
+            let known = live.filter(|t| split_task(&t.task).is_some_and(|(job, _)| over(job)));
+            let orders = known.map(|t| Order::Stop { task: t.task.clone(), attempt: t.attempt, grace_s: 0.0 }).collect();
+            return Answer::Orders(Orders { token, orders });
         }
         // A worker that gets its answer stays, so that its next report comes here as well; one that
         // does not goes to the next controller first. What such a machine was to start it never
@@ -351,10 +366,14 @@
                 }
             }
         }
-        settle(m);
-        self.fill(&report.machine, jobs);
+        settle(m, over);
+        let starts = now < self.authority.starts_until();
+        if starts {
+            self.fill(&report.machine, jobs);
+        }
         let Some(m) = self.machines.get(&report.machine) else { return Answer::NotNow };
-        let orders = orders(m);
+        // What is pending stays so until knowledge is fresh enough for starts.
+        let orders = orders(m, starts);
         if m.dirty {
             self.stale.insert(report.machine.clone());
         }
@@ -372,7 +391,7 @@
         let Some(m) = self.machines.get_mut(name) else { return };
         for a in self.ahead.iter_mut() {
             // A job that is over is not known any more.
-            if tier(&a.needs, &m.kind, &m.zone, m.spot).is_none() || jobs.room(&a.job).is_none() {
+            if tier(&a.needs, &m.kind, &m.zone, m.spot).is_none() || jobs.room(&a.job).is_none() || self.over.contains_key(&a.job) {
                 continue;
             }
             let room = Room::of(&a.needs);
@@ -384,22 +403,29 @@
         self.ahead.retain(|a| !a.indexes.is_empty());
     }
 
-    /// Hands back what has waited for room too long.
-    fn end_waits(&mut self, now: Secs) {
+    /// Hands back what waits for room, of these jobs.
+    fn drop_ahead(&mut self, of: impl Fn(&str) -> bool) {
+        self.hand_back(|a| of(&a.job));
+    }
+
+    fn hand_back(&mut self, which: impl Fn(&Ahead) -> bool) {
         let out = &mut self.out;
         self.ahead.retain_mut(|a| {
-            let keep = now < a.until;
-            if !keep {
+            let back = which(a);
+            if back {
                 let tasks = crate::ranges::runs(std::mem::take(&mut a.indexes));
                 out.push(ToLeader::HandBack { job: std::mem::take(&mut a.job), attempt: a.attempt, tasks });
             }
-            keep
+            !back
         });
     }
 
     /// Lets holds and leases run out.
     pub fn tick(&mut self, now: Secs) {
-        self.end_waits(now);
+        self.hand_back(|a| now >= a.until);
+        // By then the last task of such a job is gone.
+        let remembered = self.setup.cancel_s + self.setup.lease_certainly_over_s();
+        self.over.retain(|_, at| now - *at < remembered);
         if now - self.shown_at >= self.setup.report_s / VIEWS_PER_REPORT {
             self.shown_at = now;
             self.show = true;
@@ -599,11 +625,16 @@
 }
 
 /// The newest report of a machine has just been taken. It settles every earlier order: a start that
-/// it lacks did not take effect and never will.
-fn settle(m: &mut Machine) {
+/// it lacks did not take effect and never will. What it shows of jobs that are over is to be stopped,
+/// in every answer until a report shows it gone, whoever owned the machine before and whether or not
+/// the leader has said so.
+fn settle(m: &mut Machine, over: impl Fn(&str) -> bool) {
     let before = m.pending.len();
+    for t in m.tasks.values().filter(|t| t.state != TaskState::Exited && over(&t.task.job)) {
+        m.stops.insert(t.task.clone(), 0.0);
+    }
     let (tasks, stops) = (&m.tasks, &m.stops);
-    m.pending.retain(|t, _| !tasks.contains_key(t) && !stops.contains_key(t));
+    m.pending.retain(|t, _| !tasks.contains_key(t) && !stops.contains_key(t) && !over(&t.job));
     if !m.usable || m.notice_s.is_some() {
         m.pending.clear();
     }
@@ -612,8 +643,8 @@
     m.stops.retain(|t, _| tasks.get(t).is_some_and(|v| v.state != TaskState::Exited));
 }
 
-/// Orders for a machine whose newest report was settled.
-fn orders(m: &Machine) -> Vec<Order> {
+/// Orders for a machine whose newest report was settled; starts only if they are allowed now.
+fn orders(m: &Machine, starts: bool) -> Vec<Order> {
     let mut out = Vec::new();
     for t in &m.clears {
         out.push(Order::Clear { task: task_name(&t.job, t.index), attempt: t.attempt });
@@ -621,7 +652,7 @@
     for (t, grace) in &m.stops {
         out.push(Order::Stop { task: task_name(&t.job, t.index), attempt: t.attempt, grace_s: *grace });
     }
-    for t in m.pending.keys().take(STARTS_AT_ONCE) {
+    for t in m.pending.keys().take(if starts { STARTS_AT_ONCE } else { 0 }) {
         out.push(Order::Start { task: task_name(&t.job, t.index), attempt: t.attempt });
     }
     out
--- a/crates/sched/src/regime.rs
+++ b/crates/sched/src/regime.rs
@@ -6,6 +6,9 @@
 use crate::Secs;
 use wire::peers::{MachineCard, ToOwner};
 
+/// Most jobs in one message of what is over, so that it stays small.
+const OVER_AT_ONCE: usize = 1000;
+
 impl Leader {
     /// A controller has connected, or was heard.
     pub fn owner_heard(&mut self, member: &str, now: Secs) {
@@ -161,6 +164,7 @@
             .map(|(n, m)| MachineCard { name: n.clone(), kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot, usable: m.usable_told })
             .collect();
         let catalog = ToOwner::Catalog { types: self.types.values().cloned().collect() };
+        let over: Vec<String> = self.lately_over.keys().cloned().collect();
         for member in self.members.clone() {
             let continues = old_members.contains(&member) && !broken.contains(&member);
             let mine = |c: &&MachineCard| self.machines.get(&c.name).is_some_and(|m| m.owner == member);
@@ -170,6 +174,9 @@
                 ToOwner::Regime { token, prev: if continues { prev } else { 0 }, members: self.members.clone(), extra_ms, machines },
             );
             self.send(&member, catalog.clone());
+            for jobs in over.chunks(OVER_AT_ONCE) {
+                self.send(&member, ToOwner::Over { jobs: jobs.to_vec() });
+            }
         }
         // Controllers that are no owners learn it too, so that they can redirect workers.
         let me = self.me.clone();
--- a/crates/sched/src/setup.rs
+++ b/crates/sched/src/setup.rs
@@ -21,6 +21,8 @@
     pub list_lag_s: f64,
     /// How long held room waits for the rest of its gang.
     pub hold_s: f64,
+    /// The store lease of the leader.
+    pub leader_lease_s: f64,
     /// Part of the time allowed for a guaranteed start after which borrowed room is taken back.
     pub guarantee_s: f64,
     /// By class: within what time its gangs should start.
@@ -43,4 +45,21 @@
     pub fn lease_certainly_over_s(&self) -> f64 {
         self.lease_s * 1.002 + 0.2
     }
+
+    /// How old knowledge of the store may be where an answer prolongs a worker's lease: what was
+    /// cancelled since then is gone in time. Where the settings leave no such time, what is as
+    /// fresh as the leadership has to do (see `cancels_in_time`).
+    pub fn knowledge_s(&self) -> f64 {
+        (self.cancel_s - self.lease_certainly_over_s()).max(self.start_knowledge_s())
+    }
+
+    /// How old knowledge of the store may be for a start.
+    pub fn start_knowledge_s(&self) -> f64 {
+        self.leader_lease_s
+    }
+
+    /// Whether the settings leave time enough between a worker's lease and `cancel_s`.
+    pub fn cancels_in_time(&self) -> bool {
+        self.cancel_s - self.lease_certainly_over_s() >= self.start_knowledge_s()
+    }
 }
--- a/crates/store/src/replica.rs
+++ b/crates/store/src/replica.rs
@@ -164,10 +164,10 @@
         }
     }
 
-    /// Teams and rooms of the jobs of which it became known within `span` that they are cancelled.
-    pub fn lately_cancelled(&self, span: Duration) -> Vec<(String, (f64, f64))> {
-        let lately = |e: &&JobEntry| e.state == Recorded::Cancelled && e.over_since.is_some_and(|t| t.elapsed() < span);
-        self.jobs.values().filter(lately).map(|e| (e.team.clone(), e.room)).collect()
+    /// Ids, teams and rooms of the jobs of which it became known within `span` that they are cancelled.
+    pub fn lately_cancelled(&self, span: Duration) -> Vec<(String, String, (f64, f64))> {
+        let lately = |e: &JobEntry| e.state == Recorded::Cancelled && e.over_since.is_some_and(|t| t.elapsed() < span);
+        self.jobs.iter().filter(|(_, e)| lately(e)).map(|(id, e)| (id.clone(), e.team.clone(), e.room)).collect()
     }
 
     /// Machines on which a gang may have been started: those of the records with the newest
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -8,7 +8,7 @@
 use bitcode::{Decode, Encode};
 
 /// Version of this format; controllers of different versions do not talk.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 /// Largest frame that is accepted.
 pub const FRAME_LIMIT: usize = 1 << 20;
 
@@ -103,6 +103,16 @@
         token: u64,
         valid_ms: u64,
     },
+    /// Answers ping `n`, in order with all else: what the store held `age_ms` ago is known to the
+    /// leader, and what follows of it was sent before this.
+    Known {
+        n: u64,
+        age_ms: u64,
+    },
+    /// Jobs that are done or cancelled: none of their tasks may start, and what runs is stopped.
+    Over {
+        jobs: Vec<String>,
+    },
     Use {
         machine: String,
         usable: bool,
@@ -174,6 +184,10 @@
         attempt: u64,
         held: bool,
     },
+    /// This controller has confirmed a cancellation; the leader may see it later in the store.
+    Cancelled {
+        job: String,
+    },
 }
 
 /// Writes a message as a frame.
