Users' answers under test against a stand-in store; tests move out of src

The program becomes a library with a thin main, so that tests/answers.rs can run two controllers against a store that refuses, loses answers and carries transactions out late: every route says the same of a job, a cancellation and the end of the last task have one winner, late copies undo nothing, what never can run gets 422 and what is malformed 400 (each field left out, null and of the wrong kind). All of it held without a change to fresh or accept, so nothing there is mended. A leader's authority that comes back has its look at once rather than with the next of its looks, and a new leader begins with a picture no older than half its lease.

--- a/crates/ladderroute/src/lead.rs
+++ b/crates/ladderroute/src/lead.rs
@@ -66,8 +66,13 @@
 /// Leads until the lease is lost.
 async fn lead(node: &Rc<Node>, won: Won, ttl: Duration) {
     log::info!("event=leader member={} token={}", node.settings.member, won.token);
-    // The picture must hold all that was accepted and recorded before this leadership.
-    while node.lock().shared.replica.revision < won.version {
+    // The picture must hold all that was accepted and recorded before this leadership, and be fresh:
+    // nothing is started on the strength of an old one.
+    let behind = |node: &Node| {
+        let (s, now) = (node.lock(), node.now());
+        s.shared.replica.revision < won.version || now - s.shared.looked > ttl.as_secs_f64() / 2.0
+    };
+    while behind(node) {
         if Instant::now() > won.until {
             let _ = node.store.revoke(won.lease).await;
             return;
@@ -150,13 +155,14 @@
         };
         let sent = Instant::now();
         let result = node.store.touch(lease).await;
-        let mut wait = ttl / 5;
+        let (mut wait, mut look) = (ttl / 5, false);
         {
             let mut state = node.lock();
             let until = sent + usable(ttl);
             match result {
                 Ok(()) => {
                     state.owner.authority.renew(node.at(until), node.now());
+                    look = !state.owner.has_authority(node.now());
                     paused = false;
                 }
                 Err(StoreError::NoLease) => return,
@@ -169,6 +175,10 @@
                 }
             }
         }
+        if look {
+            // It ran out and is back: with a look sent from now on.
+            crate::fresh::once(node).await;
+        }
         smol::Timer::after(wait).await;
     }
 }
--- a/crates/ladderroute/src/main.rs
+++ b/crates/ladderroute/src/main.rs
@@ -1,19 +1,7 @@
-//! ladderroute: a cluster scheduler for small sites.
-
-mod accept;
-mod api;
-mod fresh;
-mod lead;
-mod logging;
-mod node;
-mod operator;
-mod outbox;
-mod peers;
-mod renting;
-mod settings;
-mod writer;
+//! The command line.
 
 use clap::Parser;
+use ladderroute::{logging, node, operator, settings};
 
 /// Schedules arrays and gangs on rented machines; one process of a group of controllers.
 #[derive(Parser, Debug)]
--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -225,17 +225,16 @@
     sched::leader::OpenJob { spec, revision: entry.version, done, earlier }
 }
 
-/// Runs the controller until its listeners fail.
-pub fn run(settings: Settings, tuning: Tuning) -> std::io::Result<()> {
-    let setup = settings.setup(&tuning);
+/// A controller that has not begun to run.
+pub fn new(settings: Settings, tuning: &Tuning, ex: Rc<smol::LocalExecutor<'static>>) -> Rc<Node> {
+    let setup = settings.setup(tuning);
     let p = settings.settings.clone();
-    let ex = Rc::new(smol::LocalExecutor::new());
     let shares = crate::lead::store_shares(false, settings.known.len());
     let limit = Duration::from_secs_f64((setup.lease_s * 0.1).clamp(0.5, 1.5));
-    let node = Rc::new(Node {
+    Rc::new(Node {
         store: Store::new(settings.services.state, p.state.rps, p.state.write_rps, shares, limit),
         cloud: http::client::Client::new(settings.services.cloud, 2, 4 << 20),
-        ex: ex.clone(),
+        ex,
         began: Instant::now(),
         state: Mutex::new(State { owner: Owner::new(&settings.member, setup.clone()), shared: Shared::default() }),
         fresh: crate::fresh::Fresh::default(),
@@ -244,7 +243,13 @@
         seed: Cell::new(fastrand::u64(..)),
         setup,
         settings,
-    });
+    })
+}
+
+/// Runs the controller until its listeners fail.
+pub fn run(settings: Settings, tuning: Tuning) -> std::io::Result<()> {
+    let ex = Rc::new(smol::LocalExecutor::new());
+    let node = new(settings, &tuning, ex.clone());
     log::info!("event=start member={} api={} back={}", node.settings.member, node.settings.api_addr, node.settings.back);
     if !node.setup.cancels_in_time() {
         let (lease_s, cancel_s) = (node.setup.lease_s, node.setup.cancel_s);
--- /dev/null
+++ b/crates/ladderroute/tests/answers.rs
@@ -0,0 +1,248 @@
+//! What users are told, by any route, while the state service refuses, loses answers and carries
+//! transactions out late. The figures of a few real milliseconds decide nothing: only requests that
+//! are never answered run into a time-out.
+
+mod stand_in;
+
+use http::server::Response;
+use ladderroute::accept::{cancel, query, submit};
+use ladderroute::node::Node;
+use stand_in::{controller, Fate, Store};
+use std::future::Future;
+use std::rc::Rc;
+use wire::cbor;
+use wire::store::{from_value, to_value, Condition, JobRecord, Recorded, Txn, Value, Write};
+use wire::users::{Accepted, JobState, Progress};
+
+/// Runs a test with a store and two controllers.
+fn with<F: Future<Output = ()>>(test: impl FnOnce(Rc<Store>, [Rc<Node>; 2]) -> F) {
+    let ex = Rc::new(smol::LocalExecutor::new());
+    smol::block_on(ex.clone().run(async move {
+        let (store, addr) = Store::start(&ex).await;
+        let nodes = [controller(&ex, 0, addr).await, controller(&ex, 1, addr).await];
+        test(store, nodes).await;
+    }));
+}
+
+/// The protocol page's example of a submission, changed as the test wants.
+fn body(id: &str, change: impl FnOnce(&mut Vec<(Value, Value)>)) -> Vec<u8> {
+    let text = |s: &str| Value::Text(s.into());
+    let mut map: Vec<(Value, Value)> = vec![
+        (text("name_id"), text(id)),
+        (text("docket"), text("train")),
+        (text("crew"), text("vision")),
+        (text("shape"), text("ensemble")),
+        (text("urgency"), text("high")),
+        (text("tickets"), Value::Integer(16.into())),
+        (text("vcpus"), Value::Float(8.0)),
+        (text("gpus"), Value::Float(1.0)),
+        (text("mem_gb"), Value::Float(64.0)),
+        (text("kit"), text("img-07")),
+        (text("image_gb"), Value::Float(6.2)),
+        (text("chassis_list"), Value::Array(vec![text("g8")])),
+        (text("yard"), Value::Null),
+        (text("one_zone"), Value::Bool(true)),
+        (text("spread"), Value::Bool(false)),
+        (text("loaners"), Value::Bool(true)),
+        (text("expected_s"), Value::Float(240.0)),
+        (text("bookmark_s"), Value::Float(30.0)),
+        (text("stash_s"), Value::Float(4.0)),
+        (text("due_s"), Value::Float(900.0)),
+    ];
+    change(&mut map);
+    cbor::encode(&Value::Map(map))
+}
+
+fn set(map: &mut [(Value, Value)], name: &str, value: Value) {
+    let field = map.iter_mut().find(|(k, _)| *k == Value::Text(name.into())).unwrap();
+    field.1 = value;
+}
+
+fn accepted(r: &Response) -> (u16, JobState) {
+    (r.status, cbor::decode::<Accepted>(&r.body).unwrap().state)
+}
+
+fn told(r: &Response) -> (u16, JobState) {
+    (r.status, cbor::decode::<Progress>(&r.body).unwrap().state)
+}
+
+/// Writes the end of a job as a leader does.
+fn finish(store: &Store, id: &str) -> u16 {
+    let item = store.get(&store::keys::job(id)).unwrap();
+    let record: JobRecord = from_value(&item.value).unwrap();
+    let put = Write::Put { key: item.key.clone(), value: to_value(&JobRecord { state: Recorded::Done, ..record }), lease: None };
+    store.apply(&Txn { conditions: vec![Condition { key: item.key, version: item.version }], writes: vec![put] }).status
+}
+
+#[test]
+fn every_route_says_the_same_of_a_job() {
+    with(|_, [a, b]| async move {
+        let sent = body("wk-1", |_| ());
+        assert_eq!(query(&a, "wk-1").await.status, 404);
+        assert_eq!(accepted(&submit(&a, &sent).await), (201, JobState::Queued));
+        assert_eq!(told(&query(&b, "wk-1").await), (200, JobState::Queued));
+        assert_eq!(accepted(&submit(&b, &sent).await), (200, JobState::Queued));
+        assert_eq!(accepted(&cancel(&b, "wk-1").await), (200, JobState::Cancelled));
+        for n in [&a, &b] {
+            assert_eq!(told(&query(n, "wk-1").await), (200, JobState::Cancelled));
+            assert_eq!(accepted(&cancel(n, "wk-1").await), (200, JobState::Cancelled));
+            assert_eq!(accepted(&submit(n, &sent).await), (200, JobState::Cancelled));
+            assert_eq!((query(n, "wk-2").await.status, cancel(n, "wk-2").await.status), (404, 404));
+        }
+    });
+}
+
+#[test]
+fn a_submission_without_an_answer_is_read_back_and_never_undoes_anything() {
+    with(|store, [a, b]| async move {
+        store.fate.set(Fate::AnswerLost);
+        assert_eq!(accepted(&submit(&a, &body("wk-1", |_| ())).await), (200, JobState::Queued));
+        // Not carried out so far: neither accepted nor refused for good.
+        store.fate.set(Fate::Kept);
+        let r = submit(&a, &body("wk-2", |_| ())).await;
+        assert_eq!((r.status, r.retry_after_s.is_some()), (503, true));
+        assert_eq!(accepted(&submit(&b, &body("wk-2", |_| ())).await), (201, JobState::Queued));
+        assert_eq!(accepted(&cancel(&b, "wk-2").await), (200, JobState::Cancelled));
+        assert_eq!(store.carry_out_kept(), vec![409]);
+        for n in [&a, &b] {
+            assert_eq!(told(&query(n, "wk-2").await), (200, JobState::Cancelled));
+        }
+        // It alone, late: the job is known by every route from then on.
+        store.fate.set(Fate::Kept);
+        assert_eq!(submit(&a, &body("wk-3", |_| ())).await.status, 503);
+        assert_eq!(query(&b, "wk-3").await.status, 404);
+        assert_eq!(store.carry_out_kept(), vec![200]);
+        assert_eq!(told(&query(&b, "wk-3").await), (200, JobState::Queued));
+        assert_eq!(accepted(&submit(&a, &body("wk-3", |_| ())).await), (200, JobState::Queued));
+    });
+}
+
+#[test]
+fn a_cancellation_and_the_end_of_a_job_have_one_winner() {
+    with(|store, [a, b]| async move {
+        for id in ["wk-1", "wk-2", "wk-3", "wk-4"] {
+            assert_eq!(submit(&a, &body(id, |_| ())).await.status, 201);
+            assert_eq!(query(&b, id).await.status, 200);
+        }
+        // The end was written first, and the controller does not know.
+        assert_eq!(finish(&store, "wk-1"), 200);
+        assert_eq!(accepted(&cancel(&b, "wk-1").await), (200, JobState::Done));
+        // The cancellation is carried out without an answer: read back.
+        store.fate.set(Fate::AnswerLost);
+        assert_eq!(accepted(&cancel(&b, "wk-2").await), (200, JobState::Cancelled));
+        // It is kept and the job ends meanwhile: too late.
+        store.fate.set(Fate::Kept);
+        let (r, _) = smol::future::zip(cancel(&b, "wk-3"), async {
+            while store.fate.get() == Fate::Kept {
+                smol::Timer::after(std::time::Duration::from_millis(5)).await;
+            }
+            assert_eq!(finish(&store, "wk-3"), 200);
+        })
+        .await;
+        assert_eq!(accepted(&r), (200, JobState::Done));
+        assert_eq!(store.carry_out_kept(), vec![409]);
+        // It is kept, tried again and confirmed: the late one changes nothing, nor does the end.
+        store.fate.set(Fate::Kept);
+        assert_eq!(accepted(&cancel(&b, "wk-4").await), (200, JobState::Cancelled));
+        let before = store.get(&store::keys::job("wk-4")).unwrap().version;
+        assert_eq!(store.carry_out_kept(), vec![409]);
+        assert_eq!(store.get(&store::keys::job("wk-4")).unwrap().version, before);
+        for n in [&a, &b] {
+            for (id, state) in
+                [("wk-1", JobState::Done), ("wk-2", JobState::Cancelled), ("wk-3", JobState::Done), ("wk-4", JobState::Cancelled)]
+            {
+                assert_eq!(told(&query(n, id).await), (200, state), "{id}");
+                assert_eq!(accepted(&cancel(n, id).await), (200, state), "{id}");
+                assert_eq!(accepted(&submit(n, &body(id, |_| ())).await), (200, state), "{id}");
+            }
+        }
+    });
+}
+
+#[test]
+fn while_the_store_refuses_only_what_is_final_is_told() {
+    with(|store, [a, _]| async move {
+        for id in ["wk-1", "wk-2"] {
+            assert_eq!(submit(&a, &body(id, |_| ())).await.status, 201);
+        }
+        assert_eq!(cancel(&a, "wk-1").await.status, 200);
+        store.refuses.set(true);
+        assert_eq!(told(&query(&a, "wk-1").await), (200, JobState::Cancelled));
+        assert_eq!(accepted(&cancel(&a, "wk-1").await), (200, JobState::Cancelled));
+        assert_eq!(accepted(&submit(&a, &body("wk-1", |_| ())).await), (200, JobState::Cancelled));
+        for r in [
+            query(&a, "wk-2").await,
+            query(&a, "wk-3").await,
+            cancel(&a, "wk-2").await,
+            cancel(&a, "wk-3").await,
+            submit(&a, &body("wk-2", |_| ())).await,
+            submit(&a, &body("wk-3", |_| ())).await,
+            // What can never run may be known already, through another controller.
+            submit(&a, &body("wk-4", |m| set(m, "crew", Value::Text("nobody".into())))).await,
+        ] {
+            assert_eq!((r.status, r.retry_after_s.is_some()), (503, true));
+        }
+        store.refuses.set(false);
+        assert_eq!(told(&query(&a, "wk-2").await), (200, JobState::Queued));
+        assert_eq!(query(&a, "wk-3").await.status, 404);
+    });
+}
+
+#[test]
+fn odd_requests_are_refused_for_what_they_are() {
+    with(|store, [a, b]| async move {
+        let fields = cbor::decode::<Value>(&body("wk-9", |_| ())).unwrap().into_map().unwrap();
+        let optional = ["chassis_list", "yard", "due_s"];
+        for (i, (key, _)) in fields.iter().enumerate() {
+            let name = key.as_text().unwrap();
+            let lacks = submit(&a, &body(&format!("wk-{i}"), |m| drop(m.remove(i)))).await.status;
+            assert_eq!(lacks, if optional.contains(&name) { 201 } else { 400 }, "without {name}");
+            let odd = submit(&a, &body(&format!("wk-odd{i}"), |m| m[i].1 = Value::Map(vec![]))).await.status;
+            assert_eq!(odd, 400, "{name} of the wrong kind");
+            let null = submit(&a, &body(&format!("wk-null{i}"), |m| m[i].1 = Value::Null)).await.status;
+            assert_eq!(null, if optional.contains(&name) { 201 } else { 400 }, "{name} null");
+        }
+        let text = |s: &str| Value::Text(s.into());
+        for (name, value) in [
+            ("tickets", Value::Integer(0.into())),
+            ("tickets", Value::Integer(100_001.into())),
+            ("tickets", Value::Integer((-1).into())),
+            ("tickets", Value::Float(1.5)),
+            ("vcpus", Value::Float(-1.0)),
+            ("vcpus", Value::Float(f64::NAN)),
+            ("mem_gb", text("64")),
+            ("shape", text("heap")),
+            ("urgency", text("now")),
+            ("name_id", text("")),
+            ("name_id", text("a/b")),
+        ] {
+            let r = submit(&a, &body("wk-400", |m| set(m, name, value.clone()))).await;
+            assert_eq!(r.status, 400, "{name} {value:?}");
+        }
+        assert_eq!(submit(&a, b"\xff\x00").await.status, 400);
+        for (name, value) in [
+            ("crew", text("nobody")),
+            ("chassis_list", Value::Array(vec![text("g9")])),
+            ("chassis_list", Value::Array(vec![])),
+            ("vcpus", Value::Float(97.0)),
+            ("gpus", Value::Float(9.0)),
+            ("mem_gb", Value::Float(769.0)),
+            // A gang of all its tasks: 16 x 13 CPUs are more than the limit of 200.
+            ("vcpus", Value::Float(13.0)),
+        ] {
+            let r = submit(&a, &body("wk-422", |m| set(m, name, value.clone()))).await;
+            assert_eq!(r.status, 422, "{name} {value:?}");
+        }
+        assert!(store.get(&store::keys::job("wk-400")).is_none() && store.get(&store::keys::job("wk-422")).is_none());
+        assert_eq!((query(&a, "wk-400").await.status, query(&b, "wk-422").await.status), (404, 404));
+        // Of an array one task has to fit, and its repeat may be odd.
+        let array = |m: &mut Vec<(Value, Value)>| {
+            set(m, "shape", text("array"));
+            set(m, "vcpus", Value::Float(13.0));
+        };
+        assert_eq!(submit(&a, &body("wk-array", array)).await.status, 201);
+        let again = submit(&b, &body("wk-array", |m| set(m, "crew", text("nobody")))).await;
+        assert_eq!(accepted(&again), (200, JobState::Queued));
+        assert_eq!(submit(&a, &body("wk-array", |m| drop(m.remove(5)))).await.status, 200);
+    });
+}
--- /dev/null
+++ b/crates/ladderroute/tests/settings.rs
@@ -0,0 +1,86 @@
+//! The platform's settings: what is taken, and what is refused by name.
+
+use ladderroute::settings::Settings;
+const GOOD: &str = r#"
+member = "rung-0"
+domain = "a"
+api_addr = "127.0.0.1:8080"
+back = "127.0.0.1:8081"
+shoe_size = 43
+
+[[known]]
+member = "rung-1"
+domain = "a"
+endpoint = "127.0.0.2:8081"
+
+[services]
+cloud = "127.0.0.9:8443"
+state = "127.0.0.9:2379"
+
+[settings]
+initial_size = 2
+
+[[settings.teams]]
+name = "red"
+cpus = 10.0
+cpus_max = 20.0
+
+[[settings.objectives]]
+kind = "guarantee"
+within_s = 7.0
+share = 0.9
+
+[settings.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = 30.0
+
+[settings.state]
+rps = 50.0
+write_rps = 20.0
+value_kb = 4.0
+txn_ops = 12
+
+[settings.cloud]
+rps = 4.0
+list_lag_s = 8.0
+
+[settings.quota]
+cores = 0.1
+memory_mb = 64.0
+max_sockets = 500
+"#;
+
+/// The last one listed counted, so that gangs due in 100 s waited as if due in 250 s.
+#[test]
+fn of_several_start_objectives_of_a_class_the_shortest_counts() {
+    let text = format!(
+            "{GOOD}\n[[settings.objectives]]\nkind = \"wait\"\nclass = \"x\"\nwithin_s = 100.0\nshare = 0.8\n\n[[settings.objectives]]\nkind = \"wait\"\nclass = \"x\"\nwithin_s = 250.0\nshare = 0.9\n"
+        );
+    let s = Settings::parse(&text, "f").unwrap();
+    assert_eq!(s.setup(&ladderroute::operator::Tuning::default()).wait_s.get("x"), Some(&100.0));
+}
+
+#[test]
+fn unknown_fields_are_skipped_and_known_ones_used() {
+    let s = Settings::parse(GOOD, "f").unwrap();
+    let setup = s.setup(&ladderroute::operator::Tuning::default());
+    assert_eq!((s.known.len(), setup.guarantee_s, setup.teams["red"].cpus_max), (1, 7.0, 20.0));
+}
+
+#[test]
+fn what_is_wrong_is_refused_by_name() {
+    for (from, to, says) in [
+        ("member = \"rung-0\"", "", "member"),
+        ("lease_s = 10.0", "lease_s = 1.5", "settings.workers.lease_s"),
+        ("rps = 50.0", "rps = 0.0", "settings.state.rps"),
+        ("cpus_max = 20.0", "cpus_max = 2.0", "settings.teams.cpus of red"),
+        ("member = \"rung-1\"", "member = \"rung-0\"", "known.member"),
+        ("127.0.0.9:2379", "somewhere", "state"),
+    ] {
+        let error = Settings::parse(&GOOD.replacen(from, to, 1), "f").unwrap_err().to_string();
+        assert!(error.contains(says), "{error} does not name {says}");
+    }
+}
