Bound the back-off of failing jobs; rent nothing for a gang that no zone may hold

Cause, from reading the holds for the 90 s rule: the back-off after errors grew to 64 reports, with reports every 10 s up to 800 s beside free machines; and a gang with one_zone and spread was asked for in vain in each pass, and machines were rented for it. Both tests in model/tests/waits.rs are red without the change (waits of 316 s and more; 3 machines rented).

--- a/crates/model/src/world/script.rs
+++ b/crates/model/src/world/script.rs
@@ -99,6 +99,11 @@
         self.workers.values().flat_map(Self::live_on).filter(|(j, _, _)| j == id).count()
     }
 
+    /// Machines that were ever rented.
+    pub fn rented(&self) -> u64 {
+        self.hosts
+    }
+
     /// What the store says of a job: done, cancelled, or neither yet.
     pub fn outcome(&self, id: &str) -> Option<&'static str> {
         let j = self.jobs.get(id)?;
--- /dev/null
+++ b/crates/model/tests/waits.rs
@@ -0,0 +1,65 @@
+//! Work that waits: for how long at most, and what is never placed.
+
+use model::world::{job, machine_view, setup, Defect, World};
+use sched::leader::{Deed, Earlier, Leader, OpenJob};
+use sched::ranges::Ranges;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use wire::peers::{TaskRef, TaskView, ToLeader, ToOwner};
+use wire::store::RosterRecord;
+use wire::users::{Job, Shape};
+use wire::workers::{TaskState, Why};
+
+/// A job's tasks fail again and again; with reports every 10 s the back-off grew to 800 s, so that
+/// it waited beside a free machine long after the faulty one was gone.
+#[test]
+fn a_job_that_failed_often_is_tried_again_within_the_users_time() {
+    let s = sched::setup::Setup { report_s: 10.0, lease_s: 45.0, cancel_s: 75.0, keep_boots: 1e6, ..setup() };
+    let spec = Rc::new(job(1, "red", Shape::Array, 1, 1.0));
+    let open = OpenJob { spec, revision: 1, done: Ranges::default(), earlier: Earlier::Anywhere };
+    let roster = BTreeMap::from([("host-1".to_string(), RosterRecord { kind: "small".into(), zone: "a".into(), spot: false })]);
+    let mut leader = Leader::new("rung-0", s, 1, 1, 4.0, vec![open], &roster, 1, 0.0);
+    leader.catalog(vec![model::world::machine_type("small", 4.0, 16.0, 0.3)]);
+    let (mut now, mut tries, mut seq) = (0.0, Vec::new(), 0);
+    while now < 600.0 {
+        now += 0.5;
+        leader.tick(now, 0);
+        let mut exits = Vec::new();
+        for deed in leader.drain() {
+            if let Deed::Send(_, ToOwner::Give { job, attempt, .. }) = deed {
+                tries.push(now);
+                let task = TaskRef { job, index: 0, attempt };
+                exits.push(TaskView { task, state: TaskState::Exited, why: Some(Why::Error), saved: false });
+            }
+        }
+        seq += 1;
+        let mut view = machine_view("host-1", "small", exits);
+        view.session = seq;
+        leader.on_owner("rung-0", ToLeader::Machines(vec![view]), now);
+    }
+    let waits: Vec<f64> = tries.windows(2).map(|w| w[1] - w[0]).collect();
+    assert!(waits.len() > 8, "{tries:?}");
+    assert!(waits[4] > waits[0], "it does not grow: {waits:?}");
+    assert!(waits.iter().all(|w| *w < 60.0), "{waits:?}");
+}
+
+/// `one_zone` together with `spread`: a gang of several tasks can never be placed and an array only
+/// half at a time. The gang stays known, rents nothing and holds nobody up, until it is cancelled.
+#[test]
+fn what_no_zone_may_hold_stays_known_and_costs_nothing() {
+    let both = |id: u32, shape, tasks| Job { one_zone: true, spread: true, ..job(id, "red", shape, tasks, 1.0) };
+    for seed in 0..4 {
+        let mut w = World::new(seed, Defect::None);
+        w.submit(both(1, Shape::Gang, 2));
+        w.pass(60.0);
+        assert_eq!(w.rented(), 0, "seed {seed}");
+        w.submit(both(2, Shape::Array, 4));
+        w.submit(both(3, Shape::Gang, 1));
+        w.submit(job(4, "red", Shape::Gang, 3, 1.0));
+        w.pass(120.0);
+        assert_eq!(w.open_jobs(), ["wk-000001"], "seed {seed}\n{}", w.explain());
+        assert!(w.cancel("wk-000001"));
+        w.calm(30.0);
+        assert!(w.broken.is_empty() && w.open_jobs().is_empty(), "seed {seed}: {:?}", w.broken);
+    }
+}
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -388,6 +388,10 @@
             return;
         }
         let n = job.spec.tasks;
+        if job.spec.one_zone && job.spec.spread && n.div_ceil(2) < n {
+            // No zone may hold all of it: it stays known until it is cancelled, and rents nothing.
+            return;
+        }
         let zones: Vec<Option<String>> = match (&needs.zone, job.spec.one_zone) {
             (None, true) => self.index.zones().iter().map(|z| Some(z.to_string())).collect(),
             (zone, _) => vec![zone.clone()],
--- a/crates/sched/src/views.rs
+++ b/crates/sched/src/views.rs
@@ -8,6 +8,10 @@
 use wire::store::RosterRecord;
 use wire::workers::{TaskState, Why};
 
+/// A job whose tasks fail waits no longer than this, about: no job may wait 90 s beside room for it (a
+/// figure of the users), and the cause may have been a machine.
+const LONGEST_BACKOFF_S: Secs = 45.0;
+
 impl Leader {
     /// Takes a message of an owner.
     pub fn on_owner(&mut self, from: &str, message: ToLeader, now: Secs) {
@@ -235,7 +239,7 @@
             match why {
                 Why::Error | Why::NoSuch => {
                     job.failures += 1;
-                    let wait = base * f64::from(1u32 << job.failures.min(6)) * (0.75 + 0.5 * self.rng.f64());
+                    let wait = (base * f64::from(1u32 << job.failures.min(6))).min(LONGEST_BACKOFF_S) * (0.75 + 0.5 * self.rng.f64());
                     job.backoff_until = job.backoff_until.max(now + wait);
                     if why == Why::Error {
                         if let Some(m) = self.machines.get_mut(machine) {
