--- a/crates/model/tests/knowledge.rs
+++ b/crates/model/tests/knowledge.rs
@@ -216,3 +216,21 @@
     leader.token_result(Some(2), 2.6);
     assert_eq!(told(&mut leader), vec![vec!["wk-000001".to_string(), "wk-000009".to_string()]]);
 }
+
+/// A start that the owner took on by itself and gave up before any view showed it: the leader has to
+/// hear of it, or the task stays with that owner for ever.
+#[test]
+fn a_start_that_is_given_up_before_it_was_shown_is_handed_back() {
+    let mut o = owner();
+    o.on_report(&report(1, 5, None), 10.5, &OPEN);
+    o.tick(11.0);
+    o.drain();
+    let ToOwner::Give { job, attempt, needs, tasks } = give() else { unreachable!() };
+    o.on_leader(ToOwner::Ahead { job, attempt, needs, tasks, wait_ms: 5000 }, 11.0, &OPEN);
+    o.drain();
+    assert_eq!(orders(o.on_report(&report(2, 5, None), 11.01, &OPEN)).len(), 1);
+    o.on_leader(ToOwner::Use { machine: "host-1".into(), usable: false }, 11.02, &OPEN);
+    assert_eq!(orders(o.on_report(&report(3, 5, None), 11.03, &OPEN)), vec![]);
+    let back = |m: &ToLeader| matches!(m, ToLeader::HandBack { job, attempt: 3, tasks } if job == "wk-1" && *tasks == [(0, 1)]);
+    assert!(o.drain().iter().any(back));
+}
--- a/crates/model/tests/waits.rs
+++ b/crates/model/tests/waits.rs
@@ -63,3 +63,45 @@
         assert!(w.broken.is_empty() && w.open_jobs().is_empty(), "seed {seed}: {:?}", w.broken);
     }
 }
+
+/// Both machines of a gang were lost between hold and bind, at two owners: the second refusal came when
+/// the gang was ending already and was not heard, so that its task stayed with that owner for ever.
+#[test]
+fn a_gang_whose_owners_all_refuse_the_bind_begins_anew() {
+    let spec = Rc::new(job(1, "red", Shape::Gang, 2, 3.0));
+    let members = ["rung-1", "rung-2"].map(String::from);
+    let host = |owner: &str| (0..99).map(|i| format!("host-{i}")).find(|h| sched::part::owner(h, &members) == Some(owner)).unwrap();
+    let hosts = ["rung-1", "rung-2"].map(host);
+    let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
+    let roster: BTreeMap<_, _> = hosts.iter().map(|h| (h.clone(), record.clone())).collect();
+    let open = OpenJob { spec, revision: 1, done: Ranges::default(), earlier: Earlier::Untouched };
+    let mut leader = Leader::new("rung-0", setup(), 1, 1, 4.0, vec![open], &roster, 1, 0.0);
+    leader.catalog(vec![model::world::machine_type("small", 4.0, 16.0, 0.3)]);
+    members.iter().for_each(|m| leader.owner_heard(m, 0.5));
+    leader.tick(0.6, 2);
+    for (m, h) in members.iter().zip(&hosts) {
+        leader.on_owner(m, ToLeader::Machines(vec![machine_view(h, "small", vec![])]), 0.7);
+    }
+    let mut now = 0.8;
+    let mut hold = |leader: &mut Leader| {
+        for _ in 0..100 {
+            now += 0.5;
+            members.iter().for_each(|m| leader.owner_heard(m, now));
+            leader.tick(now, 2);
+            let held = leader.drain().into_iter().find_map(|d| match d {
+                Deed::Send(_, ToOwner::Hold { attempt, .. }) => Some(attempt),
+                _ => None,
+            });
+            if let Some(attempt) = held {
+                members.iter().for_each(|m| leader.on_owner(m, ToLeader::HoldAnswer { attempt, held: true }, now));
+                leader.bind_result("wk-000001", attempt, true, now);
+                members.iter().for_each(|m| leader.on_owner(m, ToLeader::HoldAnswer { attempt, held: false }, now));
+                return Some(attempt);
+            }
+        }
+        None
+    };
+    let first = hold(&mut leader).expect("it is held at first");
+    let again = hold(&mut leader).expect("it is held again");
+    assert!(again > first);
+}
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -357,16 +357,10 @@
         m.tasks = tasks;
         m.notice_s = report.notice_s;
         if m.is_deaf() {
-            for (task, _) in std::mem::take(&mut m.pending) {
-                if !m.tasks.contains_key(&task) {
-                    log::info!("event=start_lost task={}/{} machine={}", task.job, task.index, report.machine);
-                    let tasks = vec![(task.index, 1)];
-                    self.out.push(ToLeader::HandBack { job: task.job, attempt: task.attempt, tasks });
-                    self.show = true;
-                }
-            }
+            log::info!("event=starts_lost machine={} tasks={}", report.machine, m.pending.len());
+            self.show |= give_up(m, &mut self.out, |_| true);
         }
-        settle(m, over);
+        settle(m, over, &mut self.out);
         let starts = now < self.authority.starts_until();
         if starts {
             self.fill(&report.machine, jobs);
@@ -448,7 +442,7 @@
                 log::info!("event=machine_lapsed machine={name} tasks={}", m.tasks.len());
                 m.lapsed = true;
                 m.tasks.clear();
-                m.pending.clear();
+                give_up(m, &mut self.out, |_| true);
                 m.stops.clear();
                 m.clears.clear();
                 m.images.clear();
@@ -624,20 +618,37 @@
     }
 }
 
+/// Takes back starts that certainly did not take effect and never will, and says so. A view alone does
+/// not: the leader may never have been shown that this machine took them on.
+fn give_up(m: &mut Machine, out: &mut Vec<ToLeader>, which: impl Fn(&TaskRef) -> bool) -> bool {
+    let before = m.pending.len();
+    let tasks = &m.tasks;
+    m.pending.retain(|t, _| {
+        let drop = !tasks.contains_key(t) && which(t);
+        if drop {
+            out.push(ToLeader::HandBack { job: t.job.clone(), attempt: t.attempt, tasks: vec![(t.index, 1)] });
+        }
+        !drop
+    });
+    let changed = m.pending.len() != before;
+    m.dirty |= changed;
+    changed
+}
+
 /// The newest report of a machine has just been taken. It settles every earlier order: a start that
 /// it lacks did not take effect and never will. What it shows of jobs that are over is to be stopped,
 /// in every answer until a report shows it gone, whoever owned the machine before and whether or not
 /// the leader has said so.
-fn settle(m: &mut Machine, over: impl Fn(&str) -> bool) {
-    let before = m.pending.len();
+fn settle(m: &mut Machine, over: impl Fn(&str) -> bool, out: &mut Vec<ToLeader>) {
     for t in m.tasks.values().filter(|t| t.state != TaskState::Exited && over(&t.task.job)) {
         m.stops.insert(t.task.clone(), 0.0);
     }
-    let (tasks, stops) = (&m.tasks, &m.stops);
-    m.pending.retain(|t, _| !tasks.contains_key(t) && !stops.contains_key(t) && !over(&t.job));
-    if !m.usable || m.notice_s.is_some() {
-        m.pending.clear();
-    }
+    let (stops, closed) = (std::mem::take(&mut m.stops), !m.usable || m.notice_s.is_some());
+    give_up(m, out, |t| closed || stops.contains_key(t) || over(&t.job));
+    m.stops = stops;
+    let tasks = &m.tasks;
+    let before = m.pending.len();
+    m.pending.retain(|t, _| !tasks.contains_key(t));
     m.dirty |= m.pending.len() != before;
     m.clears.retain(|t| tasks.get(t).is_some_and(|v| v.state == TaskState::Exited));
     m.stops.retain(|t, _| tasks.get(t).is_some_and(|v| v.state != TaskState::Exited));
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -437,7 +437,9 @@
     pub(crate) fn on_hold_answer(&mut self, from: &str, attempt: u64, held: bool, now: Secs) {
         let found = self.jobs.iter().find(|(_, j)| match &j.phase {
             Phase::Holding { attempt: a, .. } | Phase::Binding { attempt: a, .. } | Phase::Running { attempt: a } => *a == attempt,
-            _ => false,
+            // Another owner has refused its part before.
+            Phase::Ending => j.active.values().any(|a| a.attempt == attempt),
+            Phase::Idle => false,
         });
         let Some(id) = found.map(|(id, _)| id.clone()) else { return };
         let Some(job) = self.jobs.get_mut(&id) else { return };
@@ -454,7 +456,7 @@
                 log::info!("event=hold_refused job={id} owner={from}");
                 self.end_hold(&id, now, true);
             }
-            Phase::Running { .. } if !held => {
+            Phase::Running { .. } | Phase::Ending if !held => {
                 // The room was given up before the binding came: the gang has to begin anew.
                 let lost: Vec<u32> =
                     job.active.iter().filter(|(_, a)| matches!(&a.place, Place::Given(o, _) if o == from)).map(|(i, _)| *i).collect();
