--- a/crates/ladderroute/src/accept.rs
+++ b/crates/ladderroute/src/accept.rs
@@ -100,7 +100,10 @@
         Some(Err(why)) => {
             return match look_up(node, &job.id).await {
                 Ok(Some(e)) => accepted(200, &job.id, state_of(node, &job.id, &e)),
-                Ok(None) => refuse(422, why),
+                Ok(None) => {
+                    log::info!("event=never_runs job={} team={} error=\"{why}\"", job.id, job.team);
+                    refuse(422, why)
+                }
                 Err(r) => r,
             }
         }
--- a/crates/ladderroute/src/settings.rs
+++ b/crates/ladderroute/src/settings.rs
@@ -32,14 +32,25 @@
 #[derive(Clone, Debug, Deserialize)]
 pub struct TeamSettings {
     pub name: String,
+    /// Guarantees; 0 means none.
     pub cpus: f64,
-    pub cpus_max: f64,
     #[serde(default)]
     pub gpus: f64,
+    /// Limits. 0 CPUs means that the team has no limit, of either kind.
+    #[serde(default)]
+    pub cpus_max: f64,
     #[serde(default)]
     pub gpus_max: f64,
 }
 
+impl TeamSettings {
+    fn team(&self) -> Team {
+        let limited = self.cpus_max > 0.0;
+        let limit = |most: f64| if limited { most } else { f64::INFINITY };
+        Team { cpus: self.cpus, cpus_max: limit(self.cpus_max), gpus: self.gpus, gpus_max: limit(self.gpus_max) }
+    }
+}
+
 #[derive(Clone, Debug, Deserialize)]
 pub struct Objective {
     pub kind: String,
@@ -147,8 +158,12 @@
             return bad("settings.workers.lease_s", "must be more than twice settings.workers.report_s");
         }
         for t in &p.teams {
-            for (name, low, high) in [("cpus", t.cpus, t.cpus_max), ("gpus", t.gpus, t.gpus_max)] {
-                if !(low >= 0.0 && high >= low && high.is_finite()) {
+            if !(t.cpus_max >= 0.0 && t.cpus_max.is_finite() && t.gpus_max >= 0.0 && t.gpus_max.is_finite()) {
+                return bad(&format!("settings.teams.cpus_max of {}", t.name), "limits must not be negative");
+            }
+            let team = t.team();
+            for (name, low, high) in [("cpus", team.cpus, team.cpus_max), ("gpus", team.gpus, team.gpus_max)] {
+                if !(low >= 0.0 && low.is_finite() && high >= low) {
                     return bad(&format!("settings.teams.{name} of {}", t.name), "must lie between 0 and the team's limit");
                 }
             }
@@ -159,11 +174,7 @@
     /// What the decisions need to know.
     pub fn setup(&self, tuning: &crate::operator::Tuning) -> Setup {
         let p = &self.settings;
-        let teams: BTreeMap<String, Team> = p
-            .teams
-            .iter()
-            .map(|t| (t.name.clone(), Team { cpus: t.cpus, cpus_max: t.cpus_max, gpus: t.gpus, gpus_max: t.gpus_max }))
-            .collect();
+        let teams: BTreeMap<String, Team> = p.teams.iter().map(|t| (t.name.clone(), t.team())).collect();
         let guarantee_s = p.objectives.iter().filter(|o| o.kind == "guarantee").find_map(|o| o.within_s);
         // Of several objectives for the start of one class the shortest counts.
         let mut wait_s: BTreeMap<String, f64> = BTreeMap::new();
--- a/crates/ladderroute/tests/answers.rs
+++ b/crates/ladderroute/tests/answers.rs
@@ -235,6 +235,12 @@
         }
         assert!(store.get(&store::keys::job("wk-400")).is_none() && store.get(&store::keys::job("wk-422")).is_none());
         assert_eq!((query(&a, "wk-400").await.status, query(&b, "wk-422").await.status), (404, 404));
+        // A team without a limit may have any job that fits the machines.
+        let guest = |m: &mut Vec<(Value, Value)>| {
+            set(m, "crew", text("guest"));
+            set(m, "vcpus", Value::Float(96.0));
+        };
+        assert_eq!(submit(&a, &body("wk-guest", guest)).await.status, 201);
         // Of an array one task has to fit, and its repeat may be odd.
         let array = |m: &mut Vec<(Value, Value)>| {
             set(m, "shape", text("array"));
--- a/crates/ladderroute/tests/settings.rs
+++ b/crates/ladderroute/tests/settings.rs
@@ -84,3 +84,19 @@
         assert!(error.contains(says), "{error} does not name {says}");
     }
 }
+
+/// A guest team has neither a guarantee nor a limit: "a value of 0 means none" was taken as a limit
+/// of nothing, so that each of its jobs was refused as one that can never run.
+#[test]
+fn a_limit_of_none_is_no_limit() {
+    let guest = "cpus = 0.0\ncpus_max = 0.0";
+    let s = Settings::parse(&GOOD.replacen("cpus = 10.0\ncpus_max = 20.0", guest, 1), "f").unwrap();
+    let team = s.setup(&ladderroute::operator::Tuning::default()).teams["red"].clone();
+    assert_eq!((team.cpus, team.gpus), (0.0, 0.0));
+    assert_eq!((team.cpus_max, team.gpus_max), (f64::INFINITY, f64::INFINITY));
+    // With a limit on CPUs, none for GPUs means that the team has none.
+    let team = Settings::parse(GOOD, "f").unwrap().setup(&ladderroute::operator::Tuning::default()).teams["red"].clone();
+    assert_eq!((team.cpus_max, team.gpus_max), (20.0, 0.0));
+    let negative = Settings::parse(&GOOD.replacen("cpus_max = 20.0", "cpus_max = -1.0", 1), "f").unwrap_err().to_string();
+    assert!(negative.contains("settings.teams.cpus_max of red"), "{negative}");
+}
