Tell a job that fails everywhere from a faulty machine

Cause, from reading: a machine on which two jobs failed is drained as faulty, though the jobs may fail anywhere; the room that their tasks lacked was rented again and again; and the tasks of one array that failed together counted as so many failures, so that one faulty machine put the whole job off for the longest back-off. Change: a job that failed on three machines and was done on none since blames no machine, tries one task at a time (a gang as a whole), and counts as demand only when it has waited for another back-off; what fails together is one failure. Test: a_job_that_fails_on_every_machine_drains_and_rents_none.

--- a/crates/model/tests/waits.rs
+++ b/crates/model/tests/waits.rs
@@ -105,3 +105,48 @@
     let again = hold(&mut leader).expect("it is held again");
     assert!(again > first);
 }
+
+/// A job that was submitted with a mistake fails on every machine. Two such jobs made healthy machines
+/// look faulty, which were drained, and others were rented for what failed there again.
+#[test]
+fn a_job_that_fails_on_every_machine_drains_and_rents_none() {
+    let s = sched::setup::Setup { keep_boots: 1e6, ..setup() };
+    let open = |id, revision| {
+        let spec = Rc::new(job(id, "red", Shape::Array, 12, 1.0));
+        OpenJob { spec, revision, done: Ranges::default(), earlier: Earlier::Anywhere }
+    };
+    let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
+    let hosts: Vec<String> = (1..=4).map(|i| format!("host-{i}")).collect();
+    let roster: BTreeMap<_, _> = hosts.iter().map(|h| (h.clone(), record.clone())).collect();
+    let mut leader = Leader::new("rung-0", s, 1, 1, 4.0, vec![open(1, 1), open(2, 2)], &roster, 2, 0.0);
+    leader.catalog(vec![model::world::machine_type("small", 4.0, 16.0, 0.3)]);
+    let (mut now, mut given, mut bad) = (0.0, Vec::new(), Vec::new());
+    let mut waiting: BTreeMap<String, Vec<TaskView>> = BTreeMap::new();
+    while now < 200.0 {
+        now += 0.5;
+        leader.tick(now, 0);
+        let mut turn = 0;
+        for deed in leader.drain() {
+            match deed {
+                Deed::Send(_, ToOwner::Give { job, attempt, tasks, .. }) => {
+                    given.push((now, tasks.iter().map(|(_, n)| n).sum::<u32>()));
+                    for index in tasks.iter().flat_map(|(a, n)| *a..a + n) {
+                        // Spread over the machines, as an owner does.
+                        let task = TaskRef { job: job.clone(), index, attempt };
+                        let view = TaskView { task, state: TaskState::Exited, why: Some(Why::Error), saved: false };
+                        waiting.entry(hosts[turn % hosts.len()].clone()).or_default().push(view);
+                        turn += 1;
+                    }
+                }
+                Deed::Hire(_) if now > 2.0 => bad.push(format!("{now}: rented")),
+                Deed::Send(_, ToOwner::Use { machine, usable: false }) => bad.push(format!("{now}: {machine} drained")),
+                _ => {}
+            }
+        }
+        let views = hosts.iter().map(|h| machine_view(h, "small", waiting.remove(h).unwrap_or_default())).collect();
+        leader.on_owner("rung-0", ToLeader::Machines(views), now);
+    }
+    assert_eq!(bad, Vec::<String>::new());
+    // After the first ones, one task at a time shows whether it still fails.
+    assert!(given.len() > 8 && given[2..].iter().all(|(_, n)| *n == 1), "{given:?}");
+}
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -110,11 +110,16 @@
     pub begun: Begun,
     pub backoff_until: Secs,
     pub failures: u32,
+    /// Machines on which its tasks failed since one of them was last done, a few.
+    pub failed_on: BTreeSet<String>,
     pub phase: Phase,
     pub clears: Vec<(String, TaskRef)>,
     pub within: bool,
 }
 
+/// A job that failed on so many machines, and was done on none, is taken to fail on any.
+const MACHINES_TO_BLAME_JOB: usize = 3;
+
 impl Job {
     pub fn room(&self) -> Room {
         Room { cpus: self.spec.cpus, gpus: self.spec.gpus, memory_gb: self.spec.memory_gb }
@@ -122,6 +127,10 @@
     pub fn is_gang(&self) -> bool {
         self.spec.shape == Shape::Gang
     }
+    /// Whether it fails wherever it is tried, so that the fault is its own and not the machines'.
+    pub(crate) fn is_broken(&self) -> bool {
+        self.failed_on.len() >= MACHINES_TO_BLAME_JOB
+    }
     /// The smallest number of tasks that may run: all of a gang, one of an array.
     pub(crate) fn minimum(&self) -> u32 {
         if self.is_gang() {
@@ -547,6 +556,7 @@
             },
             backoff_until: 0.0,
             failures: 0,
+            failed_on: BTreeSet::new(),
             phase: Phase::Idle,
             clears: Vec::new(),
             within: false,
@@ -730,6 +740,7 @@
             }
         }
         job.failures = 0;
+        job.failed_on.clear();
         if let Some(since) = started {
             let s = self.classes.entry(job.spec.class.clone()).or_default();
             s.count += 1;
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -8,6 +8,7 @@
 use crate::leader::{Active, Begun, Deed, Job, Leader, Machine, Phase, Place};
 use crate::place::{Room, SLACK};
 use crate::ranges::runs;
+use crate::views::LONGEST_BACKOFF_S;
 use crate::Secs;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -246,19 +247,19 @@
     }
 
     fn place_array(&mut self, id: &str, needs: &Needs, quota: u32, pass: &mut Pass, now: Secs) {
-        let Some(job) = self.jobs.get(id) else { return };
+        let Some((begun, cpus)) = self.jobs.get(id).map(|j| (j.begun, j.spec.cpus)) else { return };
         let found = self.index.fits_beside(needs, pass.aside_for(id));
         // Recorded before its first start, so that a later leader knows which jobs an earlier
         // one has never touched and need not wait for every machine with them.
-        if job.begun != Begun::Yes {
+        if begun != Begun::Yes {
             let fits = found.iter().map(|f| f.times).fold(0, u32::saturating_add).min(quota);
             if fits < quota {
-                self.fleet.unmet.push((id.into(), quota - fits));
+                self.want_room(id, quota - fits, now);
             }
             // Those whose turn comes soon are recorded in time.
             let turnover = *pass.turnover.get_or_insert_with(|| self.turnover());
             let soon = pass.queued <= turnover * self.reaction_s() * AHEAD_WAIT;
-            pass.queued += f64::from(quota - fits) * job.spec.cpus;
+            pass.queued += f64::from(quota - fits) * cpus;
             if let Some(job) = self.jobs.get_mut(id).filter(|_| soon || fits > 0) {
                 job.begun = Begun::Asked;
             }
@@ -305,13 +306,21 @@
         }
         if placed < quota {
             pass.queued += room.cpus * f64::from(quota - placed);
-            self.fleet.unmet.push((id.into(), quota - placed));
+            self.want_room(id, quota - placed, now);
             if !zoned {
                 self.give_ahead(id, needs, quota - placed, pass, now);
             }
         }
     }
 
+    /// What found no room counts as demand. For what fails wherever it is tried nothing is rented at
+    /// once, but should it be the machines' fault after all, it must not wait for ever.
+    fn want_room(&mut self, id: &str, tasks: u32, now: Secs) {
+        if self.jobs.get(id).is_some_and(|j| !j.is_broken() || now - j.backoff_until > LONGEST_BACKOFF_S) {
+            self.fleet.unmet.push((id.into(), tasks));
+        }
+    }
+
     /// The time after which room that a report showed has a task from here.
     fn reaction_s(&self) -> Secs {
         self.setup.report_s.min(1.0) / 2.0 + self.setup.report_s / crate::owner::VIEWS_PER_REPORT
@@ -402,7 +411,7 @@
             fit(self.index.fits_beside(&needs, pass.aside_for(id)), n, most_in_zone)
         });
         let Some(counts) = found else {
-            self.fleet.unmet.push((id.into(), n));
+            self.want_room(id, n, now);
             return;
         };
         let room = job.room();
@@ -537,7 +546,11 @@
     /// How many more tasks of a job its team's limit allows (all or nothing for a gang).
     fn quota(&self, job: &Job) -> u32 {
         let Some(free) = self.limits.get(&job.spec.team) else { return 0 };
-        let n = free.times(Room { memory_gb: 0.0, ..job.room() }).min(job.ready.len());
+        let mut n = free.times(Room { memory_gb: 0.0, ..job.room() }).min(job.ready.len());
+        if job.is_broken() && !job.is_gang() {
+            // One at a time shows whether it still fails.
+            n = n.min(1).saturating_sub(job.active.len() as u32);
+        }
         if job.is_gang() && n < job.spec.tasks {
             0
         } else {
--- a/crates/sched/src/views.rs
+++ b/crates/sched/src/views.rs
@@ -10,7 +10,7 @@
 
 /// A job whose tasks fail waits no longer than this, about: no job may wait 90 s beside room for it (a
 /// figure of the users), and the cause may have been a machine.
-const LONGEST_BACKOFF_S: Secs = 45.0;
+pub(crate) const LONGEST_BACKOFF_S: Secs = 45.0;
 
 impl Leader {
     /// Takes a message of an owner.
@@ -238,12 +238,28 @@
             let base = self.setup.report_s;
             match why {
                 Why::Error | Why::NoSuch => {
-                    job.failures += 1;
-                    let wait = (base * f64::from(1u32 << job.failures.min(6))).min(LONGEST_BACKOFF_S) * (0.75 + 0.5 * self.rng.f64());
-                    job.backoff_until = job.backoff_until.max(now + wait);
-                    if why == Why::Error {
-                        if let Some(m) = self.machines.get_mut(machine) {
-                            m.failed_jobs.insert(task.job.clone());
+                    // The many tasks of an array that fail together are one failure.
+                    if now >= job.backoff_until {
+                        job.failures += 1;
+                        let wait = (base * f64::from(1u32 << job.failures.min(6))).min(LONGEST_BACKOFF_S);
+                        job.backoff_until = now + wait * (0.75 + 0.5 * self.rng.f64());
+                    }
+                    if why == Why::Error && !job.is_broken() {
+                        job.failed_on.insert(machine.into());
+                        // Several machines, one job: they are not to blame, also not for what it did before.
+                        let broken = job.is_broken();
+                        for name in std::mem::take(&mut job.failed_on) {
+                            if let Some(m) = self.machines.get_mut(&name) {
+                                if broken {
+                                    m.failed_jobs.remove(&task.job);
+                                } else {
+                                    m.failed_jobs.insert(task.job.clone());
+                                }
+                            }
+                            job.failed_on.insert(name);
+                        }
+                        if broken {
+                            log::info!("event=job_fails_anywhere job={}", task.job);
                         }
                     }
                 }
