--- a/crates/ladderroute/src/main.rs
+++ b/crates/ladderroute/src/main.rs
@@ -33,6 +33,7 @@
         }
     };
     if args.check_config {
+        node::tell_if_tight(&settings.setup(&tuning));
         println!("ladderroute: settings are valid");
         return std::process::ExitCode::SUCCESS;
     }
--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -246,15 +246,20 @@
     })
 }
 
+/// Says what the settings make impossible, though the service starts with them.
+pub fn tell_if_tight(setup: &Setup) {
+    if !setup.cancels_in_time() {
+        let (lease_s, cancel_s) = (setup.lease_s, setup.cancel_s);
+        log::error!("event=settings_tight lease_s={lease_s} cancel_s={cancel_s} error=\"a cancelled task may run on for longer than cancel_s while the state service fails\"");
+    }
+}
+
 /// Runs the controller until its listeners fail.
 pub fn run(settings: Settings, tuning: Tuning) -> std::io::Result<()> {
     let ex = Rc::new(smol::LocalExecutor::new());
     let node = new(settings, &tuning, ex.clone());
     log::info!("event=start member={} api={} back={}", node.settings.member, node.settings.api_addr, node.settings.back);
-    if !node.setup.cancels_in_time() {
-        let (lease_s, cancel_s) = (node.setup.lease_s, node.setup.cancel_s);
-        log::error!("event=settings_tight lease_s={lease_s} cancel_s={cancel_s} error=\"a cancelled task may run on for longer than cancel_s while the state service fails\"");
-    }
+    tell_if_tight(&node.setup);
     let run = ex.clone();
     smol::block_on(run.run(async move {
         let api = smol::net::TcpListener::bind(node.settings.api_addr).await?;
