--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -15,6 +15,9 @@
 
 mod rules;
 mod script;
+mod store;
+
+use store::Pending;
 
 /// Deliberate defects, to show that the checkers notice them.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -90,27 +93,6 @@
     Answer { worker: String, session: u64, seq: u64, answer: Answer },
 }
 
-/// A write of a leader on its way to the store.
-struct Pending {
-    at: f64,
-    by: u64,
-    deed: Deed,
-    /// The version that its key must have.
-    expected: u64,
-    late: bool,
-}
-
-/// The key that a deed replaces; none for what has a condition of its own or is no write.
-fn key(deed: &Deed) -> Option<String> {
-    match deed {
-        Deed::Roster(machine, _) => Some(format!("roster/{machine}")),
-        Deed::Bind { job, .. } => Some(format!("binding/{job}")),
-        Deed::Begin(_) => Some("begun".into()),
-        Deed::Progress { job, chunk, .. } => Some(format!("progress/{job}/{chunk}")),
-        _ => None,
-    }
-}
-
 struct Controller {
     owner: Owner,
     down_until: f64,
@@ -926,245 +908,6 @@
         OpenJob { spec: Rc::new(spec), revision: j.revision, done: j.done.clone(), earlier: j.earlier.clone() }
     }
 
-    // ---- store and cloud ----
-
-    /// Controllers look at the store every few steps; answers take their time. What a look shows
-    /// is known before anything else is done on the strength of it.
-    fn run_looks(&mut self) {
-        let now = self.now;
-        for i in 0..self.controllers.len() {
-            if let Some((sent, _)) = self.controllers[i].look.filter(|(_, at)| now >= *at) {
-                self.controllers[i].look = None;
-                if self.reaches_store(i) {
-                    self.learn(i, sent);
-                }
-            }
-            if self.controllers[i].look.is_none() && now - self.controllers[i].seen >= TTL / 5.0 && self.reaches_store(i) {
-                let usual = if self.rng.u32(0..100) < 2 { 1.2 } else { 0.1 };
-                self.controllers[i].look = Some((now, now + self.slow_looks + self.rng.f64() * usual));
-            }
-        }
-    }
-
-    /// Up to when a controller's replica shows what is over.
-    fn known_to(&self, i: usize) -> f64 {
-        if matches!(self.defect, Defect::IgnoreCancel | Defect::ForgetCancelled) {
-            return f64::MIN;
-        }
-        self.controllers[i].seen
-    }
-
-    fn learn(&mut self, i: usize, sent: f64) {
-        let before = std::mem::replace(&mut self.controllers[i].seen, sent);
-        if let Some((_, mut leader, id)) = self.leader.take_if(|(me, _, _)| *me == i) {
-            let new = |at: f64| at > before && at <= sent;
-            for j in self.jobs.values().filter(|j| new(j.accepted) && !self.kept_from_leader(&j.spec)) {
-                leader.add_job(self.told(j));
-            }
-            if self.defect != Defect::IgnoreCancel {
-                let over = self.jobs.iter().filter(|(_, j)| j.over.is_some_and(new));
-                over.for_each(|(id, _)| leader.job_over(id));
-            }
-            self.leader = Some((i, leader, id));
-        }
-        self.controllers[i].owner.authority.learn(sent);
-    }
-
-    /// The version that the leader believes the key of a write to have.
-    fn expected(&self, deed: &Deed) -> u64 {
-        key(deed).and_then(|k| self.known_versions.get(&k).copied()).unwrap_or(0)
-    }
-
-    fn run_writes(&mut self) {
-        let now = self.now;
-        let mut i = 0;
-        while i < self.writes.len() {
-            if self.writes[i].at > now {
-                i += 1;
-                continue;
-            }
-            let write = self.writes.remove(i);
-            let Some((me, mut leader, id)) = self.leader.take() else { continue };
-            // A write of an earlier leader fails on its condition.
-            if id == write.by {
-                if write.late {
-                    self.carry_out_late(&mut leader, write);
-                } else {
-                    self.carry_out_now(me, &mut leader, write);
-                }
-            }
-            self.leader = Some((me, leader, id));
-        }
-    }
-
-    fn carry_out_now(&mut self, me: usize, leader: &mut Leader, write: Pending) {
-        let reached = self.reaches_store(me);
-        // No answer, and it is carried out later: after newer ones.
-        if reached && key(&write.deed).is_some() && self.rng.u32(0..100) < self.late_writes {
-            let at = self.now + 2.0 + self.rng.f64() * 10.0;
-            *self.troubles.entry("late write").or_default() += 1;
-            self.writes.push(Pending { at, late: true, deed: write.deed.clone(), ..write });
-            self.carry_out(leader, write.deed, false, false);
-            return;
-        }
-        let ok = reached && self.rng.u32(0..100) >= 3 && self.admits(&write);
-        // Now and then it is carried out, but the answer is lost.
-        let told = ok && self.rng.u32(0..100) >= 2;
-        if ok {
-            self.moved(&write.deed);
-        }
-        if told || reached && !ok {
-            // It was carried out, or refused and then looked at.
-            if let Some(k) = key(&write.deed) {
-                let version = self.versions.get(&k).copied().unwrap_or(0);
-                self.known_versions.insert(k, version);
-            }
-        }
-        self.carry_out(leader, write.deed, ok, told);
-    }
-
-    /// The leader has taken it for not done long ago; only the store changes.
-    fn carry_out_late(&mut self, leader: &mut Leader, write: Pending) {
-        if self.now < self.store_down_until || !self.admits(&write) {
-            return;
-        }
-        self.moved(&write.deed);
-        let mut nobody = Leader::new("nobody", self.setup.clone(), 0, leader.token(), 4.0, vec![], &BTreeMap::new(), 0, self.now);
-        self.carry_out(&mut nobody, write.deed, true, false);
-    }
-
-    /// Whether a write's key is still as its writer knew it.
-    fn admits(&self, write: &Pending) -> bool {
-        let Some(k) = key(&write.deed) else { return true };
-        self.defect == Defect::NoVersions || self.versions.get(&k).copied().unwrap_or(0) == write.expected
-    }
-
-    fn moved(&mut self, deed: &Deed) {
-        if let Some(k) = key(deed) {
-            *self.versions.entry(k).or_default() += 1;
-        }
-    }
-
-    /// Carries a deed out if `ok`, and tells the leader its outcome, or that it is not known.
-    fn carry_out(&mut self, leader: &mut Leader, deed: Deed, ok: bool, told: bool) {
-        let now = self.now;
-        match deed {
-            Deed::NewToken => {
-                if ok {
-                    self.term += 1;
-                }
-                leader.token_result(told.then_some(self.term), now);
-            }
-            Deed::Roster(machine, record) => {
-                let put = record.is_some();
-                if let (true, Some(r)) = (ok, record) {
-                    self.roster.insert(machine.clone(), r);
-                } else if ok {
-                    self.roster.remove(&machine);
-                }
-                leader.roster_result(&machine, put, told);
-            }
-            Deed::Progress { job, chunk, bits, .. } => {
-                let mut written = Ranges::default();
-                let bytes: Vec<u8> = (0..bits.len() / 2).filter_map(|i| u8::from_str_radix(&bits[i * 2..i * 2 + 2], 16).ok()).collect();
-                written.add_bits(chunk * chunk_bits(4.0), &bytes, u32::MAX);
-                if ok {
-                    if let Some(j) = self.jobs.get_mut(&job) {
-                        written.iter().for_each(|i| {
-                            j.done.insert(i);
-                        });
-                    }
-                }
-                leader.progress_result(&job, chunk, told.then_some(&written));
-            }
-            Deed::Finish { job } => {
-                let open = self.jobs.get(&job).is_some_and(|j| j.over.is_none());
-                if ok && open {
-                    self.finish(&job);
-                }
-                leader.finish_result(&job, ok && open);
-            }
-            Deed::Begin(record) => {
-                for j in self.jobs.values_mut().filter(|j| ok && j.spec.shape != Shape::Gang) {
-                    j.earlier = if record.covers(j.revision) { Earlier::Anywhere } else { Earlier::Untouched };
-                }
-                if ok {
-                    self.begun = self.begun.max(record.upto);
-                }
-                leader.begin_result(&record, told);
-            }
-            Deed::Bind { job, attempt, places } => {
-                if let Some(j) = self.jobs.get_mut(&job).filter(|_| ok) {
-                    j.earlier = Earlier::Bound(places.into_iter().map(|(m, _, _)| m).collect());
-                }
-                leader.bind_result(&job, attempt, told, now);
-            }
-            Deed::Hire(hire) => {
-                let names = ok.then(|| self.hire(&hire));
-                leader.hired(&hire.name, names.filter(|_| told), now);
-            }
-            Deed::Release(names) => {
-                if ok {
-                    for n in &names {
-                        self.workers.remove(n);
-                    }
-                }
-                leader.released(&names, told);
-            }
-            Deed::Send(..) => {}
-        }
-        if self.defect == Defect::HalfDone {
-            let half: Vec<String> =
-                self.jobs.iter().filter(|(_, j)| j.over.is_none() && j.done.len() * 2 >= j.spec.tasks).map(|(id, _)| id.clone()).collect();
-            half.iter().for_each(|id| self.finish(id));
-        }
-    }
-
-    /// Records a job as done; the truth is what the workers have completed.
-    fn finish(&mut self, id: &str) {
-        let now = self.now;
-        let Some(j) = self.jobs.get_mut(id) else { return };
-        let completed = (0..j.spec.tasks).filter(|i| self.completed.contains(&(id.to_string(), *i))).count() as u32;
-        let all = completed == j.spec.tasks || j.spec.shape == Shape::Gang && completed > 0;
-        j.over = Some(now);
-        self.done += 1;
-        if !all {
-            self.break_rule("not_done");
-        }
-    }
-
-    fn hire(&mut self, hire: &Hire) -> Vec<String> {
-        let here = self.workers.values().filter(|w| !w.gone && w.kind == hire.kind && w.zone == hire.zone && w.spot == hire.spot).count();
-        let n = (hire.count as usize).min(3usize.saturating_sub(here));
-        let mut names = Vec::new();
-        for _ in 0..n {
-            self.hosts += 1;
-            let machine = format!("host-{:06}", self.hosts);
-            let up_at = self.now + 1.0 + self.rng.f64() * 3.0;
-            let w = Worker {
-                kind: hire.kind.clone(),
-                zone: hire.zone.clone(),
-                spot: hire.spot,
-                up_at,
-                gone: false,
-                hung_until: 0.0,
-                deaf_until: 0.0,
-                mute_until: 0.0,
-                session: 1,
-                seq: 0,
-                token: 0,
-                lease_from: up_at,
-                tasks: BTreeMap::new(),
-                target: self.rng.usize(0..3),
-                next: up_at,
-                flight: None,
-            };
-            self.workers.insert(machine.clone(), w);
-            names.push(machine);
-        }
-        names
-    }
-
     /// What the leader knows, in words.
     pub fn explain(&self) -> String {
         let Some((me, l, _)) = &self.leader else { return "no leader".into() };
@@ -1244,6 +987,22 @@
     }
 }
 
+/// A report of a machine of type `small` in zone `a`.
+pub fn report(machine: &str, session: u64, seq: u64, token: u64, tasks: Vec<TaskReport>) -> Report {
+    Report {
+        machine: machine.into(),
+        addr: String::new(),
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: false,
+        session,
+        seq,
+        token,
+        notice_s: None,
+        tasks,
+    }
+}
+
 /// A machine in zone `a` as its owner shows it under the first token.
 pub fn machine_view(name: &str, kind: &str, tasks: Vec<TaskView>) -> MachineView {
     MachineView {
--- a/crates/model/tests/knowledge.rs
+++ b/crates/model/tests/knowledge.rs
@@ -49,18 +49,7 @@
 fn report(seq: u64, token: u64, state: Option<TaskState>) -> Report {
     let why = (state == Some(TaskState::Exited)).then_some(Why::Stopped);
     let task = |state| TaskReport { task: "wk-1/0".into(), attempt: 3, state, why, saved: None };
-    Report {
-        machine: "host-1".into(),
-        addr: String::new(),
-        kind: "small".into(),
-        zone: "a".into(),
-        spot: false,
-        session: 1,
-        seq,
-        token,
-        notice_s: None,
-        tasks: state.into_iter().map(task).collect(),
-    }
+    model::world::report("host-1", 1, seq, token, state.into_iter().map(task).collect())
 }
 
 fn orders(answer: Answer) -> Vec<Order> {
--- a/crates/model/tests/leader_and_owner.rs
+++ b/crates/model/tests/leader_and_owner.rs
@@ -34,18 +34,13 @@
 }
 
 fn report(session: u64, seq: u64, token: u64) -> Report {
-    Report {
-        machine: "host-1".into(),
-        addr: String::new(),
-        kind: "small".into(),
-        zone: "a".into(),
-        spot: false,
+    model::world::report(
+        "host-1",
         session,
         seq,
         token,
-        notice_s: None,
-        tasks: vec![TaskReport { task: "wk-1/0".into(), attempt: 3, state: TaskState::Exited, why: Some(Why::Done), saved: None }],
-    }
+        vec![TaskReport { task: "wk-1/0".into(), attempt: 3, state: TaskState::Exited, why: Some(Why::Done), saved: None }],
+    )
 }
 
 /// An owner whose part is one machine, since token 5.
