--- a/crates/model/tests/meetings.rs
+++ b/crates/model/tests/meetings.rs
@@ -424,3 +424,17 @@
     w.calm(150.0);
     assert!(w.broken.contains("waits"), "it went unnoticed: {:?}", w.broken);
 }
+
+/// A leader that never learns of cancellations goes on starting tasks of what is called off.
+#[test]
+fn starting_what_was_cancelled_is_noticed() {
+    let script = |w: &mut World| {
+        for i in 0..6 {
+            w.submit(job(900 + i, "red", Shape::Array, 12, 2.0));
+        }
+        w.pass(2.0);
+        assert!((900..906).filter(|i| w.cancel(&format!("wk-{i:06}"))).count() > 0);
+        w.pass(30.0);
+    };
+    assert!(breaks("started_cancelled", Defect::IgnoreCancel, setup(), script), "it went unnoticed");
+}
