--- /dev/null
+++ b/crates/model/tests/reclaim.rs
@@ -0,0 +1,115 @@
+//! Resources taken back for gangs of several tasks: for the whole gang or not at all.
+
+use model::world::{job, machine_type, machine_view, setup};
+use sched::leader::{Deed, Earlier, Leader, OpenJob};
+use sched::ranges::Ranges;
+use sched::setup::Setup;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use wire::peers::{TaskRef, TaskView, ToLeader, ToOwner};
+use wire::store::RosterRecord;
+use wire::users::{Job, Priority, Shape};
+use wire::workers::{TaskState, Why};
+
+const ARRAY_ATTEMPT: u64 = 7;
+const HOSTS: [&str; 2] = ["host-1", "host-2"];
+
+/// A leader whose two machines, with room for one task each, run the first two tasks of an array.
+struct Scene {
+    leader: Leader,
+    now: f64,
+    /// What each machine reports.
+    tasks: BTreeMap<&'static str, Vec<TaskView>>,
+    stopped: BTreeSet<TaskRef>,
+    rented: u32,
+    given: u32,
+}
+
+fn array_task(index: u32, state: TaskState, why: Option<Why>) -> TaskView {
+    let task = TaskRef { job: "wk-000001".into(), index, attempt: ARRAY_ATTEMPT };
+    TaskView { task, state, why, saved: why.is_some() }
+}
+
+impl Scene {
+    fn new(array: Job, gang: Job) -> Scene {
+        let setup = Setup { keep_boots: 1e6, ..setup() };
+        let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
+        let roster = HOSTS.iter().map(|host| (host.to_string(), record.clone())).collect();
+        let open = |job: Job, revision, earlier| OpenJob { spec: Rc::new(job), revision, done: Ranges::default(), earlier };
+        let mut leader = Leader::new("rung-0", setup, 1, 1, 4.0, vec![open(array, 1, Earlier::Anywhere)], &roster, 1, 0.0);
+        leader.catalog(vec![machine_type("small", 4.0, 16.0, 0.3)]);
+        let running = |index| vec![array_task(index, TaskState::Running, None)];
+        let tasks = HOSTS.iter().zip(0..).map(|(host, index)| (*host, running(index))).collect();
+        let mut scene = Scene { leader, now: 0.0, tasks, stopped: BTreeSet::new(), rented: 0, given: 0 };
+        scene.pass(1.0);
+        scene.rented = 0;
+        scene.leader.add_job(open(gang, 2, Earlier::Untouched));
+        scene
+    }
+
+    /// Lets time pass; says whether room for a gang was held meanwhile.
+    fn pass(&mut self, seconds: f64) -> bool {
+        let mut held = false;
+        let end = self.now + seconds;
+        while self.now < end {
+            self.now += 0.25;
+            self.leader.tick(self.now, 0);
+            for deed in self.leader.drain() {
+                match deed {
+                    Deed::Send(_, ToOwner::Stop { task, .. }) => {
+                        self.stopped.insert(task);
+                    }
+                    Deed::Send(_, ToOwner::Hold { .. }) => held = true,
+                    Deed::Send(_, ToOwner::Give { .. } | ToOwner::Ahead { .. }) => self.given += 1,
+                    Deed::Hire(hire) => self.rented += hire.count,
+                    _ => {}
+                }
+            }
+            let views = self.tasks.iter().map(|(host, tasks)| machine_view(host, "small", tasks.clone())).collect();
+            self.leader.on_owner("rung-0", ToLeader::Machines(views), self.now);
+        }
+        held
+    }
+
+    fn exits(&mut self, host: &'static str, index: u32) {
+        self.tasks.insert(host, vec![array_task(index, TaskState::Exited, Some(Why::Stopped))]);
+    }
+}
+
+fn guest_array() -> Job {
+    Job { priority: Priority::BestEffort, checkpoint_s: 30.0, save_s: 2.0, ..job(1, "blue", Shape::Array, 2, 4.0) }
+}
+
+/// Long tasks of low priority held all machines that a gang fits on; room was taken back for single
+/// tasks only, so the gang waited for their ends.
+#[test]
+fn a_whole_gang_has_room_taken_back_and_kept_until_it_is_complete() {
+    let mut scene = Scene::new(guest_array(), job(2, "red", Shape::Gang, 2, 3.0));
+    assert!(!scene.pass(2.0));
+    assert_eq!(scene.stopped.iter().map(|task| task.index).collect::<Vec<_>>(), [0, 1]);
+    // One machine is free before the other: the array does not get it back.
+    scene.exits("host-1", 0);
+    assert!(!scene.pass(1.0));
+    scene.exits("host-2", 1);
+    assert!(scene.pass(1.0), "the gang's room is held as soon as all of it is free");
+    assert_eq!(scene.given, 0, "nothing else is placed there meanwhile");
+    assert!(scene.rented <= 2, "{}: only for the tasks that were stopped", scene.rented);
+}
+
+/// Half a gang's room serves nobody.
+#[test]
+fn nothing_is_stopped_for_a_gang_that_would_still_lack_room() {
+    let mut scene = Scene::new(guest_array(), job(2, "red", Shape::Gang, 3, 2.5));
+    scene.pass(4.0);
+    assert!(scene.stopped.is_empty(), "{:?}", scene.stopped);
+    assert!(scene.rented > 0, "it is rented for instead");
+}
+
+/// Work of the same priority that its team runs within its guarantee is left alone.
+#[test]
+fn a_gang_takes_nothing_from_what_is_within_a_guarantee() {
+    let array = Job { priority: Priority::Standard, ..guest_array() };
+    let mut scene = Scene::new(array, job(2, "red", Shape::Gang, 2, 3.0));
+    scene.pass(4.0);
+    assert!(scene.stopped.is_empty(), "{:?}", scene.stopped);
+}
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -190,6 +190,9 @@
             let Some(job) = self.jobs.get(&id) else { continue };
             let room = job.room();
             let needs = self.needs_sparing(job, scarce);
+            if now < job.reclaims_until {
+                continue;
+            }
             if job.is_gang() {
                 let mut slots = busy.take().unwrap_or_else(|| self.busy_until(&needs, now));
                 if !self.can_wait(&id, &needs, &mut slots, now) {
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -115,6 +115,9 @@
     pub phase: Phase,
     pub clears: Vec<(String, TaskRef)>,
     pub within: bool,
+    /// Tasks of others were told to stop so that this whole gang has room. Until then that room is
+    /// set aside for it and nothing is rented.
+    pub reclaims_until: Secs,
 }
 
 /// A job that failed on so many machines, and was done on none, is taken to fail on any.
@@ -127,6 +130,10 @@
     pub fn is_gang(&self) -> bool {
         self.spec.shape == Shape::Gang
     }
+    /// Whether several tasks can only start together.
+    pub(crate) fn needs_many_at_once(&self) -> bool {
+        self.is_gang() && self.spec.tasks > 1
+    }
     /// Whether it fails wherever it is tried, so that the fault is its own and not the machines'.
     pub(crate) fn is_broken(&self) -> bool {
         self.failed_on.len() >= MACHINES_TO_BLAME_JOB
@@ -560,6 +567,7 @@
             phase: Phase::Idle,
             clears: Vec::new(),
             within: false,
+            reclaims_until: 0.0,
             spec: j.spec,
         };
         self.fleet.arrived(&job.spec);
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -2,12 +2,13 @@
 //!
 //! Only two kinds of tasks are stopped: work that another team runs beyond its own guarantee,
 //! and work of lower priority. Those that began last lose least, so they go first, and no
-//! more than the guarantee lacks.
+//! more than the guarantee lacks. For a gang of several tasks either all of its room is taken
+//! back or nothing is stopped.
 
 use crate::leader::{Job, Leader, Place};
 use crate::place::{tier, Room, SLACK};
 use crate::Secs;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use wire::peers::Needs;
 use wire::users::Priority;
 
@@ -22,6 +23,12 @@
 /// it costs more to repeat than its end is away.
 const MOST_LOST: f64 = 0.25;
 
+/// Report intervals within which a stop has reached its machine and the machine has shown the end.
+const REPORTS_TO_STOP: f64 = 3.0;
+
+/// A machine, as a position among the candidates, and the tasks to stop there.
+type Stops = (usize, Vec<Victim>);
+
 /// A task that may be stopped.
 #[derive(Clone)]
 struct Victim {
@@ -37,6 +44,7 @@
 }
 
 /// A machine with what may be stopped there, what loses least first.
+#[derive(Clone)]
 struct Field {
     name: String,
     kind: String,
@@ -47,6 +55,15 @@
     victims: Vec<Victim>,
 }
 
+/// How a whole gang gets its room, and what is left of the candidates then.
+struct Plan {
+    /// CPU seconds of work that is stopped.
+    lost: f64,
+    stops: Vec<Stops>,
+    used: BTreeMap<String, Room>,
+    fields: Vec<(usize, Field)>,
+}
+
 impl Leader {
     /// Stops what the protocol allows for entries that the pass could not place. The look at
     /// all tasks is made only when there is somebody who may have others stopped.
@@ -54,14 +71,7 @@
         if now - self.preempted_at < self.setup.guarantee_s * PATIENCE / 2.0 {
             return;
         }
-        let due = |(id, n): &(String, u32)| {
-            let job = self.jobs.get(id)?;
-            let waited = now - job.seen;
-            let in_time = waited >= self.setup.guarantee_s * PATIENCE && waited <= self.setup.guarantee_s;
-            let starved = waited > self.setup.guarantee_s * STARVED;
-            let whole = !job.is_gang() || job.spec.tasks == 1;
-            ((in_time || starved) && whole && (job.within || self.lower(job.spec.priority))).then(|| (id.clone(), *n))
-        };
+        let due = |(id, n): &(String, u32)| self.may_reclaim(self.jobs.get(id)?, now).then(|| (id.clone(), *n));
         let due: Vec<(String, u32)> = self.fleet.unmet.iter().filter_map(due).collect();
         let mut used = self.used_after_stops();
         let over = |(team, used): (&String, &Room)| self.setup.teams.get(team).is_some_and(|t| used.cpus > t.cpus + SLACK);
@@ -73,19 +83,96 @@
         for (id, n) in due {
             let Some(job) = self.jobs.get(&id) else { continue };
             let needs = self.needs(job, None);
+            if job.needs_many_at_once() {
+                let stops = self.make_room_for_gang(job, &needs, &mut fields, &mut used);
+                if let Some(stops) = stops {
+                    self.reclaim(&id, &fields, stops, now);
+                }
+                continue;
+            }
             for _ in 0..n {
                 let Some(job) = self.jobs.get(&id) else { break };
-                let Some((at, victims)) = self.make_room(job, &needs, &mut fields, &mut used) else { break };
-                for v in victims {
-                    log::info!("event=preempt task={}/{} machine={} for={id}", v.job, v.index, fields[at].name);
-                    let grace =
-                        self.jobs.get(&v.job).map_or(0.0, |j| if j.spec.checkpoint_s > 0.0 { j.spec.save_s * 1.2 + 0.5 } else { 0.0 });
-                    self.stop_task(&v.job, v.index, grace);
-                }
+                let Some(stops) = self.make_room(job, &needs, &mut fields, &mut used) else { break };
+                self.stop_victims(&id, &fields, vec![stops]);
+            }
+        }
+    }
+
+    /// Whether others may be stopped for a job that found no room.
+    fn may_reclaim(&self, job: &Job, now: Secs) -> bool {
+        let waited = now - job.seen;
+        let mut window = self.setup.guarantee_s * PATIENCE..=self.setup.guarantee_s;
+        if job.needs_many_at_once() {
+            // Many machines at once seldom become free by themselves, and would be rented meanwhile. It
+            // is worth trying for as long as its class's objective can still be met.
+            let objective = self.setup.wait_s.get(&job.spec.class).copied().unwrap_or_default();
+            window = 0.0..=objective.max(self.setup.guarantee_s);
+        }
+        let in_time = window.contains(&waited);
+        let starved = waited > self.setup.guarantee_s * STARVED;
+        (in_time || starved) && (job.within || self.lower(job.spec.priority))
+    }
+
+    /// Has room for a whole gang taken back, and kept for it meanwhile.
+    fn reclaim(&mut self, id: &str, fields: &[Field], stops: Vec<Stops>, now: Secs) {
+        let victims = stops.iter().flat_map(|(_, victims)| victims);
+        let grace_s = victims.map(|v| self.grace_s(&v.job)).fold(0.0, f64::max);
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.reclaims_until = now + grace_s + self.setup.report_s * REPORTS_TO_STOP;
+        }
+        self.stop_victims(id, fields, stops);
+    }
+
+    /// How long a task of a job may take to save when it is stopped.
+    fn grace_s(&self, id: &str) -> Secs {
+        self.jobs.get(id).filter(|j| j.spec.checkpoint_s > 0.0).map_or(0.0, |j| j.spec.save_s * 1.2 + 0.5)
+    }
+
+    /// Has victims stopped, with time to save where their jobs can.
+    fn stop_victims(&mut self, id: &str, fields: &[Field], stops: Vec<Stops>) {
+        for (at, victims) in stops {
+            for v in victims {
+                log::info!("event=preempt task={}/{} machine={} for={id}", v.job, v.index, fields[at].name);
+                self.stop_task(&v.job, v.index, self.grace_s(&v.job));
             }
         }
     }
 
+    /// Finds room for all tasks of a gang, in the zone where that costs least if it wants one. Half
+    /// a gang's room serves nobody: without room for the whole nothing is stopped.
+    fn make_room_for_gang(&self, job: &Job, needs: &Needs, fields: &mut [Field], used: &mut BTreeMap<String, Room>) -> Option<Vec<Stops>> {
+        if job.spec.spread {
+            return None;
+        }
+        let zones: BTreeSet<Option<String>> = if job.spec.one_zone && needs.zone.is_none() {
+            fields.iter().map(|f| Some(f.zone.clone())).collect()
+        } else {
+            BTreeSet::from([needs.zone.clone()])
+        };
+        let plans = zones.into_iter().filter_map(|zone| self.plan_in_zone(job, &Needs { zone, ..needs.clone() }, fields, used));
+        let plan = plans.min_by(|a, b| a.lost.total_cmp(&b.lost))?;
+        for (at, field) in plan.fields {
+            fields[at] = field;
+        }
+        *used = plan.used;
+        Some(plan.stops)
+    }
+
+    /// What would have to be stopped in one zone for a whole gang; none if it can't be had there.
+    fn plan_in_zone(&self, job: &Job, needs: &Needs, fields: &[Field], used: &BTreeMap<String, Room>) -> Option<Plan> {
+        let allowed = |f: &Field| tier(needs, &f.kind, &f.zone, f.spot).is_some();
+        let (positions, mut fields): (Vec<usize>, Vec<Field>) =
+            fields.iter().enumerate().filter(|(_, f)| allowed(f)).map(|(at, f)| (at, f.clone())).unzip();
+        let mut used = used.clone();
+        let mut stops = Vec::new();
+        for _ in 0..job.spec.tasks {
+            let (at, victims) = self.make_room(job, needs, &mut fields, &mut used)?;
+            stops.push((positions[at], victims));
+        }
+        let lost = stops.iter().flat_map(|(_, victims)| victims).map(|v| v.lost_s * v.room.cpus).sum();
+        Some(Plan { lost, stops, used, fields: positions.into_iter().zip(fields).collect() })
+    }
+
     /// Whether work of a lower priority than this runs.
     fn lower(&self, priority: Priority) -> bool {
         self.jobs.values().any(|j| j.spec.priority > priority && !j.active.is_empty())
@@ -134,7 +221,7 @@
 
     /// Finds room for one task where that costs least: the machine and what is to be stopped
     /// there (nothing if earlier stops will free enough). None if it can't be had.
-    fn make_room(&self, job: &Job, needs: &Needs, fields: &mut [Field], used: &mut BTreeMap<String, Room>) -> Option<(usize, Vec<Victim>)> {
+    fn make_room(&self, job: &Job, needs: &Needs, fields: &mut [Field], used: &mut BTreeMap<String, Room>) -> Option<Stops> {
         let room = job.room();
         let allowed = |f: &Field| tier(needs, &f.kind, &f.zone, f.spot).is_some();
         if let Some((at, f)) = fields.iter_mut().enumerate().find(|(_, f)| f.free.holds(room) && allowed(f)) {
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -77,8 +77,8 @@
     /// machine that becomes free, for ever.
     fn set_aside(&self, scarce: &BTreeSet<(String, bool)>, now: Secs) -> Option<(String, Needs)> {
         let waits = |job: &Job| {
-            let whole = job.is_gang() && job.spec.tasks > 1 && job.phase == Phase::Idle && !job.over && !job.ready.is_empty();
-            whole && self.waits_long(&job.spec.id, now)
+            let whole = job.needs_many_at_once() && job.phase == Phase::Idle && !job.over && !job.ready.is_empty();
+            whole && (now < job.reclaims_until || self.waits_long(&job.spec.id, now))
         };
         let unmet = self.fleet.unmet.iter().filter_map(|(id, _)| Some((self.jobs.get(id)?, id)));
         let (_, id) = unmet.filter(|(job, _)| waits(job)).min_by_key(|(job, _)| job.revision)?;
