--- a/crates/model/tests/waits.rs
+++ b/crates/model/tests/waits.rs
@@ -150,3 +150,37 @@
     // After the first ones, one task at a time shows whether it still fails.
     assert!(given.len() > 8 && given[2..].iter().all(|(_, n)| *n == 1), "{given:?}");
 }
+
+/// Of a job that failed on two machines both were blamed again at the second failure, also the one that had
+/// completed other work since: the next job's failure there had a healthy machine drained.
+#[test]
+fn only_the_machine_of_a_failure_is_blamed_for_it() {
+    let open = |id, revision| {
+        let spec = Rc::new(job(id, "red", Shape::Array, 6, 1.0));
+        OpenJob { spec, revision, done: Ranges::default(), earlier: Earlier::Anywhere }
+    };
+    let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
+    let roster = ["host-1", "host-2"].map(|host| (host.to_string(), record.clone())).into();
+    let s = sched::setup::Setup { keep_boots: 1e6, ..setup() };
+    let mut leader = Leader::new("rung-0", s, 1, 1, 4.0, vec![open(1, 1), open(2, 2), open(3, 3)], &roster, 3, 0.0);
+    leader.catalog(vec![model::world::machine_type("small", 4.0, 16.0, 0.3)]);
+    let task = |job: u32, index| TaskRef { job: format!("wk-{job:06}"), index, attempt: 7 };
+    let running = |task| TaskView { task, state: TaskState::Running, why: None, saved: false };
+    let exited = |task, why| TaskView { task, state: TaskState::Exited, why: Some(why), saved: false };
+    let mut now = 0.0;
+    let mut drained = |host_1: Vec<TaskView>, host_2: Vec<TaskView>| {
+        now += 1.0;
+        leader.tick(now, 0);
+        let views = vec![machine_view("host-1", "small", host_1), machine_view("host-2", "small", host_2)];
+        leader.on_owner("rung-0", ToLeader::Machines(views), now);
+        leader.tick(now + 0.9, 0);
+        leader.drain().iter().any(|deed| matches!(deed, Deed::Send(_, ToOwner::Use { usable: false, .. })))
+    };
+    // Job 1 fails on the first machine, which then completes a task of job 3.
+    drained(vec![running(task(1, 0)), running(task(3, 0)), running(task(2, 0))], vec![running(task(1, 1))]);
+    assert!(!drained(vec![exited(task(1, 0), Why::Error), running(task(3, 0)), running(task(2, 0))], vec![running(task(1, 1))]));
+    assert!(!drained(vec![exited(task(3, 0), Why::Done), running(task(2, 0))], vec![running(task(1, 1))]));
+    // It fails on the second one as well, and job 2 on the first.
+    assert!(!drained(vec![running(task(2, 0))], vec![exited(task(1, 1), Why::Error)]));
+    assert!(!drained(vec![exited(task(2, 0), Why::Error)], vec![]), "a healthy machine is drained");
+}
--- a/crates/sched/src/views.rs
+++ b/crates/sched/src/views.rs
@@ -244,23 +244,8 @@
                         let wait = (base * f64::from(1u32 << job.failures.min(6))).min(LONGEST_BACKOFF_S);
                         job.backoff_until = now + wait * (0.75 + 0.5 * self.rng.f64());
                     }
-                    if why == Why::Error && !job.is_broken() {
-                        job.failed_on.insert(machine.into());
-                        // Several machines, one job: they are not to blame, also not for what it did before.
-                        let broken = job.is_broken();
-                        for name in std::mem::take(&mut job.failed_on) {
-                            if let Some(m) = self.machines.get_mut(&name) {
-                                if broken {
-                                    m.failed_jobs.remove(&task.job);
-                                } else {
-                                    m.failed_jobs.insert(task.job.clone());
-                                }
-                            }
-                            job.failed_on.insert(name);
-                        }
-                        if broken {
-                            log::info!("event=job_fails_anywhere job={}", task.job);
-                        }
+                    if why == Why::Error {
+                        self.blame(machine, &task.job);
                     }
                 }
                 Why::Full | Why::InUse => job.backoff_until = job.backoff_until.max(now + base),
@@ -271,6 +256,26 @@
         self.clear(machine, task.clone());
     }
 
+    /// Counts a failure against the machine it happened on, until the job has failed on so many that the
+    /// fault is its own: then it counts against none of them. Machines of earlier failures are not blamed
+    /// again: they may have completed other work since.
+    fn blame(&mut self, machine: &str, id: &str) {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| !job.is_broken()) else { return };
+        job.failed_on.insert(machine.into());
+        if !job.is_broken() {
+            if let Some(m) = self.machines.get_mut(machine) {
+                m.failed_jobs.insert(id.into());
+            }
+            return;
+        }
+        for name in &job.failed_on {
+            if let Some(m) = self.machines.get_mut(name) {
+                m.failed_jobs.remove(id);
+            }
+        }
+        log::info!("event=job_fails_anywhere job={id}");
+    }
+
     /// Settles what waited for machines to be accounted for.
     pub(crate) fn settle(&mut self) {
         let mut ready = Vec::new();
