Spend fewer store requests on watches, and let followers write in bursts

Under many questions quick looks, paced at 0.35 of the rate, and the watch, at 0.2, brought the same changes twice. Changes: no watch is opened while quick looks follow each other closely; followers may write two seconds' worth at once and keep a tenth of it for cancellations. Ruled out: refusals by the store (0), writes (3,100 in 876 s).

--- a/crates/ladderroute/src/fresh.rs
+++ b/crates/ladderroute/src/fresh.rs
@@ -20,6 +20,15 @@
 pub struct Fresh {
     waiting: RefCell<Vec<Sender<bool>>>,
     busy: Cell<bool>,
+    /// When the newest quick look was answered.
+    answered: Cell<Option<Instant>>,
+}
+
+impl Fresh {
+    /// Whether quick looks follow each other at least this closely, as when many users ask.
+    fn looks_every(&self, interval: Duration) -> bool {
+        self.answered.get().is_some_and(|at| at.elapsed() < interval)
+    }
 }
 
 /// Brings the replica up to the store's present state; false if that can't be done now.
@@ -68,6 +77,7 @@
         Ok(changes) => {
             node.take_changes(&changes, sent);
             node.store_ok(true);
+            node.fresh.answered.set(Some(Instant::now()));
             true
         }
         Err(StoreError::TooOld) => {
@@ -112,6 +122,10 @@
                 node.store_ok(true);
                 // More changes gather meanwhile; the next request brings them together.
                 smol::Timer::after(pace).await;
+                // Quick looks bring the same; the requests are better spent on submissions.
+                while node.fresh.looks_every(pace) {
+                    smol::Timer::after(pace / 2).await;
+                }
             }
             Err(StoreError::TooOld) => node.lock().shared.loaded = false,
             Err(e) => {
--- a/crates/ladderroute/src/lead.rs
+++ b/crates/ladderroute/src/lead.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use store::budget::{Reserve, Share, Shares};
 use store::client::StoreError;
 use store::leadership::{take, usable, Won};
 use wire::users::Shape;
@@ -16,18 +17,30 @@
 /// share the rest, since a renewal that the store refused would cost the leadership. Writes come
 /// in bursts, seldom at several controllers at once, and one that is refused is only made again:
 /// so the others share nearly all of them beside the leader.
-const LEADER_SHARES: (f64, f64) = (0.3, 0.55);
+const LEADER_REQUESTS: f64 = 0.3;
+const LEADER_WRITES: f64 = 0.55;
 const ALL_SHARE: f64 = 0.95;
 
+/// Renewals and decisions of the leader go before the submissions that it takes itself.
+const LEADER_RESERVE: Reserve = Reserve { decision: 0.15, submission: 0.35 };
+/// The others write little beside submissions: only cancellations go before them.
+const FOLLOWER_RESERVE: Reserve = Reserve { decision: 0.0, submission: 0.1 };
+/// Seconds' worth of writes that one of the others may make at once, since users come in bursts.
+const FOLLOWER_BURST_S: f64 = 2.0;
+
 /// Looks of the leader in its store lease, when nothing else makes them.
 const LOOKS_PER_LEASE: u32 = 5;
 
 /// A controller's parts of the store's request and write rates, with so many others.
-pub fn store_shares(leading: bool, others: usize) -> (f64, f64) {
+pub fn store_shares(leading: bool, others: usize) -> Shares {
+    let share = |part: f64| Share { part, burst_s: 1.0, reserve: LEADER_RESERVE };
     match (others, leading) {
-        (0, _) => (ALL_SHARE, ALL_SHARE),
-        (_, true) => LEADER_SHARES,
-        (n, false) => ((ALL_SHARE - LEADER_SHARES.0) / n as f64, ALL_SHARE / n as f64),
+        (0, _) => Shares { requests: share(ALL_SHARE), writes: share(ALL_SHARE) },
+        (_, true) => Shares { requests: share(LEADER_REQUESTS), writes: share(LEADER_WRITES) },
+        (n, false) => Shares {
+            requests: share((ALL_SHARE - LEADER_REQUESTS) / n as f64),
+            writes: Share { part: ALL_SHARE / n as f64, burst_s: FOLLOWER_BURST_S, reserve: FOLLOWER_RESERVE },
+        },
     }
 }
 
--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
+use store::budget::Rates;
 use store::client::Store;
 use store::leadership::Won;
 use store::replica::{Changed, Replica};
@@ -230,9 +231,10 @@
     let setup = settings.setup(tuning);
     let p = settings.settings.clone();
     let shares = crate::lead::store_shares(false, settings.known.len());
+    let rates = Rates { requests_per_s: p.state.rps, writes_per_s: p.state.write_rps };
     let limit = Duration::from_secs_f64((setup.lease_s * 0.1).clamp(0.5, 1.5));
     Rc::new(Node {
-        store: Store::new(settings.services.state, p.state.rps, p.state.write_rps, shares, limit),
+        store: Store::new(settings.services.state, rates, shares, limit),
         cloud: http::client::Client::new(settings.services.cloud, 2, 4 << 20),
         ex,
         began: Instant::now(),
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -1,6 +1,6 @@
 //! Typed requests to the state service.
 
-use crate::budget::{Budget, Rank};
+use crate::budget::{Budget, Rank, Rates, Shares};
 use http::client::{Client, Failed};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -36,27 +36,25 @@
     quick: Client,
     watch: Client,
     budget: RefCell<Budget>,
-    rates: (f64, f64),
     start: Instant,
     pub limit: Duration,
 }
 
 impl Store {
-    pub fn new(addr: SocketAddr, rps: f64, write_rps: f64, shares: (f64, f64), limit: Duration) -> Store {
+    pub fn new(addr: SocketAddr, rates: Rates, shares: Shares, limit: Duration) -> Store {
         Store {
             quick: Client::new(addr, 4, 2 << 20),
             watch: Client::new(addr, 2, 8 << 20),
-            budget: RefCell::new(Budget::new(rps * shares.0, write_rps * shares.1)),
-            rates: (rps, write_rps),
+            budget: RefCell::new(Budget::new(rates, shares)),
             start: Instant::now(),
             limit,
         }
     }
 
     /// Changes the parts of the request and write rates that this controller may take.
-    pub fn set_shares(&self, shares: (f64, f64)) {
+    pub fn set_shares(&self, shares: Shares) {
         let now = self.start.elapsed().as_secs_f64();
-        self.budget.borrow_mut().set_shares(self.rates.0 * shares.0, self.rates.1 * shares.1, now);
+        self.budget.borrow_mut().set_shares(shares, now);
     }
 
     fn take(&self, writes: usize, rank: Rank) -> Result<(), StoreError> {
