--- a/crates/model/tests/waits.rs
+++ b/crates/model/tests/waits.rs
@@ -151,6 +151,39 @@
     assert!(given.len() > 8 && given[2..].iter().all(|(_, n)| *n == 1), "{given:?}");
 }
 
+/// Machines stood idle for as long after the last job of a day as between the jobs of a busy hour.
+#[test]
+fn idle_machines_are_returned_sooner_when_no_jobs_come() {
+    let s = sched::setup::Setup { keep_boots: 20.0, ..setup() };
+    let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
+    let roster: BTreeMap<_, _> = (0..4).map(|i| (format!("host-{i}"), record.clone())).collect();
+    let first_drained = |every_s: f64| {
+        let mut leader = Leader::new("rung-0", s.clone(), 1, 1, 4.0, vec![], &roster, 1, 0.0);
+        leader.catalog(vec![model::world::machine_type("small", 4.0, 16.0, 0.3)]);
+        let (mut now, mut jobs) = (0.0, 0);
+        loop {
+            now += 0.5;
+            leader.tick(now, 0);
+            if leader.drain().iter().any(|deed| matches!(deed, Deed::Send(_, ToOwner::Use { usable: false, .. }))) {
+                return now;
+            }
+            let views = roster.keys().map(|host| machine_view(host, "small", vec![])).collect();
+            leader.on_owner("rung-0", ToLeader::Machines(views), now);
+            if now >= f64::from(jobs + 1) * every_s {
+                // A job of another type: it comes, and leaves these machines idle.
+                jobs += 1;
+                let elsewhere = Job { types: Some(vec!["large".into()]), ..job(jobs, "red", Shape::Array, 2, 4.0) };
+                let open =
+                    OpenJob { spec: Rc::new(elsewhere), revision: u64::from(jobs), done: Ranges::default(), earlier: Earlier::Untouched };
+                leader.add_job(open);
+            }
+        }
+    };
+    let (busy, quiet) = (first_drained(5.0), first_drained(1e9));
+    assert!((55.0..70.0).contains(&busy), "{busy}: 20 boot times of 3 s");
+    assert!((14.0..20.0).contains(&quiet), "{quiet}: a quarter of that");
+}
+
 /// Of a job that failed on two machines both were blamed again at the second failure, also the one that had
 /// completed other work since: the next job's failure there had a healthy machine drained.
 #[test]
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -3,7 +3,7 @@
 use crate::leader::{Deed, Job, Leader, Rostered};
 use crate::place::{tier, Room};
 use crate::Secs;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use wire::cloud::{Hire, Listed, ListedMachine, MachineType};
 use wire::peers::{Allowed, Needs};
 use wire::users::{Job as Spec, Shape};
@@ -19,6 +19,10 @@
 const REPORTS_KEPT: f64 = 1.25;
 /// Part of all machines that a new leader returns soon if they are the only ones not heard.
 const FEW_UNKNOWN: f64 = 0.02;
+/// Idle capacity of up to so many times what the jobs need that came lately is worth keeping.
+const DEMAND_COVER: f64 = 4.0;
+/// Part of the time that idle machines are kept where no jobs came lately: they may come again.
+const LEAST_KEPT: f64 = 0.25;
 /// Most machines of one request (a figure of the protocol).
 const MOST_AT_ONCE: u32 = 50;
 /// Most names of one release (a figure of the protocol).
@@ -67,6 +71,8 @@
     releasing: BTreeSet<String>,
     counter: u64,
     last: Secs,
+    /// When jobs came, and the CPUs of all their tasks together.
+    arrivals: VecDeque<(Secs, f64)>,
 }
 
 /// Whether an offer is of a type and kind that tasks may use, and in a zone if one is given.
@@ -83,7 +89,8 @@
         self.gang_zones.remove(id);
     }
 
-    pub fn arrived(&mut self, job: &Spec) {
+    pub fn arrived(&mut self, job: &Spec, now: Secs) {
+        self.arrivals.push_back((now, job.cpus * f64::from(job.tasks)));
         let room = Room { cpus: job.cpus, gpus: job.gpus, memory_gb: job.memory_gb };
         let shape = self.shapes.entry(job.class.clone()).or_insert_with(|| ClassShape {
             room,
@@ -97,6 +104,21 @@
         }
     }
 
+    /// How much of idle capacity the jobs that came after an instant make worth keeping. It waits for jobs
+    /// still to come: when hardly any came for as long as it is kept, it is returned sooner.
+    fn demand_share(&self, since: Secs, idle_cpus: f64) -> f64 {
+        let arrived = self.arrivals.iter().rev().take_while(|(at, _)| *at >= since);
+        let cpus: f64 = arrived.map(|(_, cpus)| cpus).sum();
+        (cpus * DEMAND_COVER / idle_cpus.max(1.0)).clamp(LEAST_KEPT, 1.0)
+    }
+
+    /// Forgets arrivals before an instant.
+    fn forget_arrivals(&mut self, before: Secs) {
+        while self.arrivals.front().is_some_and(|(at, _)| *at < before) {
+            self.arrivals.pop_front();
+        }
+    }
+
     pub fn booted(&mut self, name: &str, now: Secs) {
         if let Some(b) = self.booting.remove(name) {
             log::info!("event=booted machine={name} kind={} after_s={:.1}", b.kind, now - b.hired_at);
@@ -112,6 +134,15 @@
     }
 }
 
+/// How many times cheaper than an ordinary machine one of this type and kind is.
+fn cheapness(t: &MachineType, spot: bool) -> f64 {
+    if spot {
+        t.price / t.spot_price.max(1e-9)
+    } else {
+        1.0
+    }
+}
+
 /// Machines on their way that have the same room left.
 struct Coming {
     offer: Offer,
@@ -450,6 +481,10 @@
         let warm = self.kept_warm(scarce);
         // While work waits until all machines are known, idle ones are not idle for lack of work.
         let blocked = self.waits_for_unknown();
+        let idle = self.machines.values().filter(|m| m.open() && m.tasks.is_empty() && m.held.is_empty());
+        let idle_cpus = idle.filter_map(|m| self.cap(&m.kind)).map(|cap| cap.cpus).sum();
+        let longest_keep = self.types.values().map(|t| t.boot_s * cheapness(t, true)).fold(0.0, f64::max);
+        self.fleet.forget_arrivals(now - longest_keep * self.setup.keep_boots);
         let names: Vec<String> = self.machines.keys().cloned().collect();
         for name in names {
             let Some(m) = self.machines.get_mut(&name) else { continue };
@@ -457,12 +492,14 @@
                 continue;
             }
             let boot = self.types.get(&m.kind).map_or(LEAST_CHARGE_S, |t| t.boot_s);
-            let cheapness = self.types.get(&m.kind).map_or(1.0, |t| if m.spot { t.price / t.spot_price.max(1e-9) } else { 1.0 });
+            let cheapness = self.types.get(&m.kind).map_or(1.0, |t| cheapness(t, m.spot));
             if !m.tasks.is_empty() || !m.held.is_empty() || !m.quiet || blocked || self.fleet.kept.contains(&name) {
                 m.idle_since = now;
             }
+            let keep = boot * self.setup.keep_boots * cheapness;
+            let keep = keep * self.fleet.demand_share(now - keep, idle_cpus);
             let for_gangs = warm.get(&(m.kind.clone(), m.spot)).copied().unwrap_or(0.0);
-            let keep = (boot * self.setup.keep_boots * cheapness).max(for_gangs).max(self.setup.report_s * REPORTS_KEPT);
+            let keep = keep.max(for_gangs).max(self.setup.report_s * REPORTS_KEPT);
             let faulty = m.failed_jobs.len() >= 2;
             let lost = m.lapsed_at.is_some_and(|at| now - at > boot);
             if (lost || m.rostered == Rostered::Yes && (now - m.idle_since > keep || faulty)) && !m.drain {
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -570,7 +570,7 @@
             reclaims_until: 0.0,
             spec: j.spec,
         };
-        self.fleet.arrived(&job.spec);
+        self.fleet.arrived(&job.spec, self.time);
         self.by_age.insert((job.revision, job.spec.id.clone()));
         self.jobs.insert(job.spec.id.clone(), job);
         self.wake = true;
