--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -38,7 +38,13 @@
 
 impl Client {
     pub fn new(addr: SocketAddr, keep: usize, most_body: usize) -> Client {
-        Client { addr, idle: RefCell::new(Vec::new()), keep, most_body, keep_for: Duration::from_secs(30) }
+        Client {
+            addr,
+            idle: RefCell::new(Vec::new()),
+            keep,
+            most_body,
+            keep_for: Duration::from_secs(30),
+        }
     }
 
     /// Forgets kept connections, so that the next request makes a new one.
@@ -47,7 +53,13 @@
     }
 
     /// Sends a request and waits for its answer, at most `limit` in all.
-    pub async fn ask(&self, method: &str, path: &str, body: &[u8], limit: Duration) -> Result<Answer, Failed> {
+    pub async fn ask(
+        &self,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        limit: Duration,
+    ) -> Result<Answer, Failed> {
         let began = Instant::now();
         let kept = self.take();
         let fresh = kept.is_none();
@@ -89,9 +101,22 @@
         None
     }
 
-    async fn exchange(&self, mut stream: TcpStream, method: &str, path: &str, body: &[u8]) -> Result<Answer, String> {
+    async fn exchange(
+        &self,
+        mut stream: TcpStream,
+        method: &str,
+        path: &str,
+        body: &[u8],
+    ) -> Result<Answer, String> {
         let mut out = Vec::with_capacity(160 + body.len());
-        out.extend_from_slice(format!("{method} {path} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n", self.addr, body.len()).as_bytes());
+        out.extend_from_slice(
+            format!(
+                "{method} {path} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n",
+                self.addr,
+                body.len()
+            )
+            .as_bytes(),
+        );
         if !body.is_empty() {
             out.extend_from_slice(b"Content-Type: application/cbor\r\n");
         }
@@ -147,6 +172,10 @@
         if !close && self.idle.borrow().len() < self.keep {
             self.idle.borrow_mut().push((stream, Instant::now()));
         }
-        Ok(Answer { status: head.status, body: buf, retry_after_s: head.retry_after_s })
+        Ok(Answer {
+            status: head.status,
+            body: buf,
+            retry_after_s: head.retry_after_s,
+        })
     }
 }
--- a/crates/http/src/parse.rs
+++ b/crates/http/src/parse.rs
@@ -40,7 +40,8 @@
 }
 
 fn has(value: &[u8], word: &str) -> bool {
-    std::str::from_utf8(value).is_ok_and(|v| v.split(',').any(|w| w.trim().eq_ignore_ascii_case(word)))
+    std::str::from_utf8(value)
+        .is_ok_and(|v| v.split(',').any(|w| w.trim().eq_ignore_ascii_case(word)))
 }
 
 /// Reads a request's head from the bytes so far; none if it isn't complete yet.
@@ -112,7 +113,9 @@
         } else if h.name.eq_ignore_ascii_case("connection") {
             head.close |= has(h.value, "close");
         } else if h.name.eq_ignore_ascii_case("retry-after") {
-            head.retry_after_s = std::str::from_utf8(h.value).ok().and_then(|v| v.trim().parse().ok());
+            head.retry_after_s = std::str::from_utf8(h.value)
+                .ok()
+                .and_then(|v| v.trim().parse().ok());
         }
     }
     Ok(Some(head))
@@ -149,13 +152,23 @@
             assert_eq!(request(&whole[..cut], 100), Ok(None), "cut at {cut}");
         }
         let head = request(whole, 100).unwrap().unwrap();
-        assert_eq!((head.method.as_str(), head.path.as_str(), head.length, head.close), ("POST", "/v2/runs", 5, true));
+        assert_eq!(
+            (
+                head.method.as_str(),
+                head.path.as_str(),
+                head.length,
+                head.close
+            ),
+            ("POST", "/v2/runs", 5, true)
+        );
         assert_eq!(&whole[head.head_len..], b"hello");
     }
 
     #[test]
     fn limits_and_garbage_are_refused() {
-        let with = |h: &str| request(format!("POST / HTTP/1.1\r\n{h}\r\n\r\n").as_bytes(), 100).unwrap_err();
+        let with = |h: &str| {
+            request(format!("POST / HTTP/1.1\r\n{h}\r\n\r\n").as_bytes(), 100).unwrap_err()
+        };
         assert_eq!(with("Content-Length: 101"), Bad(413));
         assert_eq!(with("Content-Length: -1"), Bad(400));
         assert_eq!(with("Content-Length: 1\r\nContent-Length: 2"), Bad(400));
@@ -163,12 +176,22 @@
         assert_eq!(request(b"\x00\x01\x02garbage\r\n\r\n", 100), Err(Bad(400)));
         assert_eq!(request(&[b'a'; HEAD_LIMIT + 1], 100), Err(Bad(431)));
         let many = "X: y\r\n".repeat(HEADERS + 1);
-        assert_eq!(request(format!("GET / HTTP/1.1\r\n{many}\r\n").as_bytes(), 100), Err(Bad(431)));
+        assert_eq!(
+            request(format!("GET / HTTP/1.1\r\n{many}\r\n").as_bytes(), 100),
+            Err(Bad(431))
+        );
     }
 
     #[test]
     fn a_response_says_when_to_come_back() {
-        let head = response(b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n").unwrap().unwrap();
-        assert_eq!((head.status, head.length, head.retry_after_s), (503, Some(0), Some(3.0)));
+        let head = response(
+            b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n",
+        )
+        .unwrap()
+        .unwrap();
+        assert_eq!(
+            (head.status, head.length, head.retry_after_s),
+            (503, Some(0), Some(3.0))
+        );
     }
 }
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -41,7 +41,14 @@
 impl Pool {
     /// At most so many connections, and bytes of requests that have arrived in part.
     pub fn new(most: usize, most_bytes: usize) -> Pool {
-        Pool { most, most_bytes, entries: RefCell::default(), idle: RefCell::default(), bytes: Cell::new(0), count: Cell::new(0) }
+        Pool {
+            most,
+            most_bytes,
+            entries: RefCell::default(),
+            idle: RefCell::default(),
+            bytes: Cell::new(0),
+            count: Cell::new(0),
+        }
     }
 
     pub fn open(&self) -> usize {
@@ -66,7 +73,14 @@
             }
         }
         let (id, at) = (self.next(), self.next());
-        self.entries.borrow_mut().insert(id, Entry { stream, rank: Rank::New, idle: Some(at) });
+        self.entries.borrow_mut().insert(
+            id,
+            Entry {
+                stream,
+                rank: Rank::New,
+                idle: Some(at),
+            },
+        );
         self.idle.borrow_mut().insert((Rank::New, at, id));
         Some(id)
     }
@@ -74,8 +88,12 @@
     /// A request begins to arrive; false if the connection was ended meanwhile.
     pub fn busy(&self, id: u64) -> bool {
         let mut entries = self.entries.borrow_mut();
-        let Some(e) = entries.get_mut(&id) else { return false };
-        let Some(at) = e.idle.take() else { return false };
+        let Some(e) = entries.get_mut(&id) else {
+            return false;
+        };
+        let Some(at) = e.idle.take() else {
+            return false;
+        };
         self.idle.borrow_mut().remove(&(e.rank, at, id));
         true
     }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -34,7 +34,13 @@
 
 impl Response {
     pub fn new(status: u16, body: Vec<u8>) -> Response {
-        Response { status, body, retry_after_s: None, close: false, rank: Rank::User }
+        Response {
+            status,
+            body,
+            retry_after_s: None,
+            close: false,
+            rank: Rank::User,
+        }
     }
 
     pub fn retry(mut self, after_s: u32) -> Response {
@@ -50,7 +56,13 @@
     fn written(&self, close: bool) -> Vec<u8> {
         use std::io::Write;
         let mut out = Vec::with_capacity(160 + self.body.len());
-        let _ = write!(out, "HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", self.status, parse::reason(self.status), self.body.len());
+        let _ = write!(
+            out,
+            "HTTP/1.1 {} {}\r\nContent-Length: {}\r\n",
+            self.status,
+            parse::reason(self.status),
+            self.body.len()
+        );
         if !self.body.is_empty() {
             out.extend_from_slice(b"Content-Type: application/cbor\r\n");
         }
@@ -90,13 +102,21 @@
 }
 
 /// Serves connections until the listener fails for good.
-pub async fn serve<H, F>(ex: Rc<smol::LocalExecutor<'static>>, listener: TcpListener, limits: Limits, handler: Rc<H>)
-where
+pub async fn serve<H, F>(
+    ex: Rc<smol::LocalExecutor<'static>>,
+    listener: TcpListener,
+    limits: Limits,
+    handler: Rc<H>,
+) where
     H: Fn(Request) -> F + 'static,
     F: Future<Output = Response> + 'static,
 {
     let pool = Pool::new(limits.connections, limits.bytes);
-    let server = Rc::new(Server { limits, pool, scratch: RefCell::new(vec![0; READ_AT_ONCE]) });
+    let server = Rc::new(Server {
+        limits,
+        pool,
+        scratch: RefCell::new(vec![0; READ_AT_ONCE]),
+    });
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -107,10 +127,18 @@
             }
         };
         // Without room it is closed at once: the load balancer and the workers go elsewhere.
-        let Some(id) = server.pool.enter(stream.clone()) else { continue };
+        let Some(id) = server.pool.enter(stream.clone()) else {
+            continue;
+        };
         let (server, handler) = (server.clone(), handler.clone());
         ex.spawn(async move {
-            let mut c = Connection { server: &server, stream, id, buf: Vec::new(), taken: 0 };
+            let mut c = Connection {
+                server: &server,
+                stream,
+                id,
+                buf: Vec::new(),
+                taken: 0,
+            };
             let _ = c.run(&*handler).await;
             server.pool.give_back(c.taken);
             server.pool.leave(id);
@@ -135,9 +163,15 @@
         F: Future<Output = Response>,
     {
         let _ = self.stream.set_nodelay(true);
-        let Limits { idle, request: limit, .. } = self.server.limits;
+        let Limits {
+            idle,
+            request: limit,
+            ..
+        } = self.server.limits;
         loop {
-            if self.buf.is_empty() && !matches!(within(idle, self.read()).await, Some(Ok(n)) if n > 0) {
+            if self.buf.is_empty()
+                && !matches!(within(idle, self.read()).await, Some(Ok(n)) if n > 0)
+            {
                 return Ok(());
             }
             if !self.server.pool.busy(self.id) {
@@ -195,7 +229,10 @@
             }
         };
         if head.expects_continue {
-            let _ = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+            let _ = self
+                .stream
+                .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+                .await;
         }
         let total = head.head_len + head.length;
         let missing = total.saturating_sub(self.buf.len());
@@ -219,6 +256,13 @@
             // Idle connections keep no memory.
             self.buf = Vec::new();
         }
-        Ok(Some((Request { method: head.method, path: head.path, body }, head.close)))
+        Ok(Some((
+            Request {
+                method: head.method,
+                path: head.path,
+                body,
+            },
+            head.close,
+        )))
     }
 }
--- a/crates/http/tests/limits.rs
+++ b/crates/http/tests/limits.rs
@@ -13,17 +13,33 @@
 const NEVER: Duration = Duration::from_secs(600);
 
 /// A server with so many connections and bytes; what is asked of `/work` counts as a worker's.
-fn with_server<F: Future<Output = ()>>(connections: usize, bytes: usize, test: impl FnOnce(SocketAddr, Rc<Cell<u32>>) -> F) {
+fn with_server<F: Future<Output = ()>>(
+    connections: usize,
+    bytes: usize,
+    test: impl FnOnce(SocketAddr, Rc<Cell<u32>>) -> F,
+) {
     let ex = Rc::new(smol::LocalExecutor::new());
     let served = Rc::new(Cell::new(0));
     let count = served.clone();
     smol::block_on(ex.run(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
-        let limits = Limits { connections, body: 65_536, bytes, request: NEVER, idle: NEVER };
+        let limits = Limits {
+            connections,
+            body: 65_536,
+            bytes,
+            request: NEVER,
+            idle: NEVER,
+        };
         let handler = Rc::new(move |r: Request| {
             count.set(count.get() + 1);
-            async move { Response::new(200, r.body).of(if r.path == "/work" { Rank::Worker } else { Rank::User }) }
+            async move {
+                Response::new(200, r.body).of(if r.path == "/work" {
+                    Rank::Worker
+                } else {
+                    Rank::User
+                })
+            }
         });
         let server = ex.spawn(serve(ex.clone(), listener, limits, handler));
         test(addr, served).await;
@@ -32,7 +48,10 @@
 }
 
 async fn ask(stream: &mut TcpStream, path: &str) -> Option<String> {
-    stream.write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes()).await.ok()?;
+    stream
+        .write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes())
+        .await
+        .ok()?;
     let mut buf = [0u8; 1024];
     match stream.read(&mut buf).await {
         Ok(n) if n > 0 => Some(String::from_utf8_lossy(&buf[..n]).into_owned()),
@@ -64,8 +83,14 @@
             assert!(is_closed(&mut open[victim]).await);
         }
         let newest = open.len() - 1;
-        assert!(ask(&mut open[newest], "/work").await.is_some(), "the newest is served");
-        assert!(ask(&mut open[0], "/work").await.is_some(), "a worker's connection was kept");
+        assert!(
+            ask(&mut open[newest], "/work").await.is_some(),
+            "the newest is served"
+        );
+        assert!(
+            ask(&mut open[0], "/work").await.is_some(),
+            "a worker's connection was kept"
+        );
     });
 }
 
@@ -75,19 +100,31 @@
         let mut open = Vec::new();
         for _ in 0..18 {
             let mut s = TcpStream::connect(addr).await.unwrap();
-            assert!(!ask(&mut s, "/work").await.unwrap().contains("Connection: close"));
+            assert!(!ask(&mut s, "/work")
+                .await
+                .unwrap()
+                .contains("Connection: close"));
             open.push(s);
         }
         let mut user = TcpStream::connect(addr).await.unwrap();
-        assert!(ask(&mut user, "/").await.unwrap().contains("Connection: close"));
+        assert!(ask(&mut user, "/")
+            .await
+            .unwrap()
+            .contains("Connection: close"));
         assert!(is_closed(&mut user).await);
-        assert!(!ask(&mut open[0], "/work").await.unwrap().contains("Connection: close"));
+        assert!(!ask(&mut open[0], "/work")
+            .await
+            .unwrap()
+            .contains("Connection: close"));
         // Above that, workers share what is left.
         let mut all = Vec::new();
         for _ in 0..2 {
             all.push(TcpStream::connect(addr).await.unwrap());
         }
-        assert!(ask(&mut all[1], "/work").await.unwrap().contains("Connection: close"));
+        assert!(ask(&mut all[1], "/work")
+            .await
+            .unwrap()
+            .contains("Connection: close"));
         assert!(is_closed(&mut all[1]).await);
     });
 }
@@ -96,7 +133,9 @@
 #[test]
 fn half_sent_bodies_share_a_bounded_room() {
     with_server(20, 100_000, |addr, served| async move {
-        let half = |n: usize| format!("POST / HTTP/1.1\r\nContent-Length: {n}\r\n\r\nbeginning").into_bytes();
+        let half = |n: usize| {
+            format!("POST / HTTP/1.1\r\nContent-Length: {n}\r\n\r\nbeginning").into_bytes()
+        };
         let mut slow = TcpStream::connect(addr).await.unwrap();
         slow.write_all(&half(60_000)).await.unwrap();
         let mut whole = TcpStream::connect(addr).await.unwrap();
@@ -106,7 +145,10 @@
         let mut answer = [0u8; 256];
         let n = second.read(&mut answer).await.unwrap();
         let text = String::from_utf8_lossy(&answer[..n]).into_owned();
-        assert!(text.starts_with("HTTP/1.1 503") && text.contains("Retry-After"), "{text}");
+        assert!(
+            text.starts_with("HTTP/1.1 503") && text.contains("Retry-After"),
+            "{text}"
+        );
         // The room is free again once the first one is whole.
         slow.write_all(&vec![b'x'; 60_000 - 9]).await.unwrap();
         assert!(slow.read(&mut answer).await.unwrap() > 0);
--- a/crates/ladderroute/src/accept.rs
+++ b/crates/ladderroute/src/accept.rs
@@ -15,7 +15,12 @@
 
 /// An answer that gives the reason in words.
 pub fn refuse(status: u16, error: impl Into<String>) -> Response {
-    Response::new(status, cbor::encode(&Refusal { error: error.into() }))
+    Response::new(
+        status,
+        cbor::encode(&Refusal {
+            error: error.into(),
+        }),
+    )
 }
 
 /// "Not now", at once, with when to come back.
@@ -23,20 +28,31 @@
     // A look at the store is possible again after about this long.
     let s = (node.setup.report_s / 2.0).ceil().clamp(1.0, 30.0) as u32;
     // Closing lets the balancer choose again: another controller may be able to.
-    Response { close: true, ..refuse(503, error).retry(s) }
+    Response {
+        close: true,
+        ..refuse(503, error).retry(s)
+    }
 }
 
 fn state_of(node: &Node, id: &str, e: &JobEntry) -> JobState {
     match e.state {
         Recorded::Done => JobState::Done,
         Recorded::Cancelled => JobState::Cancelled,
-        Recorded::Open if node.lock().shared.running.get(id).is_some_and(|n| *n > 0) => JobState::Running,
+        Recorded::Open if node.lock().shared.running.get(id).is_some_and(|n| *n > 0) => {
+            JobState::Running
+        }
         Recorded::Open => JobState::Queued,
     }
 }
 
 fn accepted(status: u16, id: &str, state: JobState) -> Response {
-    Response::new(status, cbor::encode(&Accepted { id: id.into(), state }))
+    Response::new(
+        status,
+        cbor::encode(&Accepted {
+            id: id.into(),
+            state,
+        }),
+    )
 }
 
 fn entry(node: &Node, id: &str) -> Option<JobEntry> {
@@ -92,7 +108,10 @@
     }
     let verdict = {
         let s = node.lock();
-        s.shared.catalog.as_ref().map(|types| never_runs(&node.setup, types, &job))
+        s.shared
+            .catalog
+            .as_ref()
+            .map(|types| never_runs(&node.setup, types, &job))
     };
     match verdict {
         None => return later(node, "the machine types are not known yet"),
@@ -101,7 +120,11 @@
             return match look_up(node, &job.id).await {
                 Ok(Some(e)) => accepted(200, &job.id, state_of(node, &job.id, &e)),
                 Ok(None) => {
-                    log::info!("event=never_runs job={} team={} error=\"{why}\"", job.id, job.team);
+                    log::info!(
+                        "event=never_runs job={} team={} error=\"{why}\"",
+                        job.id,
+                        job.team
+                    );
                     refuse(422, why)
                 }
                 Err(r) => r,
@@ -115,16 +138,34 @@
 async fn record(node: &Rc<Node>, job: Job) -> Response {
     let id = job.id.clone();
     let key = keys::job(&id);
-    let created_ms = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
-    let record = JobRecord { state: Recorded::Open, created_ms, job };
+    let created_ms = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64);
+    let record = JobRecord {
+        state: Recorded::Open,
+        created_ms,
+        job,
+    };
     let txn = Txn {
-        conditions: vec![Condition { key: key.clone(), version: 0 }],
-        writes: vec![Write::Put { key: key.clone(), value: to_value(&record), lease: None }],
+        conditions: vec![Condition {
+            key: key.clone(),
+            version: 0,
+        }],
+        writes: vec![Write::Put {
+            key: key.clone(),
+            value: to_value(&record),
+            lease: None,
+        }],
     };
     match node.store.txn(&txn, Rank::Submission).await {
         Ok(Decided::Applied(version)) => {
             node.store_ok(true);
-            log::info!("event=accepted job={id} class={} tasks={} team={}", record.job.class, record.job.tasks, record.job.team);
+            log::info!(
+                "event=accepted job={id} class={} tasks={} team={}",
+                record.job.class,
+                record.job.tasks,
+                record.job.team
+            );
             let mut guard = node.lock();
             let state = &mut *guard;
             state.shared.replica.put_job(&id, record, version);
@@ -132,20 +173,22 @@
             node.pump(state);
             accepted(201, &id, JobState::Queued)
         }
-        Ok(Decided::Conflict(_)) | Err(StoreError::Unknown(_)) => match node.store.get(&key, Rank::Decision).await {
-            // Never guessed: it is accepted if the store has it.
-            Ok(Some(item)) => match from_value::<JobRecord>(&item.value) {
-                Some(r) => {
-                    node.lock().shared.replica.put_job(&id, r, item.version);
-                    match entry(node, &id) {
-                        Some(e) => accepted(200, &id, state_of(node, &id, &e)),
-                        None => later(node, "not ready yet"),
+        Ok(Decided::Conflict(_)) | Err(StoreError::Unknown(_)) => {
+            match node.store.get(&key, Rank::Decision).await {
+                // Never guessed: it is accepted if the store has it.
+                Ok(Some(item)) => match from_value::<JobRecord>(&item.value) {
+                    Some(r) => {
+                        node.lock().shared.replica.put_job(&id, r, item.version);
+                        match entry(node, &id) {
+                            Some(e) => accepted(200, &id, state_of(node, &id, &e)),
+                            None => later(node, "not ready yet"),
+                        }
                     }
-                }
-                None => later(node, "the record can't be read"),
-            },
-            _ => later(node, "the outcome is not known yet"),
-        },
+                    None => later(node, "the record can't be read"),
+                },
+                _ => later(node, "the outcome is not known yet"),
+            }
+        }
         Err(StoreError::Budget(s)) => {
             log::debug!("event=submission_refused job={id} again_s={s:.2}");
             refuse(429, "too many submissions at present").retry(s.ceil().clamp(1.0, 30.0) as u32)
@@ -158,8 +201,15 @@
 }
 
 /// Why a job can never run, if so.
-fn never_runs(setup: &sched::setup::Setup, types: &[wire::cloud::MachineType], job: &Job) -> Result<(), String> {
-    let team = setup.teams.get(&job.team).ok_or_else(|| format!("crew: no team {}", job.team))?;
+fn never_runs(
+    setup: &sched::setup::Setup,
+    types: &[wire::cloud::MachineType],
+    job: &Job,
+) -> Result<(), String> {
+    let team = setup
+        .teams
+        .get(&job.team)
+        .ok_or_else(|| format!("crew: no team {}", job.team))?;
     let fits = types.iter().any(|t| {
         job.types.as_ref().is_none_or(|l| l.contains(&t.name))
             && job.zone.as_ref().is_none_or(|z| t.zones.contains(z))
@@ -170,7 +220,11 @@
     if !fits {
         return Err("a task fits on no allowed machine type".into());
     }
-    let n = if job.shape == Shape::Gang { f64::from(job.tasks) } else { 1.0 };
+    let n = if job.shape == Shape::Gang {
+        f64::from(job.tasks)
+    } else {
+        1.0
+    };
     if n * job.cpus > team.cpus_max + 1e-6 || n * job.gpus > team.gpus_max + 1e-6 {
         return Err("the job needs more than its team's limit".into());
     }
@@ -185,7 +239,15 @@
                 JobState::Running => node.lock().shared.running.get(id).copied().unwrap_or(0),
                 _ => 0,
             };
-            Response::new(200, cbor::encode(&Progress { id: id.into(), state, done: e.done_tasks(), running }))
+            Response::new(
+                200,
+                cbor::encode(&Progress {
+                    id: id.into(),
+                    state,
+                    done: e.done_tasks(),
+                    running,
+                }),
+            )
         }
         Ok(None) => refuse(404, "no such job"),
         Err(r) => r,
@@ -203,10 +265,21 @@
         let Some(job) = found.job.clone().filter(|_| found.state == Recorded::Open) else {
             return accepted(200, id, state_of(node, id, &found));
         };
-        let record = JobRecord { state: Recorded::Cancelled, created_ms: found.created_ms, job: (*job).clone() };
+        let record = JobRecord {
+            state: Recorded::Cancelled,
+            created_ms: found.created_ms,
+            job: (*job).clone(),
+        };
         let txn = Txn {
-            conditions: vec![Condition { key: key.clone(), version: found.version }],
-            writes: vec![Write::Put { key: key.clone(), value: to_value(&record), lease: None }],
+            conditions: vec![Condition {
+                key: key.clone(),
+                version: found.version,
+            }],
+            writes: vec![Write::Put {
+                key: key.clone(),
+                value: to_value(&record),
+                lease: None,
+            }],
         };
         match node.store.txn(&txn, Rank::Decision).await {
             Ok(Decided::Applied(version)) => {
@@ -222,18 +295,20 @@
                 node.pump(state);
                 return accepted(200, id, JobState::Cancelled);
             }
-            Ok(Decided::Conflict(_)) | Err(StoreError::Unknown(_)) => match node.store.get(&key, Rank::Decision).await {
-                Ok(Some(item)) => {
-                    if let Some(r) = from_value::<JobRecord>(&item.value) {
-                        node.lock().shared.replica.put_job(id, r, item.version);
-                    }
-                    match entry(node, id) {
-                        Some(e) => found = e,
-                        None => return later(node, "not ready yet"),
+            Ok(Decided::Conflict(_)) | Err(StoreError::Unknown(_)) => {
+                match node.store.get(&key, Rank::Decision).await {
+                    Ok(Some(item)) => {
+                        if let Some(r) = from_value::<JobRecord>(&item.value) {
+                            node.lock().shared.replica.put_job(id, r, item.version);
+                        }
+                        match entry(node, id) {
+                            Some(e) => found = e,
+                            None => return later(node, "not ready yet"),
+                        }
                     }
+                    _ => return later(node, "the outcome is not known yet"),
                 }
-                _ => return later(node, "the outcome is not known yet"),
-            },
+            }
             Err(_) => return later(node, "the state service does not answer"),
         }
     }
--- a/crates/ladderroute/src/api.rs
+++ b/crates/ladderroute/src/api.rs
@@ -33,7 +33,9 @@
     let sockets = q.max_sockets.saturating_sub(own_sockets(others, store_rps));
     let by_memory = (q.memory_mb * 1024.0 * CONNECTIONS_SHARE / CONNECTION_KB) as usize;
     Limits {
-        connections: ((sockets as f64 * (1.0 - SPARE_SHARE)) as usize).min(by_memory).max(16),
+        connections: ((sockets as f64 * (1.0 - SPARE_SHARE)) as usize)
+            .min(by_memory)
+            .max(16),
         body: wire::BODY_LIMIT,
         bytes: ((q.memory_mb * 1024.0 * 1024.0 * BYTES_SHARE) as usize).max(2 * wire::BODY_LIMIT),
         request: Duration::from_secs_f64(wire::ANSWER_DROPPED_S),
@@ -43,7 +45,12 @@
 
 pub async fn serve(node: Rc<Node>, listener: smol::net::TcpListener) {
     let p = &node.settings.settings;
-    let limits = limits(&p.quota, node.settings.known.len(), p.state.rps, node.setup.report_s);
+    let limits = limits(
+        &p.quota,
+        node.settings.known.len(),
+        p.state.rps,
+        node.setup.report_s,
+    );
     let ex = node.ex.clone();
     let handler = Rc::new(move |request: Request| {
         let node = node.clone();
@@ -54,9 +61,12 @@
 
 async fn handle(node: &Rc<Node>, request: Request) -> Response {
     let path = request.path.split('?').next().unwrap_or("");
-    let only = |wanted: &str| (request.method != wanted).then(|| refuse(405, format!("use {wanted}")));
+    let only =
+        |wanted: &str| (request.method != wanted).then(|| refuse(405, format!("use {wanted}")));
     match path {
-        "/agent/beat" => only("POST").unwrap_or_else(|| report(node, &request.body)).of(Rank::Worker),
+        "/agent/beat" => only("POST")
+            .unwrap_or_else(|| report(node, &request.body))
+            .of(Rank::Worker),
         "/ready" => only("GET").unwrap_or_else(|| ready(node)).of(Rank::Probe),
         "/v2/runs" => match only("POST") {
             Some(r) => r,
@@ -108,8 +118,15 @@
     let now = node.now();
     let s = node.lock();
     let standing = Standing {
-        failing: s.shared.store_bad_since.is_some_and(|t| t.elapsed().as_secs_f64() > wire::ANSWER_DROPPED_S / 4.0),
-        leads: s.shared.lead.as_ref().map(|l| (l.links.len(), node.settings.known.len())),
+        failing: s
+            .shared
+            .store_bad_since
+            .is_some_and(|t| t.elapsed().as_secs_f64() > wire::ANSWER_DROPPED_S / 4.0),
+        leads: s
+            .shared
+            .lead
+            .as_ref()
+            .map(|l| (l.links.len(), node.settings.known.len())),
         authority: s.owner.has_authority(now),
     };
     if s.shared.loaded && s.shared.catalog.is_some() && !others_fare_better(standing) {
@@ -132,7 +149,9 @@
     let now = node.now();
     let mut guard = node.lock();
     let state = &mut *guard;
-    let answer = state.owner.on_report(&report, now, &JobRooms(&state.shared.replica));
+    let answer = state
+        .owner
+        .on_report(&report, now, &JobRooms(&state.shared.replica));
     log::debug!(
         "event=report machine={} session={} seq={} token={} tasks={} answer={answer:?}",
         report.machine,
@@ -158,7 +177,12 @@
             }
             Response::new(200, cbor::encode(&orders))
         }
-        Answer::Elsewhere(member) => Response::new(421, cbor::encode(&ReportTo { member: Some(member) })),
+        Answer::Elsewhere(member) => Response::new(
+            421,
+            cbor::encode(&ReportTo {
+                member: Some(member),
+            }),
+        ),
         Answer::NotNow => refuse(503, "no authority at present"),
     }
 }
@@ -170,17 +194,38 @@
     /// All workers may be at one controller, at one and a half times what was announced.
     #[test]
     fn the_port_takes_what_the_settings_allow_and_leaves_what_the_controller_needs_itself() {
-        for (memory_mb, max_sockets, others, rps, machines) in
-            [(188.0, 2829, 4, 70.0, 2750), (188.0, 2057, 2, 250.0, 890), (56.0, 600, 2, 60.0, 260), (200.0, 3500, 0, 80.0, 3300)]
-        {
-            let q = crate::settings::Quota { memory_mb, max_sockets };
+        for (memory_mb, max_sockets, others, rps, machines) in [
+            (188.0, 2829, 4, 70.0, 2750),
+            (188.0, 2057, 2, 250.0, 890),
+            (56.0, 600, 2, 60.0, 260),
+            (200.0, 3500, 0, 80.0, 3300),
+        ] {
+            let q = crate::settings::Quota {
+                memory_mb,
+                max_sockets,
+            };
             let l = limits(&q, others, rps, 10.0);
             assert!(l.connections + own_sockets(others, rps) <= max_sockets);
             // Each worker may lack a connection for a moment, so that nearly all is enough.
-            assert!(l.connections as f64 > f64::from(machines) * 0.97, "{} for {machines}", l.connections);
-            assert!(l.connections as f64 * CONNECTION_KB / 1024.0 + l.bytes as f64 / 1048576.0 < memory_mb * 0.6);
+            assert!(
+                l.connections as f64 > f64::from(machines) * 0.97,
+                "{} for {machines}",
+                l.connections
+            );
+            assert!(
+                l.connections as f64 * CONNECTION_KB / 1024.0 + l.bytes as f64 / 1048576.0
+                    < memory_mb * 0.6
+            );
         }
-        let tiny = limits(&crate::settings::Quota { memory_mb: 16.0, max_sockets: 40 }, 2, 60.0, 1.0);
+        let tiny = limits(
+            &crate::settings::Quota {
+                memory_mb: 16.0,
+                max_sockets: 40,
+            },
+            2,
+            60.0,
+            1.0,
+        );
         assert!(tiny.connections >= 16);
     }
 
@@ -188,12 +233,27 @@
     /// once and so drew ever more of them from the balancer, which prefers idle nodes.
     #[test]
     fn a_leader_that_is_alone_leaves_the_balancer_but_not_in_an_outage_for_all() {
-        let judge = |failing, leads, authority| others_fare_better(Standing { failing, leads, authority });
-        assert!(judge(true, Some((0, 2)), false), "cut off, or refused by the store alone");
-        assert!(!judge(true, Some((2, 2)), false), "an outage of the store for all");
+        let judge = |failing, leads, authority| {
+            others_fare_better(Standing {
+                failing,
+                leads,
+                authority,
+            })
+        };
+        assert!(
+            judge(true, Some((0, 2)), false),
+            "cut off, or refused by the store alone"
+        );
+        assert!(
+            !judge(true, Some((2, 2)), false),
+            "an outage of the store for all"
+        );
         assert!(!judge(true, Some((0, 0)), false), "there are no others");
         assert!(!judge(false, Some((0, 2)), true), "the store answers");
         assert!(judge(true, None, true), "another one leads");
-        assert!(!judge(true, None, false), "nobody leads, as far as is known");
+        assert!(
+            !judge(true, None, false),
+            "nobody leads, as far as is known"
+        );
     }
 }
--- a/crates/ladderroute/src/fresh.rs
+++ b/crates/ladderroute/src/fresh.rs
@@ -27,7 +27,9 @@
 impl Fresh {
     /// Whether quick looks follow each other at least this closely, as when many users ask.
     fn looks_every(&self, interval: Duration) -> bool {
-        self.answered.get().is_some_and(|at| at.elapsed() < interval)
+        self.answered
+            .get()
+            .is_some_and(|at| at.elapsed() < interval)
     }
 }
 
@@ -44,7 +46,9 @@
 
 /// Time between two requests of this controller when all together take a part of the rate.
 fn pace(node: &Node, share: f64) -> Duration {
-    Duration::from_secs_f64((node.settings.known.len() + 1) as f64 / (node.settings.settings.state.rps * share))
+    Duration::from_secs_f64(
+        (node.settings.known.len() + 1) as f64 / (node.settings.settings.state.rps * share),
+    )
 }
 
 async fn look(node: Rc<Node>) {
@@ -73,7 +77,11 @@
         return false;
     }
     let sent = Instant::now();
-    match node.store.follow(keys::ALL, since, Duration::ZERO, Rank::Decision).await {
+    match node
+        .store
+        .follow(keys::ALL, since, Duration::ZERO, Rank::Decision)
+        .await
+    {
         Ok(changes) => {
             node.take_changes(&changes, sent);
             node.store_ok(true);
@@ -106,7 +114,11 @@
                 Ok(()) => node.store_ok(true),
                 Err(e) => {
                     // Once is enough for people; it is tried again and again.
-                    let level = if node.lock().shared.store_bad_since.is_none() { log::Level::Info } else { log::Level::Debug };
+                    let level = if node.lock().shared.store_bad_since.is_none() {
+                        log::Level::Info
+                    } else {
+                        log::Level::Debug
+                    };
                     log::log!(level, "event=load_failed error=\"{e}\"");
                     node.store_ok(false);
                     smol::Timer::after(pause).await;
@@ -116,7 +128,11 @@
         }
         let since = node.lock().shared.replica.revision;
         let sent = Instant::now();
-        match node.store.follow(keys::ALL, since, wait, Rank::Decision).await {
+        match node
+            .store
+            .follow(keys::ALL, since, wait, Rank::Decision)
+            .await
+        {
             Ok(changes) => {
                 node.take_changes(&changes, sent);
                 node.store_ok(true);
@@ -142,7 +158,10 @@
     let (mut since, mut first) = (None::<String>, true);
     let sent = Instant::now();
     loop {
-        let page = node.store.range(keys::ALL, since.as_deref(), Rank::Decision).await?;
+        let page = node
+            .store
+            .range(keys::ALL, since.as_deref(), Rank::Decision)
+            .await?;
         replica.load(&page, first);
         first = false;
         since = page.items.last().map(|i| i.key.clone());
@@ -152,10 +171,18 @@
     }
     let mut guard = node.lock();
     let state = &mut *guard;
-    log::info!("event=loaded jobs={} revision={}", replica.jobs.len(), replica.revision);
+    log::info!(
+        "event=loaded jobs={} revision={}",
+        replica.jobs.len(),
+        replica.revision
+    );
     state.shared.replica = replica;
     state.shared.loaded = true;
-    let ids: Vec<String> = if state.shared.lead.is_some() { state.shared.replica.jobs.keys().cloned().collect() } else { Vec::new() };
+    let ids: Vec<String> = if state.shared.lead.is_some() {
+        state.shared.replica.jobs.keys().cloned().collect()
+    } else {
+        Vec::new()
+    };
     for id in ids {
         node.tell_leader(&mut state.shared, &id);
     }
--- a/crates/ladderroute/src/lead.rs
+++ b/crates/ladderroute/src/lead.rs
@@ -22,9 +22,15 @@
 const ALL_SHARE: f64 = 0.95;
 
 /// Renewals and decisions of the leader go before the submissions that it takes itself.
-const LEADER_RESERVE: Reserve = Reserve { decision: 0.15, submission: 0.35 };
+const LEADER_RESERVE: Reserve = Reserve {
+    decision: 0.15,
+    submission: 0.35,
+};
 /// The others write little beside submissions: only cancellations go before them.
-const FOLLOWER_RESERVE: Reserve = Reserve { decision: 0.0, submission: 0.1 };
+const FOLLOWER_RESERVE: Reserve = Reserve {
+    decision: 0.0,
+    submission: 0.1,
+};
 /// Seconds' worth of writes that one of the others may make at once, since users come in bursts.
 const FOLLOWER_BURST_S: f64 = 2.0;
 
@@ -33,13 +39,27 @@
 
 /// A controller's parts of the store's request and write rates, with so many others.
 pub fn store_shares(leading: bool, others: usize) -> Shares {
-    let share = |part: f64| Share { part, burst_s: 1.0, reserve: LEADER_RESERVE };
+    let share = |part: f64| Share {
+        part,
+        burst_s: 1.0,
+        reserve: LEADER_RESERVE,
+    };
     match (others, leading) {
-        (0, _) => Shares { requests: share(ALL_SHARE), writes: share(ALL_SHARE) },
-        (_, true) => Shares { requests: share(LEADER_REQUESTS), writes: share(LEADER_WRITES) },
+        (0, _) => Shares {
+            requests: share(ALL_SHARE),
+            writes: share(ALL_SHARE),
+        },
+        (_, true) => Shares {
+            requests: share(LEADER_REQUESTS),
+            writes: share(LEADER_WRITES),
+        },
         (n, false) => Shares {
             requests: share((ALL_SHARE - LEADER_REQUESTS) / n as f64),
-            writes: Share { part: ALL_SHARE / n as f64, burst_s: FOLLOWER_BURST_S, reserve: FOLLOWER_RESERVE },
+            writes: Share {
+                part: ALL_SHARE / n as f64,
+                burst_s: FOLLOWER_BURST_S,
+                reserve: FOLLOWER_RESERVE,
+            },
         },
     }
 }
@@ -78,7 +98,11 @@
 
 /// Leads until the lease is lost.
 async fn lead(node: &Rc<Node>, won: Won, ttl: Duration) {
-    log::info!("event=leader member={} token={}", node.settings.member, won.token);
+    log::info!(
+        "event=leader member={} token={}",
+        node.settings.member,
+        won.token
+    );
     // The picture must hold all that was accepted and recorded before this leadership, and be fresh:
     // nothing is started on the strength of an old one.
     let behind = |node: &Node| {
@@ -98,7 +122,8 @@
     let tasks = [
         node.ex.spawn(clock(node.clone())),
         node.ex.spawn(writer(node.clone())),
-        node.ex.spawn(keep_looking(node.clone(), ttl / LOOKS_PER_LEASE)),
+        node.ex
+            .spawn(keep_looking(node.clone(), ttl / LOOKS_PER_LEASE)),
         node.ex.spawn(crate::renting::rent(node.clone())),
         node.ex.spawn(crate::renting::watch_cloud(node.clone())),
     ];
@@ -112,7 +137,13 @@
         }
     }
     log::info!("event=leader_ended member={}", node.settings.member);
-    if state.shared.replica.leader.as_ref().is_some_and(|(l, _)| l.member == node.settings.member) {
+    if state
+        .shared
+        .replica
+        .leader
+        .as_ref()
+        .is_some_and(|(l, _)| l.member == node.settings.member)
+    {
         state.shared.replica.leader = None;
     }
 }
@@ -123,7 +154,10 @@
     let replica = &state.shared.replica;
     let value_kb = node.settings.settings.state.value_kb;
     let chunk_bits = sched::leader::chunk_bits(value_kb);
-    let earlier = |spec: &wire::users::Job, version: u64| match (spec.shape, replica.bound_machines(&spec.id)) {
+    let earlier = |spec: &wire::users::Job, version: u64| match (
+        spec.shape,
+        replica.bound_machines(&spec.id),
+    ) {
         (Shape::Gang, Some(machines)) => Earlier::Bound(machines),
         (Shape::Gang, None) => Earlier::Untouched,
         _ if replica.begun.covers(version) => Earlier::Anywhere,
@@ -136,10 +170,36 @@
     };
     let jobs = replica.jobs.values().filter_map(open).collect();
     let seed = node.seed.replace(node.seed.get().wrapping_add(1));
-    let (me, setup, begun) = (&node.settings.member, node.setup.clone(), replica.begun.upto);
-    let mut leader = Leader::new(me, setup, seed, won.token, value_kb, jobs, &replica.roster, begun, node.now());
-    let cancelled = replica.lately_cancelled(Duration::from_secs_f64(node.setup.lease_s + node.setup.cancel_s));
-    let room = |(id, team, (cpus, gpus))| (id, team, Room { cpus, gpus, memory_gb: 0.0 });
+    let (me, setup, begun) = (
+        &node.settings.member,
+        node.setup.clone(),
+        replica.begun.upto,
+    );
+    let mut leader = Leader::new(
+        me,
+        setup,
+        seed,
+        won.token,
+        value_kb,
+        jobs,
+        &replica.roster,
+        begun,
+        node.now(),
+    );
+    let cancelled = replica.lately_cancelled(Duration::from_secs_f64(
+        node.setup.lease_s + node.setup.cancel_s,
+    ));
+    let room = |(id, team, (cpus, gpus))| {
+        (
+            id,
+            team,
+            Room {
+                cpus,
+                gpus,
+                memory_gb: 0.0,
+            },
+        )
+    };
     leader.set_lately_cancelled(cancelled.into_iter().map(room));
     if let Some(types) = state.shared.catalog.clone() {
         leader.catalog(types);
@@ -154,8 +214,14 @@
     state.owner.authority.set(node.at(won.until));
     state.owner.authority.learn(state.shared.looked);
     let books = Books::load(replica, value_kb);
-    state.shared.lead =
-        Some(Lead { leader, won: won.clone(), books, writes: Default::default(), cloud: Default::default(), links: HashMap::new() });
+    state.shared.lead = Some(Lead {
+        leader,
+        won: won.clone(),
+        books,
+        writes: Default::default(),
+        cloud: Default::default(),
+        links: HashMap::new(),
+    });
 }
 
 /// Renews the lease; returns when it is certainly lost.
@@ -219,7 +285,9 @@
         let now = node.now();
         let mut guard = node.lock();
         let state = &mut *guard;
-        let Some(lead) = &mut state.shared.lead else { return };
+        let Some(lead) = &mut state.shared.lead else {
+            return;
+        };
         if !state.owner.has_authority(now) {
             // Nothing is decided without authority; it may come back with a renewal and a look.
             continue;
--- a/crates/ladderroute/src/logging.rs
+++ b/crates/ladderroute/src/logging.rs
@@ -13,7 +13,13 @@
     env_logger::Builder::new()
         .filter_level(level)
         .format(move |out, record| {
-            writeln!(out, "up={:.3} level={} {}", began.elapsed().as_secs_f64(), record.level().as_str().to_lowercase(), record.args())
+            writeln!(
+                out,
+                "up={:.3} level={} {}",
+                began.elapsed().as_secs_f64(),
+                record.level().as_str().to_lowercase(),
+                record.args()
+            )
         })
         .init();
 }
--- a/crates/ladderroute/src/main.rs
+++ b/crates/ladderroute/src/main.rs
@@ -22,7 +22,10 @@
     let args = Args::parse();
     logging::start();
     let loaded = settings::Settings::load(&args.config).and_then(|s| {
-        let tuning = args.operator.as_deref().map_or_else(|| Ok(operator::Tuning::default()), operator::Tuning::load)?;
+        let tuning = args
+            .operator
+            .as_deref()
+            .map_or_else(|| Ok(operator::Tuning::default()), operator::Tuning::load)?;
         Ok((s, tuning))
     });
     let (settings, tuning) = match loaded {
--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -93,13 +93,20 @@
 impl Jobs for JobRooms<'_> {
     fn room(&self, job: &str) -> Option<Room> {
         let j = self.0.jobs.get(job)?.job.as_ref()?;
-        Some(Room { cpus: j.cpus, gpus: j.gpus, memory_gb: j.memory_gb })
+        Some(Room {
+            cpus: j.cpus,
+            gpus: j.gpus,
+            memory_gb: j.memory_gb,
+        })
     }
     fn image(&self, job: &str) -> Option<String> {
         Some(self.0.jobs.get(job)?.job.as_ref()?.image.clone())
     }
     fn over(&self, job: &str) -> bool {
-        self.0.jobs.get(job).is_some_and(|e| e.state != Recorded::Open)
+        self.0
+            .jobs
+            .get(job)
+            .is_some_and(|e| e.state != Recorded::Open)
     }
 }
 
@@ -115,7 +122,9 @@
 
     /// A queue for a connection to another controller.
     pub fn outbox(&self) -> Outbox {
-        Outbox::new((self.settings.settings.quota.memory_mb * 1024.0 * 1024.0 * OUTBOX_SHARE) as usize)
+        Outbox::new(
+            (self.settings.settings.quota.memory_mb * 1024.0 * 1024.0 * OUTBOX_SHARE) as usize,
+        )
     }
 
     /// The shared state; never held across an await.
@@ -207,7 +216,12 @@
         match &entry.job {
             Some(spec) => {
                 // What is new to this leader was never given out: no other could have led since.
-                lead.leader.add_job(open_job(entry, spec.clone(), lead.leader.chunk_bits(), Earlier::Untouched));
+                lead.leader.add_job(open_job(
+                    entry,
+                    spec.clone(),
+                    lead.leader.chunk_bits(),
+                    Earlier::Untouched,
+                ));
             }
             None => {
                 lead.books.job_over(id);
@@ -218,12 +232,22 @@
 }
 
 /// A job of the replica as the leader takes it.
-pub fn open_job(entry: &store::replica::JobEntry, spec: Rc<wire::users::Job>, chunk_bits: u32, earlier: Earlier) -> sched::leader::OpenJob {
+pub fn open_job(
+    entry: &store::replica::JobEntry,
+    spec: Rc<wire::users::Job>,
+    chunk_bits: u32,
+    earlier: Earlier,
+) -> sched::leader::OpenJob {
     let mut done = sched::ranges::Ranges::default();
     for (chunk, bits) in &entry.progress {
         done.add_bits(chunk * chunk_bits, bits, spec.tasks);
     }
-    sched::leader::OpenJob { spec, revision: entry.version, done, earlier }
+    sched::leader::OpenJob {
+        spec,
+        revision: entry.version,
+        done,
+        earlier,
+    }
 }
 
 /// A controller that has not begun to run.
@@ -231,14 +255,20 @@
     let setup = settings.setup(tuning);
     let p = settings.settings.clone();
     let shares = crate::lead::store_shares(false, settings.known.len());
-    let rates = Rates { requests_per_s: p.state.rps, writes_per_s: p.state.write_rps };
+    let rates = Rates {
+        requests_per_s: p.state.rps,
+        writes_per_s: p.state.write_rps,
+    };
     let limit = Duration::from_secs_f64((setup.lease_s * 0.1).clamp(0.5, 1.5));
     Rc::new(Node {
         store: Store::new(settings.services.state, rates, shares, limit),
         cloud: http::client::Client::new(settings.services.cloud, 2, 4 << 20),
         ex,
         began: Instant::now(),
-        state: Mutex::new(State { owner: Owner::new(&settings.member, setup.clone()), shared: Shared::default() }),
+        state: Mutex::new(State {
+            owner: Owner::new(&settings.member, setup.clone()),
+            shared: Shared::default(),
+        }),
         fresh: crate::fresh::Fresh::default(),
         to_write: smol::channel::bounded(1),
         to_rent: smol::channel::bounded(1),
@@ -260,7 +290,12 @@
 pub fn run(settings: Settings, tuning: Tuning) -> std::io::Result<()> {
     let ex = Rc::new(smol::LocalExecutor::new());
     let node = new(settings, &tuning, ex.clone());
-    log::info!("event=start member={} api={} back={}", node.settings.member, node.settings.api_addr, node.settings.back);
+    log::info!(
+        "event=start member={} api={} back={}",
+        node.settings.member,
+        node.settings.api_addr,
+        node.settings.back
+    );
     tell_if_tight(&node.setup);
     let run = ex.clone();
     smol::block_on(run.run(async move {
@@ -270,7 +305,8 @@
         ex.spawn(crate::lead::campaign(node.clone())).detach();
         ex.spawn(crate::peers::serve(node.clone(), back)).detach();
         ex.spawn(crate::peers::join_leader(node.clone())).detach();
-        ex.spawn(crate::renting::learn_catalog(node.clone())).detach();
+        ex.spawn(crate::renting::learn_catalog(node.clone()))
+            .detach();
         ex.spawn(tick(node.clone())).detach();
         crate::api::serve(node, api).await;
         Ok(())
--- a/crates/ladderroute/src/operator.rs
+++ b/crates/ladderroute/src/operator.rs
@@ -20,21 +20,35 @@
 
 impl Default for Tuning {
     fn default() -> Tuning {
-        Tuning { hold_s: 10.0, leader_lease_share: 0.36, keep_boots: 0.8, patience: 0.3 }
+        Tuning {
+            hold_s: 10.0,
+            leader_lease_share: 0.36,
+            keep_boots: 0.8,
+            patience: 0.3,
+        }
     }
 }
 
 impl Tuning {
     pub fn load(file: &str) -> Result<Tuning, SettingsError> {
-        let text = std::fs::read_to_string(file).map_err(|cause| SettingsError::Read { file: file.into(), cause })?;
+        let text = std::fs::read_to_string(file).map_err(|cause| SettingsError::Read {
+            file: file.into(),
+            cause,
+        })?;
         Tuning::parse(&text, file)
     }
 
     pub fn parse(text: &str, file: &str) -> Result<Tuning, SettingsError> {
-        let fail = |cause: String| SettingsError::Parse { file: file.into(), cause };
+        let fail = |cause: String| SettingsError::Parse {
+            file: file.into(),
+            cause,
+        };
         let pool = DescriptorPool::decode(DESCRIPTION).map_err(|e| fail(e.to_string()))?;
-        let kind = pool.get_message_by_name("ladderroute.Operator").ok_or_else(|| fail("no description of the settings".into()))?;
-        let message = DynamicMessage::parse_text_format(kind, text).map_err(|e| fail(e.to_string()))?;
+        let kind = pool
+            .get_message_by_name("ladderroute.Operator")
+            .ok_or_else(|| fail("no description of the settings".into()))?;
+        let message =
+            DynamicMessage::parse_text_format(kind, text).map_err(|e| fail(e.to_string()))?;
         let mut t = Tuning::default();
         for (name, value, low, high) in [
             ("hold_s", &mut t.hold_s, 0.5, 600.0),
@@ -45,9 +59,15 @@
             if !message.has_field_by_name(name) {
                 continue;
             }
-            let given = message.get_field_by_name(name).and_then(|v| v.as_f64()).unwrap_or(f64::NAN);
+            let given = message
+                .get_field_by_name(name)
+                .and_then(|v| v.as_f64())
+                .unwrap_or(f64::NAN);
             if !(low..=high).contains(&given) {
-                return Err(SettingsError::Field { field: name.into(), cause: format!("must lie between {low} and {high}") });
+                return Err(SettingsError::Field {
+                    field: name.into(),
+                    cause: format!("must lie between {low} and {high}"),
+                });
             }
             *value = given;
         }
--- a/crates/ladderroute/src/outbox.rs
+++ b/crates/ladderroute/src/outbox.rs
@@ -27,8 +27,14 @@
 impl Outbox {
     /// At most so many bytes wait.
     pub fn new(most: usize) -> Outbox {
-        let queue = Queue { most, ..Queue::default() };
-        Outbox { queue: Rc::new(RefCell::new(queue)), wake: smol::channel::bounded(1) }
+        let queue = Queue {
+            most,
+            ..Queue::default()
+        };
+        Outbox {
+            queue: Rc::new(RefCell::new(queue)),
+            wake: smol::channel::bounded(1),
+        }
     }
 
     pub fn close(&self) {
@@ -51,7 +57,9 @@
                 return;
             }
             match q.bulk.back_mut() {
-                Some(last) if last.len() + bytes.len() <= WRITE_AT_ONCE => last.extend_from_slice(&bytes),
+                Some(last) if last.len() + bytes.len() <= WRITE_AT_ONCE => {
+                    last.extend_from_slice(&bytes)
+                }
                 _ => q.bulk.push_back(bytes),
             }
         }
--- a/crates/ladderroute/src/peers.rs
+++ b/crates/ladderroute/src/peers.rs
@@ -24,7 +24,12 @@
 
 impl Frames {
     fn new(stream: TcpStream) -> Frames {
-        Frames { stream, buf: Vec::new(), used: 0, chunk: vec![0; READ_AT_ONCE] }
+        Frames {
+            stream,
+            buf: Vec::new(),
+            used: 0,
+            chunk: vec![0; READ_AT_ONCE],
+        }
     }
 
     /// One frame's inside; none at the end or for anything that is not ours.
@@ -45,7 +50,12 @@
             self.buf.drain(..self.used);
             self.used = 0;
             // Grows with what arrives, so that a false length costs nothing.
-            let n = self.stream.read(&mut self.chunk).await.ok().filter(|n| *n > 0)?;
+            let n = self
+                .stream
+                .read(&mut self.chunk)
+                .await
+                .ok()
+                .filter(|n| *n > 0)?;
             self.buf.extend_from_slice(&self.chunk[..n]);
         }
     }
@@ -95,16 +105,31 @@
     let _ = stream.set_nodelay(true);
     let limit = Duration::from_secs_f64(wire::ANSWER_DROPPED_S);
     let mut frames = Frames::new(stream.clone());
-    let Some(Some(first)) = within(limit, frames.next()).await else { return };
-    let Some(ToLeader::Hello { member, start, count }) = unframe(&first) else { return };
+    let Some(Some(first)) = within(limit, frames.next()).await else {
+        return;
+    };
+    let Some(ToLeader::Hello {
+        member,
+        start,
+        count,
+    }) = unframe(&first)
+    else {
+        return;
+    };
     if !node.settings.known.iter().any(|p| p.member == member) {
         return;
     }
     let sender = node.outbox();
     {
         let mut guard = node.lock();
-        let Some(lead) = &mut guard.shared.lead else { return };
-        if lead.links.get(&member).is_some_and(|l| l.start == start && l.count >= count) {
+        let Some(lead) = &mut guard.shared.lead else {
+            return;
+        };
+        if lead
+            .links
+            .get(&member)
+            .is_some_and(|l| l.start == start && l.count >= count)
+        {
             return;
         }
         if let Some(old) = lead.links.remove(&member) {
@@ -113,13 +138,26 @@
         }
         log::info!("event=owner_joined member={member}");
         lead.leader.owner_heard(&member, node.now());
-        lead.links.insert(member.clone(), Link { frames: sender.clone(), start, count });
+        lead.links.insert(
+            member.clone(),
+            Link {
+                frames: sender.clone(),
+                start,
+                count,
+            },
+        );
     }
-    let writer = node.ex.spawn(write_frames(stream.clone(), sender.clone(), limit));
+    let writer = node
+        .ex
+        .spawn(write_frames(stream.clone(), sender.clone(), limit));
     loop {
         // An owner pings often; long silence ends the connection.
-        let Some(Some(inside)) = within(limit, frames.next()).await else { break };
-        let Some(message) = unframe::<ToLeader>(&inside) else { break };
+        let Some(Some(inside)) = within(limit, frames.next()).await else {
+            break;
+        };
+        let Some(message) = unframe::<ToLeader>(&inside) else {
+            break;
+        };
         if sender.is_closed() || !on_owner_message(node, &member, &sender, message) {
             break;
         }
@@ -127,7 +165,11 @@
     drop(writer);
     let mut guard = node.lock();
     if let Some(lead) = &mut guard.shared.lead {
-        if lead.links.get(&member).is_some_and(|l| l.start == start && l.count == count) {
+        if lead
+            .links
+            .get(&member)
+            .is_some_and(|l| l.start == start && l.count == count)
+        {
             log::info!("event=owner_left member={member}");
             lead.links.remove(&member);
             lead.leader.owner_lost(&member);
@@ -140,18 +182,29 @@
     let now = node.now();
     let mut guard = node.lock();
     let state = &mut *guard;
-    let Some(lead) = &mut state.shared.lead else { return false };
+    let Some(lead) = &mut state.shared.lead else {
+        return false;
+    };
     lead.leader.owner_heard(member, now);
     match message {
         ToLeader::Ping { n } => {
             // Authority of an owner ends before the leader's own, and soon after the last ping.
             let authority = &state.owner.authority;
-            let until = authority.answers_until().min(now + node.setup.owner_silence_s() * 1.25);
+            let until = authority
+                .answers_until()
+                .min(now + node.setup.owner_silence_s() * 1.25);
             if let Some(valid) = lead.leader.grant(member, now, until) {
                 let token = lead.leader.token();
-                link.send_first(&frame(&ToOwner::Grant { n, token, valid_ms: (valid * 1000.0) as u64 }));
+                link.send_first(&frame(&ToOwner::Grant {
+                    n,
+                    token,
+                    valid_ms: (valid * 1000.0) as u64,
+                }));
                 // Behind all that the leader has made of what it knows.
-                link.send(frame(&ToOwner::Known { n, age_ms: ((now - authority.known()) * 1000.0).ceil() as u64 }));
+                link.send(frame(&ToOwner::Known {
+                    n,
+                    age_ms: ((now - authority.known()) * 1000.0).ceil() as u64,
+                }));
             }
         }
         other => {
@@ -168,8 +221,17 @@
     let mut count = 0;
     let pause = Duration::from_secs_f64(node.setup.report_s.min(1.0) / 5.0);
     loop {
-        let leader = node.lock().shared.replica.leader.clone().map(|(l, _)| l.member);
-        let addr = leader.as_ref().and_then(|l| node.settings.known.iter().find(|p| p.member == *l)).map(|p| p.addr);
+        let leader = node
+            .lock()
+            .shared
+            .replica
+            .leader
+            .clone()
+            .map(|(l, _)| l.member);
+        let addr = leader
+            .as_ref()
+            .and_then(|l| node.settings.known.iter().find(|p| p.member == *l))
+            .map(|p| p.addr);
         if let (Some(leader), Some(addr)) = (leader, addr) {
             count += 1;
             let limit = Duration::from_secs_f64(wire::ANSWER_DROPPED_S / 4.0);
@@ -186,9 +248,15 @@
     let _ = stream.set_nodelay(true);
     let limit = Duration::from_secs_f64(wire::ANSWER_DROPPED_S / 2.0);
     let sender = node.outbox();
-    let hello = ToLeader::Hello { member: node.settings.member.clone(), start, count };
+    let hello = ToLeader::Hello {
+        member: node.settings.member.clone(),
+        start,
+        count,
+    };
     sender.send_first(&frame(&hello));
-    let writer = node.ex.spawn(write_frames(stream.clone(), sender.clone(), limit));
+    let writer = node
+        .ex
+        .spawn(write_frames(stream.clone(), sender.clone(), limit));
     let mut frames = Frames::new(stream);
     let pings: Rc<std::cell::RefCell<HashMap<u64, Instant>>> = Rc::default();
     let next = Rc::new(std::cell::Cell::new(0u64));
@@ -215,12 +283,22 @@
     };
     let mut joined = false;
     while !sender.is_closed() {
-        let still = node.lock().shared.replica.leader.as_ref().is_some_and(|(l, _)| l.member == leader);
+        let still = node
+            .lock()
+            .shared
+            .replica
+            .leader
+            .as_ref()
+            .is_some_and(|(l, _)| l.member == leader);
         if !still {
             break;
         }
-        let Some(Some(inside)) = within(limit, frames.next()).await else { break };
-        let Some(message) = unframe::<ToOwner>(&inside) else { break };
+        let Some(Some(inside)) = within(limit, frames.next()).await else {
+            break;
+        };
+        let Some(message) = unframe::<ToOwner>(&inside) else {
+            break;
+        };
         let now = node.now();
         let mut guard = node.lock();
         let state = &mut *guard;
@@ -229,7 +307,8 @@
                 // Counted from the ping's sending, so that delays only shorten it.
                 let sent = pings.borrow().get(&n).copied();
                 if let Some(sent) = sent.filter(|_| joined && token == state.owner.token()) {
-                    let until = node.at(sent) + valid_ms as f64 / 1000.0 * (1.0 - 2.0 * store::leadership::DRIFT);
+                    let until = node.at(sent)
+                        + valid_ms as f64 / 1000.0 * (1.0 - 2.0 * store::leadership::DRIFT);
                     state.owner.authority.set(until);
                 }
             }
@@ -251,7 +330,9 @@
                     }
                     ping();
                 }
-                state.owner.on_leader(message, now, &JobRooms(&state.shared.replica));
+                state
+                    .owner
+                    .on_leader(message, now, &JobRooms(&state.shared.replica));
                 node.pump(state);
             }
         }
--- a/crates/ladderroute/src/renting.rs
+++ b/crates/ladderroute/src/renting.rs
@@ -24,8 +24,15 @@
 }
 
 async fn fetch_catalog(node: &Rc<Node>) -> bool {
-    let Ok(answer) = node.cloud.ask("GET", "/catalog", &[], limit(node)).await else { return false };
-    let Some(catalog) = (answer.status == 200).then(|| cbor::decode::<Catalog>(&answer.body).ok()).flatten() else { return false };
+    let Ok(answer) = node.cloud.ask("GET", "/catalog", &[], limit(node)).await else {
+        return false;
+    };
+    let Some(catalog) = (answer.status == 200)
+        .then(|| cbor::decode::<Catalog>(&answer.body).ok())
+        .flatten()
+    else {
+        return false;
+    };
     let mut guard = node.lock();
     let state = &mut *guard;
     if let Some(lead) = &mut state.shared.lead {
@@ -49,7 +56,10 @@
     let lag = node.settings.settings.cloud.list_lag_s;
     let mut round = 0;
     loop {
-        smol::Timer::after(Duration::from_secs_f64((lag / 2.0).max(4.0 / node.settings.settings.cloud.rps))).await;
+        smol::Timer::after(Duration::from_secs_f64(
+            (lag / 2.0).max(4.0 / node.settings.settings.cloud.rps),
+        ))
+        .await;
         round += 1;
         if round == LISTS_PER_CATALOG {
             round = 0;
@@ -62,8 +72,15 @@
             } else {
                 format!("/machines?since={after}&most={MOST_LISTED}")
             };
-            let Ok(answer) = node.cloud.ask("GET", &path, &[], limit(&node)).await else { break };
-            let Some(list) = (answer.status == 200).then(|| cbor::decode::<MachineList>(&answer.body).ok()).flatten() else { break };
+            let Ok(answer) = node.cloud.ask("GET", &path, &[], limit(&node)).await else {
+                break;
+            };
+            let Some(list) = (answer.status == 200)
+                .then(|| cbor::decode::<MachineList>(&answer.body).ok())
+                .flatten()
+            else {
+                break;
+            };
             with_leader(&node, |l, now| l.listed(&list.machines, now));
             if list.more {
                 since = list.machines.last().map(|m| m.name.clone());
@@ -76,7 +93,12 @@
 /// Carries out hires and releases, one at a time.
 pub async fn rent(node: Rc<Node>) {
     loop {
-        let deed = node.lock().shared.lead.as_mut().and_then(|l| l.cloud.pop_front());
+        let deed = node
+            .lock()
+            .shared
+            .lead
+            .as_mut()
+            .and_then(|l| l.cloud.pop_front());
         let Some(deed) = deed else {
             let _ = node.to_rent.1.recv().await;
             continue;
@@ -85,12 +107,18 @@
             Deed::Hire(hire) => {
                 let got = hire_machines(&node, &hire).await;
                 if let Some(names) = &got {
-                    log::info!("event=hired name={} machines={}", hire.name, names.join(","));
+                    log::info!(
+                        "event=hired name={} machines={}",
+                        hire.name,
+                        names.join(",")
+                    );
                 }
                 with_leader(&node, |l, now| l.hired(&hire.name, got, now));
             }
             Deed::Release(names) => {
-                let body = cbor::encode(&Names { machines: names.clone() });
+                let body = cbor::encode(&Names {
+                    machines: names.clone(),
+                });
                 let ok = matches!(node.cloud.ask("POST", "/machines/release", &body, limit(&node)).await, Ok(a) if a.status == 200);
                 log::info!("event=release ok={ok} machines={}", names.join(","));
                 with_leader(&node, |l, _| l.released(&names, ok));
@@ -115,10 +143,18 @@
 async fn hire_machines(node: &Rc<Node>, hire: &wire::cloud::Hire) -> Option<Vec<String>> {
     let body = cbor::encode(hire);
     for _ in 0..HIRE_TRIES {
-        match node.cloud.ask("POST", "/machines", &body, limit(node)).await {
-            Ok(a) if a.status == 200 => return cbor::decode::<Names>(&a.body).ok().map(|n| n.machines),
+        match node
+            .cloud
+            .ask("POST", "/machines", &body, limit(node))
+            .await
+        {
+            Ok(a) if a.status == 200 => {
+                return cbor::decode::<Names>(&a.body).ok().map(|n| n.machines)
+            }
             Ok(a) if a.status == 503 => {
-                let error = cbor::decode::<wire::users::Refusal>(&a.body).map(|r| r.error).unwrap_or_default();
+                let error = cbor::decode::<wire::users::Refusal>(&a.body)
+                    .map(|r| r.error)
+                    .unwrap_or_default();
                 return (error == "no capacity").then(Vec::new);
             }
             Ok(a) if a.status == 429 => smol::Timer::after(pace(node).mul_f64(2.0)).await,
--- a/crates/ladderroute/src/settings.rs
+++ b/crates/ladderroute/src/settings.rs
@@ -47,7 +47,12 @@
     fn team(&self) -> Team {
         let limited = self.cpus_max > 0.0;
         let limit = |most: f64| if limited { most } else { f64::INFINITY };
-        Team { cpus: self.cpus, cpus_max: limit(self.cpus_max), gpus: self.gpus, gpus_max: limit(self.gpus_max) }
+        Team {
+            cpus: self.cpus,
+            cpus_max: limit(self.cpus_max),
+            gpus: self.gpus,
+            gpus_max: limit(self.gpus_max),
+        }
     }
 }
 
@@ -115,19 +120,29 @@
 
 impl Settings {
     pub fn load(file: &str) -> Result<Settings, SettingsError> {
-        let text = std::fs::read_to_string(file).map_err(|cause| SettingsError::Read { file: file.into(), cause })?;
+        let text = std::fs::read_to_string(file).map_err(|cause| SettingsError::Read {
+            file: file.into(),
+            cause,
+        })?;
         Settings::parse(&text, file)
     }
 
     pub fn parse(text: &str, file: &str) -> Result<Settings, SettingsError> {
-        let s: Settings = toml::from_str(text)
-            .map_err(|e| SettingsError::Parse { file: file.into(), cause: e.to_string().trim_end().replace('\n', " ") })?;
+        let s: Settings = toml::from_str(text).map_err(|e| SettingsError::Parse {
+            file: file.into(),
+            cause: e.to_string().trim_end().replace('\n', " "),
+        })?;
         s.check()?;
         Ok(s)
     }
 
     fn check(&self) -> Result<(), SettingsError> {
-        let bad = |field: &str, cause: &str| Err(SettingsError::Field { field: field.into(), cause: cause.into() });
+        let bad = |field: &str, cause: &str| {
+            Err(SettingsError::Field {
+                field: field.into(),
+                cause: cause.into(),
+            })
+        };
         if self.member.is_empty() {
             return bad("member", "must not be empty");
         }
@@ -155,16 +170,32 @@
             }
         }
         if p.workers.lease_s <= p.workers.report_s * 2.0 {
-            return bad("settings.workers.lease_s", "must be more than twice settings.workers.report_s");
+            return bad(
+                "settings.workers.lease_s",
+                "must be more than twice settings.workers.report_s",
+            );
         }
         for t in &p.teams {
-            if !(t.cpus_max >= 0.0 && t.cpus_max.is_finite() && t.gpus_max >= 0.0 && t.gpus_max.is_finite()) {
-                return bad(&format!("settings.teams.cpus_max of {}", t.name), "limits must not be negative");
+            if !(t.cpus_max >= 0.0
+                && t.cpus_max.is_finite()
+                && t.gpus_max >= 0.0
+                && t.gpus_max.is_finite())
+            {
+                return bad(
+                    &format!("settings.teams.cpus_max of {}", t.name),
+                    "limits must not be negative",
+                );
             }
             let team = t.team();
-            for (name, low, high) in [("cpus", team.cpus, team.cpus_max), ("gpus", team.gpus, team.gpus_max)] {
+            for (name, low, high) in [
+                ("cpus", team.cpus, team.cpus_max),
+                ("gpus", team.gpus, team.gpus_max),
+            ] {
                 if !(low >= 0.0 && low.is_finite() && high >= low) {
-                    return bad(&format!("settings.teams.{name} of {}", t.name), "must lie between 0 and the team's limit");
+                    return bad(
+                        &format!("settings.teams.{name} of {}", t.name),
+                        "must lie between 0 and the team's limit",
+                    );
                 }
             }
         }
@@ -174,12 +205,25 @@
     /// What the decisions need to know.
     pub fn setup(&self, tuning: &crate::operator::Tuning) -> Setup {
         let p = &self.settings;
-        let teams: BTreeMap<String, Team> = p.teams.iter().map(|t| (t.name.clone(), t.team())).collect();
-        let guarantee_s = p.objectives.iter().filter(|o| o.kind == "guarantee").find_map(|o| o.within_s);
+        let teams: BTreeMap<String, Team> =
+            p.teams.iter().map(|t| (t.name.clone(), t.team())).collect();
+        let guarantee_s = p
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "guarantee")
+            .find_map(|o| o.within_s);
         // Of several objectives for the start of one class the shortest counts.
         let mut wait_s: BTreeMap<String, f64> = BTreeMap::new();
-        for (class, s) in p.objectives.iter().filter(|o| o.kind == "wait").filter_map(|o| Some((o.class.clone()?, o.within_s?))) {
-            wait_s.entry(class).and_modify(|least| *least = least.min(s)).or_insert(s);
+        for (class, s) in p
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "wait")
+            .filter_map(|o| Some((o.class.clone()?, o.within_s?)))
+        {
+            wait_s
+                .entry(class)
+                .and_modify(|least| *least = least.min(s))
+                .or_insert(s);
         }
         Setup {
             teams,
@@ -189,7 +233,8 @@
             list_lag_s: p.cloud.list_lag_s,
             hold_s: tuning.hold_s,
             // No more than half the time after which a worker drops an answer.
-            leader_lease_s: (p.workers.lease_s * tuning.leader_lease_share).clamp(0.5, wire::ANSWER_DROPPED_S * 0.5),
+            leader_lease_s: (p.workers.lease_s * tuning.leader_lease_share)
+                .clamp(0.5, wire::ANSWER_DROPPED_S * 0.5),
             guarantee_s: guarantee_s.unwrap_or(p.workers.report_s * 10.0),
             wait_s,
             patience: tuning.patience,
--- a/crates/ladderroute/src/writer.rs
+++ b/crates/ladderroute/src/writer.rs
@@ -15,7 +15,8 @@
 use store::pages::Pages;
 use store::replica::Replica;
 use wire::store::{
-    to_value, BindingRecord, Condition, JobRecord, LeaderRecord, ProgressPage, Recorded, RosterPage, RosterRecord, Txn, Write,
+    to_value, BindingRecord, Condition, JobRecord, LeaderRecord, ProgressPage, Recorded,
+    RosterPage, RosterRecord, Txn, Write,
 };
 
 /// Part of a value that the entries of a page may fill, by their own sizes.
@@ -47,44 +48,95 @@
     /// The pages as the store holds them, less the progress of jobs that are over.
     pub fn load(replica: &Replica, value_kb: f64) -> Books {
         let limit = (value_kb * 1024.0 * PAGE_FILL) as usize;
-        let mut books = Books { roster: Pages::new(limit), progress: Pages::new(limit) };
+        let mut books = Books {
+            roster: Pages::new(limit),
+            progress: Pages::new(limit),
+        };
         for (n, page) in &replica.roster_pages {
             for (record, names) in &page.groups {
                 for name in names {
-                    books.roster.load(*n, name.clone(), roster_size(name, record), record.clone());
+                    books
+                        .roster
+                        .load(*n, name.clone(), roster_size(name, record), record.clone());
                 }
             }
         }
         for (n, page) in &replica.progress_pages {
             for (job, chunk, bits) in &page.chunks {
-                books.progress.load(*n, (job.clone(), *chunk), progress_size(job, bits), bits.clone());
+                books.progress.load(
+                    *n,
+                    (job.clone(), *chunk),
+                    progress_size(job, bits),
+                    bits.clone(),
+                );
             }
         }
-        let over = |id: &String| replica.jobs.get(id).is_some_and(|e| e.state != Recorded::Open);
-        let old: Vec<_> = replica.progress_pages.values().flat_map(|p| &p.chunks).filter(|c| over(&c.0)).collect();
-        old.into_iter().for_each(|c| books.progress.remove(&(c.0.clone(), c.1), false));
+        let over = |id: &String| {
+            replica
+                .jobs
+                .get(id)
+                .is_some_and(|e| e.state != Recorded::Open)
+        };
+        let old: Vec<_> = replica
+            .progress_pages
+            .values()
+            .flat_map(|p| &p.chunks)
+            .filter(|c| over(&c.0))
+            .collect();
+        old.into_iter()
+            .for_each(|c| books.progress.remove(&(c.0.clone(), c.1), false));
         books
     }
 
     /// A job is over: its progress leaves its page when that is written next.
     pub fn job_over(&mut self, id: &str) {
         let first = (id.to_string(), 0);
-        let mine: Vec<_> = self.progress.keys_from(&first).take_while(|k| k.0 == id).cloned().collect();
+        let mine: Vec<_> = self
+            .progress
+            .keys_from(&first)
+            .take_while(|k| k.0 == id)
+            .cloned()
+            .collect();
         mine.iter().for_each(|k| self.progress.remove(k, false));
     }
 
     fn roster_write(&self, n: u32) -> Write {
-        let Some(entries) = self.roster.page(n) else { return Write::Drop { key: keys::roster(n) } };
+        let Some(entries) = self.roster.page(n) else {
+            return Write::Drop {
+                key: keys::roster(n),
+            };
+        };
         let mut groups: BTreeMap<&RosterRecord, Vec<String>> = BTreeMap::new();
         entries.for_each(|(name, r)| groups.entry(r).or_default().push(name.clone()));
-        let page = RosterPage { groups: groups.into_iter().map(|(r, names)| (r.clone(), names)).collect() };
-        Write::Put { key: keys::roster(n), value: to_value(&page), lease: None }
+        let page = RosterPage {
+            groups: groups
+                .into_iter()
+                .map(|(r, names)| (r.clone(), names))
+                .collect(),
+        };
+        Write::Put {
+            key: keys::roster(n),
+            value: to_value(&page),
+            lease: None,
+        }
     }
 
     fn progress_write(&self, n: u32) -> Write {
-        let Some(entries) = self.progress.page(n) else { return Write::Drop { key: keys::progress(n) } };
-        let page = ProgressPage { chunks: entries.map(|((job, chunk), bits)| (job.clone(), *chunk, bits.clone())).collect() };
-        Write::Put { key: keys::progress(n), value: to_value(&page), lease: None }
+        let Some(entries) = self.progress.page(n) else {
+            return Write::Drop {
+                key: keys::progress(n),
+            };
+        };
+        let page = ProgressPage {
+            chunks: entries
+                .map(|((job, chunk), bits)| (job.clone(), *chunk, bits.clone()))
+                .collect(),
+        };
+        Write::Put {
+            key: keys::progress(n),
+            value: to_value(&page),
+            lease: None,
+        }
     }
 
     fn dirty(&self) -> bool {
@@ -146,7 +198,11 @@
 /// Whether a decision waits that has to be durable before anything starts.
 fn urgent_waits(node: &Node) -> bool {
     let state = node.lock();
-    state.shared.lead.as_ref().is_none_or(|lead| lead.writes.iter().any(|d| urgency(d) < FINISH))
+    state
+        .shared
+        .lead
+        .as_ref()
+        .is_none_or(|lead| lead.writes.iter().any(|d| urgency(d) < FINISH))
 }
 
 /// The urgency of the end of a job.
@@ -182,14 +238,18 @@
     let first = waiting.first().map(class);
     let mut full = false;
     for deed in waiting {
-        let room = most.saturating_sub(batch.writes.len() + batch.roster.len() + batch.progress.len());
+        let room =
+            most.saturating_sub(batch.writes.len() + batch.roster.len() + batch.progress.len());
         if full || Some(class(&deed)) != first || first == Some(0) && !batch.deeds.is_empty() {
             lead.writes.push_back(deed);
             continue;
         }
         match &deed {
             Deed::Roster(name, Some(r)) if room > 0 => {
-                let page = lead.books.roster.put(name.clone(), roster_size(name, r), r.clone());
+                let page = lead
+                    .books
+                    .roster
+                    .put(name.clone(), roster_size(name, r), r.clone());
                 if !batch.roster.contains(&page) {
                     batch.roster.push(page);
                 }
@@ -200,15 +260,27 @@
                 continue;
             }
             Deed::Progress { job, chunk, bits } if room > 0 => {
-                let page = lead.books.progress.put((job.clone(), *chunk), progress_size(job, bits), bits.clone());
+                let page = lead.books.progress.put(
+                    (job.clone(), *chunk),
+                    progress_size(job, bits),
+                    bits.clone(),
+                );
                 if !batch.progress.contains(&page) {
                     batch.progress.push(page);
                 }
             }
             Deed::Begin(record) if room > 0 => {
-                batch.writes.push(Write::Put { key: keys::BEGUN.into(), value: to_value(record), lease: None });
+                batch.writes.push(Write::Put {
+                    key: keys::BEGUN.into(),
+                    value: to_value(record),
+                    lease: None,
+                });
             }
-            Deed::Bind { job, attempt, places } => {
+            Deed::Bind {
+                job,
+                attempt,
+                places,
+            } => {
                 // Long bindings take several records, each below the value limit.
                 let each = ((value_kb * 1024.0 / 64.0) as usize).max(1);
                 let records = places.chunks(each).take(most);
@@ -218,14 +290,33 @@
                     continue;
                 }
                 for (chunk, places) in records.enumerate() {
-                    let record = BindingRecord { attempt: *attempt, places: places.to_vec() };
-                    batch.writes.push(Write::Put { key: keys::binding(job, chunk as u32), value: to_value(&record), lease: None });
+                    let record = BindingRecord {
+                        attempt: *attempt,
+                        places: places.to_vec(),
+                    };
+                    batch.writes.push(Write::Put {
+                        key: keys::binding(job, chunk as u32),
+                        value: to_value(&record),
+                        lease: None,
+                    });
                 }
             }
             Deed::Finish { job } => {
                 // What a later leader would need to run it is not needed any more.
-                let bound = state.shared.replica.bindings.get(job).map(|b| b.keys().copied().collect::<Vec<u32>>()).unwrap_or_default();
-                let Some((e, spec)) = state.shared.replica.jobs.get(job).and_then(|e| Some((e, e.job.clone()?))) else {
+                let bound = state
+                    .shared
+                    .replica
+                    .bindings
+                    .get(job)
+                    .map(|b| b.keys().copied().collect::<Vec<u32>>())
+                    .unwrap_or_default();
+                let Some((e, spec)) = state
+                    .shared
+                    .replica
+                    .jobs
+                    .get(job)
+                    .and_then(|e| Some((e, e.job.clone()?)))
+                else {
                     lead.leader.finish_result(job, false);
                     continue;
                 };
@@ -235,10 +326,23 @@
                     continue;
                 }
                 let key = keys::job(job);
-                batch.conditions.push(Condition { key: key.clone(), version: e.version });
-                let record = JobRecord { state: Recorded::Done, created_ms: e.created_ms, job: (*spec).clone() };
-                batch.writes.push(Write::Put { key, value: to_value(&record), lease: None });
-                let drops = bound.into_iter().map(|c| Write::Drop { key: keys::binding(job, c) });
+                batch.conditions.push(Condition {
+                    key: key.clone(),
+                    version: e.version,
+                });
+                let record = JobRecord {
+                    state: Recorded::Done,
+                    created_ms: e.created_ms,
+                    job: (*spec).clone(),
+                };
+                batch.writes.push(Write::Put {
+                    key,
+                    value: to_value(&record),
+                    lease: None,
+                });
+                let drops = bound.into_iter().map(|c| Write::Drop {
+                    key: keys::binding(job, c),
+                });
                 batch.writes.extend(drops.take(most - 1));
             }
             Deed::NewToken => {}
@@ -258,8 +362,12 @@
             batch.roster.push(page);
         }
     }
-    batch.writes.extend(batch.roster.iter().map(|n| lead.books.roster_write(*n)));
-    batch.writes.extend(batch.progress.iter().map(|n| lead.books.progress_write(*n)));
+    batch
+        .writes
+        .extend(batch.roster.iter().map(|n| lead.books.roster_write(*n)));
+    batch
+        .writes
+        .extend(batch.progress.iter().map(|n| lead.books.progress_write(*n)));
     // A write that comes late, or once more, must not undo a newer one of this same leader. (The
     // records of jobs have their own conditions; what is dropped with a job is written no more.)
     let pages = batch.writes.iter().filter_map(|w| match w {
@@ -267,18 +375,25 @@
         Write::Drop { key } if !key.starts_with(keys::BINDING) => Some(key),
         _ => None,
     });
-    batch.conditions.extend(pages.map(|key| state.shared.replica.versions.condition(key)));
+    batch
+        .conditions
+        .extend(pages.map(|key| state.shared.replica.versions.condition(key)));
     (!batch.deeds.is_empty() || !batch.writes.is_empty()).then_some((batch, won))
 }
 
 async fn write(node: &Rc<Node>, batch: &Batch, won: &Won) -> Result<Written, StoreError> {
     if let Some(Deed::NewToken) = batch.deeds.first() {
-        return Ok(match next_token(&node.store, &node.settings.member, won).await? {
-            Some((token, version)) => Written::Token(token, version),
-            None => Written::Lost,
-        });
+        return Ok(
+            match next_token(&node.store, &node.settings.member, won).await? {
+                Some((token, version)) => Written::Token(token, version),
+                None => Written::Lost,
+            },
+        );
     }
-    let mut txn = Txn { conditions: vec![still_leader(won.version)], writes: batch.writes.clone() };
+    let mut txn = Txn {
+        conditions: vec![still_leader(won.version)],
+        writes: batch.writes.clone(),
+    };
     txn.conditions.extend(batch.conditions.iter().cloned());
     match node.store.txn(&txn, Rank::Decision).await? {
         Decided::Applied(revision) => Ok(Written::Yes(revision)),
@@ -303,12 +418,24 @@
     let now = node.now();
     let mut guard = node.lock();
     let state = &mut *guard;
-    let Some(lead) = &mut state.shared.lead else { return };
+    let Some(lead) = &mut state.shared.lead else {
+        return;
+    };
     let ok = matches!(result, Ok(Written::Yes(_)));
     if let Ok(Written::Yes(revision)) = result {
-        state.shared.replica.versions.applied(&batch.writes, revision);
-        batch.roster.iter().for_each(|n| lead.books.roster.written(*n));
-        batch.progress.iter().for_each(|n| lead.books.progress.written(*n));
+        state
+            .shared
+            .replica
+            .versions
+            .applied(&batch.writes, revision);
+        batch
+            .roster
+            .iter()
+            .for_each(|n| lead.books.roster.written(*n));
+        batch
+            .progress
+            .iter()
+            .for_each(|n| lead.books.progress.written(*n));
     }
     for deed in batch.deeds {
         match deed {
@@ -316,7 +443,10 @@
                 Ok(Written::Token(token, version)) => {
                     lead.won.token = token;
                     lead.won.version = version;
-                    let record = LeaderRecord { member: node.settings.member.clone(), token };
+                    let record = LeaderRecord {
+                        member: node.settings.member.clone(),
+                        token,
+                    };
                     state.shared.replica.leader = Some((record, version));
                     lead.leader.token_result(Some(token), now);
                 }
@@ -325,7 +455,8 @@
             Deed::Bind { job, attempt, .. } => lead.leader.bind_result(&job, attempt, ok, now),
             Deed::Finish { job } => {
                 // Of several, only those whose own condition failed have changed meanwhile.
-                let changed = matches!(&result, Ok(Written::No(failed)) if failed.contains(&keys::job(&job)));
+                let changed =
+                    matches!(&result, Ok(Written::No(failed)) if failed.contains(&keys::job(&job)));
                 if !ok && !changed {
                     lead.writes.push_back(Deed::Finish { job });
                     let _ = node.to_write.0.try_send(());
@@ -340,8 +471,13 @@
             Deed::Roster(name, _) => lead.leader.roster_result(&name, true, ok),
             Deed::Progress { job, chunk, bits } => {
                 let mut written = Ranges::default();
-                written.add_bits(chunk * lead.leader.chunk_bits(), &store::replica::bits(&bits), u32::MAX);
-                lead.leader.progress_result(&job, chunk, ok.then_some(&written));
+                written.add_bits(
+                    chunk * lead.leader.chunk_bits(),
+                    &store::replica::bits(&bits),
+                    u32::MAX,
+                );
+                lead.leader
+                    .progress_result(&job, chunk, ok.then_some(&written));
             }
             Deed::Send(..) | Deed::Hire(_) | Deed::Release(_) => {}
         }
--- a/crates/ladderroute/tests/answers.rs
+++ b/crates/ladderroute/tests/answers.rs
@@ -19,7 +19,10 @@
     let ex = Rc::new(smol::LocalExecutor::new());
     smol::block_on(ex.clone().run(async move {
         let (store, addr) = Store::start(&ex).await;
-        let nodes = [controller(&ex, 0, addr).await, controller(&ex, 1, addr).await];
+        let nodes = [
+            controller(&ex, 0, addr).await,
+            controller(&ex, 1, addr).await,
+        ];
         test(store, nodes).await;
     }));
 }
@@ -54,7 +57,10 @@
 }
 
 fn set(map: &mut [(Value, Value)], name: &str, value: Value) {
-    let field = map.iter_mut().find(|(k, _)| *k == Value::Text(name.into())).unwrap();
+    let field = map
+        .iter_mut()
+        .find(|(k, _)| *k == Value::Text(name.into()))
+        .unwrap();
     field.1 = value;
 }
 
@@ -70,8 +76,23 @@
 fn finish(store: &Store, id: &str) -> u16 {
     let item = store.get(&store::keys::job(id)).unwrap();
     let record: JobRecord = from_value(&item.value).unwrap();
-    let put = Write::Put { key: item.key.clone(), value: to_value(&JobRecord { state: Recorded::Done, ..record }), lease: None };
-    store.apply(&Txn { conditions: vec![Condition { key: item.key, version: item.version }], writes: vec![put] }).status
+    let put = Write::Put {
+        key: item.key.clone(),
+        value: to_value(&JobRecord {
+            state: Recorded::Done,
+            ..record
+        }),
+        lease: None,
+    };
+    store
+        .apply(&Txn {
+            conditions: vec![Condition {
+                key: item.key,
+                version: item.version,
+            }],
+            writes: vec![put],
+        })
+        .status
 }
 
 #[test]
@@ -82,12 +103,27 @@
         assert_eq!(accepted(&submit(&a, &sent).await), (201, JobState::Queued));
         assert_eq!(told(&query(&b, "wk-1").await), (200, JobState::Queued));
         assert_eq!(accepted(&submit(&b, &sent).await), (200, JobState::Queued));
-        assert_eq!(accepted(&cancel(&b, "wk-1").await), (200, JobState::Cancelled));
+        assert_eq!(
+            accepted(&cancel(&b, "wk-1").await),
+            (200, JobState::Cancelled)
+        );
         for n in [&a, &b] {
             assert_eq!(told(&query(n, "wk-1").await), (200, JobState::Cancelled));
-            assert_eq!(accepted(&cancel(n, "wk-1").await), (200, JobState::Cancelled));
-            assert_eq!(accepted(&submit(n, &sent).await), (200, JobState::Cancelled));
-            assert_eq!((query(n, "wk-2").await.status, cancel(n, "wk-2").await.status), (404, 404));
+            assert_eq!(
+                accepted(&cancel(n, "wk-1").await),
+                (200, JobState::Cancelled)
+            );
+            assert_eq!(
+                accepted(&submit(n, &sent).await),
+                (200, JobState::Cancelled)
+            );
+            assert_eq!(
+                (
+                    query(n, "wk-2").await.status,
+                    cancel(n, "wk-2").await.status
+                ),
+                (404, 404)
+            );
         }
     });
 }
@@ -96,13 +132,22 @@
 fn a_submission_without_an_answer_is_read_back_and_never_undoes_anything() {
     with(|store, [a, b]| async move {
         store.fate.set(Fate::AnswerLost);
-        assert_eq!(accepted(&submit(&a, &body("wk-1", |_| ())).await), (200, JobState::Queued));
+        assert_eq!(
+            accepted(&submit(&a, &body("wk-1", |_| ())).await),
+            (200, JobState::Queued)
+        );
         // Not carried out so far: neither accepted nor refused for good.
         store.fate.set(Fate::Kept);
         let r = submit(&a, &body("wk-2", |_| ())).await;
         assert_eq!((r.status, r.retry_after_s.is_some()), (503, true));
-        assert_eq!(accepted(&submit(&b, &body("wk-2", |_| ())).await), (201, JobState::Queued));
-        assert_eq!(accepted(&cancel(&b, "wk-2").await), (200, JobState::Cancelled));
+        assert_eq!(
+            accepted(&submit(&b, &body("wk-2", |_| ())).await),
+            (201, JobState::Queued)
+        );
+        assert_eq!(
+            accepted(&cancel(&b, "wk-2").await),
+            (200, JobState::Cancelled)
+        );
         assert_eq!(store.carry_out_kept(), vec![409]);
         for n in [&a, &b] {
             assert_eq!(told(&query(n, "wk-2").await), (200, JobState::Cancelled));
@@ -113,7 +158,10 @@
         assert_eq!(query(&b, "wk-3").await.status, 404);
         assert_eq!(store.carry_out_kept(), vec![200]);
         assert_eq!(told(&query(&b, "wk-3").await), (200, JobState::Queued));
-        assert_eq!(accepted(&submit(&a, &body("wk-3", |_| ())).await), (200, JobState::Queued));
+        assert_eq!(
+            accepted(&submit(&a, &body("wk-3", |_| ())).await),
+            (200, JobState::Queued)
+        );
     });
 }
 
@@ -129,7 +177,10 @@
         assert_eq!(accepted(&cancel(&b, "wk-1").await), (200, JobState::Done));
         // The cancellation is carried out without an answer: read back.
         store.fate.set(Fate::AnswerLost);
-        assert_eq!(accepted(&cancel(&b, "wk-2").await), (200, JobState::Cancelled));
+        assert_eq!(
+            accepted(&cancel(&b, "wk-2").await),
+            (200, JobState::Cancelled)
+        );
         // It is kept and the job ends meanwhile: too late.
         store.fate.set(Fate::Kept);
         let (r, _) = smol::future::zip(cancel(&b, "wk-3"), async {
@@ -143,17 +194,30 @@
         assert_eq!(store.carry_out_kept(), vec![409]);
         // It is kept, tried again and confirmed: the late one changes nothing, nor does the end.
         store.fate.set(Fate::Kept);
-        assert_eq!(accepted(&cancel(&b, "wk-4").await), (200, JobState::Cancelled));
+        assert_eq!(
+            accepted(&cancel(&b, "wk-4").await),
+            (200, JobState::Cancelled)
+        );
         let before = store.get(&store::keys::job("wk-4")).unwrap().version;
         assert_eq!(store.carry_out_kept(), vec![409]);
-        assert_eq!(store.get(&store::keys::job("wk-4")).unwrap().version, before);
+        assert_eq!(
+            store.get(&store::keys::job("wk-4")).unwrap().version,
+            before
+        );
         for n in [&a, &b] {
-            for (id, state) in
-                [("wk-1", JobState::Done), ("wk-2", JobState::Cancelled), ("wk-3", JobState::Done), ("wk-4", JobState::Cancelled)]
-            {
+            for (id, state) in [
+                ("wk-1", JobState::Done),
+                ("wk-2", JobState::Cancelled),
+                ("wk-3", JobState::Done),
+                ("wk-4", JobState::Cancelled),
+            ] {
                 assert_eq!(told(&query(n, id).await), (200, state), "{id}");
                 assert_eq!(accepted(&cancel(n, id).await), (200, state), "{id}");
-                assert_eq!(accepted(&submit(n, &body(id, |_| ())).await), (200, state), "{id}");
+                assert_eq!(
+                    accepted(&submit(n, &body(id, |_| ())).await),
+                    (200, state),
+                    "{id}"
+                );
             }
         }
     });
@@ -168,8 +232,14 @@
         assert_eq!(cancel(&a, "wk-1").await.status, 200);
         store.refuses.set(true);
         assert_eq!(told(&query(&a, "wk-1").await), (200, JobState::Cancelled));
-        assert_eq!(accepted(&cancel(&a, "wk-1").await), (200, JobState::Cancelled));
-        assert_eq!(accepted(&submit(&a, &body("wk-1", |_| ())).await), (200, JobState::Cancelled));
+        assert_eq!(
+            accepted(&cancel(&a, "wk-1").await),
+            (200, JobState::Cancelled)
+        );
+        assert_eq!(
+            accepted(&submit(&a, &body("wk-1", |_| ())).await),
+            (200, JobState::Cancelled)
+        );
         for r in [
             query(&a, "wk-2").await,
             query(&a, "wk-3").await,
@@ -178,7 +248,11 @@
             submit(&a, &body("wk-2", |_| ())).await,
             submit(&a, &body("wk-3", |_| ())).await,
             // What can never run may be known already, through another controller.
-            submit(&a, &body("wk-4", |m| set(m, "crew", Value::Text("nobody".into())))).await,
+            submit(
+                &a,
+                &body("wk-4", |m| set(m, "crew", Value::Text("nobody".into()))),
+            )
+            .await,
         ] {
             assert_eq!((r.status, r.retry_after_s.is_some()), (503, true));
         }
@@ -191,16 +265,36 @@
 #[test]
 fn odd_requests_are_refused_for_what_they_are() {
     with(|store, [a, b]| async move {
-        let fields = cbor::decode::<Value>(&body("wk-9", |_| ())).unwrap().into_map().unwrap();
+        let fields = cbor::decode::<Value>(&body("wk-9", |_| ()))
+            .unwrap()
+            .into_map()
+            .unwrap();
         let optional = ["chassis_list", "yard", "due_s"];
         for (i, (key, _)) in fields.iter().enumerate() {
             let name = key.as_text().unwrap();
-            let lacks = submit(&a, &body(&format!("wk-{i}"), |m| drop(m.remove(i)))).await.status;
-            assert_eq!(lacks, if optional.contains(&name) { 201 } else { 400 }, "without {name}");
-            let odd = submit(&a, &body(&format!("wk-odd{i}"), |m| m[i].1 = Value::Map(vec![]))).await.status;
+            let lacks = submit(&a, &body(&format!("wk-{i}"), |m| drop(m.remove(i))))
+                .await
+                .status;
+            assert_eq!(
+                lacks,
+                if optional.contains(&name) { 201 } else { 400 },
+                "without {name}"
+            );
+            let odd = submit(
+                &a,
+                &body(&format!("wk-odd{i}"), |m| m[i].1 = Value::Map(vec![])),
+            )
+            .await
+            .status;
             assert_eq!(odd, 400, "{name} of the wrong kind");
-            let null = submit(&a, &body(&format!("wk-null{i}"), |m| m[i].1 = Value::Null)).await.status;
-            assert_eq!(null, if optional.contains(&name) { 201 } else { 400 }, "{name} null");
+            let null = submit(&a, &body(&format!("wk-null{i}"), |m| m[i].1 = Value::Null))
+                .await
+                .status;
+            assert_eq!(
+                null,
+                if optional.contains(&name) { 201 } else { 400 },
+                "{name} null"
+            );
         }
         let text = |s: &str| Value::Text(s.into());
         for (name, value) in [
@@ -233,8 +327,17 @@
             let r = submit(&a, &body("wk-422", |m| set(m, name, value.clone()))).await;
             assert_eq!(r.status, 422, "{name} {value:?}");
         }
-        assert!(store.get(&store::keys::job("wk-400")).is_none() && store.get(&store::keys::job("wk-422")).is_none());
-        assert_eq!((query(&a, "wk-400").await.status, query(&b, "wk-422").await.status), (404, 404));
+        assert!(
+            store.get(&store::keys::job("wk-400")).is_none()
+                && store.get(&store::keys::job("wk-422")).is_none()
+        );
+        assert_eq!(
+            (
+                query(&a, "wk-400").await.status,
+                query(&b, "wk-422").await.status
+            ),
+            (404, 404)
+        );
         // A team without a limit may have any job that fits the machines.
         let guest = |m: &mut Vec<(Value, Value)>| {
             set(m, "crew", text("guest"));
@@ -249,6 +352,11 @@
         assert_eq!(submit(&a, &body("wk-array", array)).await.status, 201);
         let again = submit(&b, &body("wk-array", |m| set(m, "crew", text("nobody")))).await;
         assert_eq!(accepted(&again), (200, JobState::Queued));
-        assert_eq!(submit(&a, &body("wk-array", |m| drop(m.remove(5)))).await.status, 200);
+        assert_eq!(
+            submit(&a, &body("wk-array", |m| drop(m.remove(5))))
+                .await
+                .status,
+            200
+        );
     });
 }
--- a/crates/ladderroute/tests/settings.rs
+++ b/crates/ladderroute/tests/settings.rs
@@ -60,27 +60,49 @@
             "{GOOD}\n[[settings.objectives]]\nkind = \"wait\"\nclass = \"x\"\nwithin_s = 100.0\nshare = 0.8\n\n[[settings.objectives]]\nkind = \"wait\"\nclass = \"x\"\nwithin_s = 250.0\nshare = 0.9\n"
         );
     let s = Settings::parse(&text, "f").unwrap();
-    assert_eq!(s.setup(&ladderroute::operator::Tuning::default()).wait_s.get("x"), Some(&100.0));
+    assert_eq!(
+        s.setup(&ladderroute::operator::Tuning::default())
+            .wait_s
+            .get("x"),
+        Some(&100.0)
+    );
 }
 
 #[test]
 fn unknown_fields_are_skipped_and_known_ones_used() {
     let s = Settings::parse(GOOD, "f").unwrap();
     let setup = s.setup(&ladderroute::operator::Tuning::default());
-    assert_eq!((s.known.len(), setup.guarantee_s, setup.teams["red"].cpus_max), (1, 7.0, 20.0));
+    assert_eq!(
+        (
+            s.known.len(),
+            setup.guarantee_s,
+            setup.teams["red"].cpus_max
+        ),
+        (1, 7.0, 20.0)
+    );
 }
 
 #[test]
 fn what_is_wrong_is_refused_by_name() {
     for (from, to, says) in [
         ("member = \"rung-0\"", "", "member"),
-        ("lease_s = 10.0", "lease_s = 1.5", "settings.workers.lease_s"),
+        (
+            "lease_s = 10.0",
+            "lease_s = 1.5",
+            "settings.workers.lease_s",
+        ),
         ("rps = 50.0", "rps = 0.0", "settings.state.rps"),
-        ("cpus_max = 20.0", "cpus_max = 2.0", "settings.teams.cpus of red"),
+        (
+            "cpus_max = 20.0",
+            "cpus_max = 2.0",
+            "settings.teams.cpus of red",
+        ),
         ("member = \"rung-1\"", "member = \"rung-0\"", "known.member"),
         ("127.0.0.9:2379", "somewhere", "state"),
     ] {
-        let error = Settings::parse(&GOOD.replacen(from, to, 1), "f").unwrap_err().to_string();
+        let error = Settings::parse(&GOOD.replacen(from, to, 1), "f")
+            .unwrap_err()
+            .to_string();
         assert!(error.contains(says), "{error} does not name {says}");
     }
 }
@@ -90,13 +112,29 @@
 #[test]
 fn a_limit_of_none_is_no_limit() {
     let guest = "cpus = 0.0\ncpus_max = 0.0";
-    let s = Settings::parse(&GOOD.replacen("cpus = 10.0\ncpus_max = 20.0", guest, 1), "f").unwrap();
+    let s = Settings::parse(
+        &GOOD.replacen("cpus = 10.0\ncpus_max = 20.0", guest, 1),
+        "f",
+    )
+    .unwrap();
     let team = s.setup(&ladderroute::operator::Tuning::default()).teams["red"].clone();
     assert_eq!((team.cpus, team.gpus), (0.0, 0.0));
-    assert_eq!((team.cpus_max, team.gpus_max), (f64::INFINITY, f64::INFINITY));
+    assert_eq!(
+        (team.cpus_max, team.gpus_max),
+        (f64::INFINITY, f64::INFINITY)
+    );
     // With a limit on CPUs, none for GPUs means that the team has none.
-    let team = Settings::parse(GOOD, "f").unwrap().setup(&ladderroute::operator::Tuning::default()).teams["red"].clone();
+    let team = Settings::parse(GOOD, "f")
+        .unwrap()
+        .setup(&ladderroute::operator::Tuning::default())
+        .teams["red"]
+        .clone();
     assert_eq!((team.cpus_max, team.gpus_max), (20.0, 0.0));
-    let negative = Settings::parse(&GOOD.replacen("cpus_max = 20.0", "cpus_max = -1.0", 1), "f").unwrap_err().to_string();
-    assert!(negative.contains("settings.teams.cpus_max of red"), "{negative}");
+    let negative = Settings::parse(&GOOD.replacen("cpus_max = 20.0", "cpus_max = -1.0", 1), "f")
+        .unwrap_err()
+        .to_string();
+    assert!(
+        negative.contains("settings.teams.cpus_max of red"),
+        "{negative}"
+    );
 }
--- a/crates/ladderroute/tests/stand_in/mod.rs
+++ b/crates/ladderroute/tests/stand_in/mod.rs
@@ -44,13 +44,20 @@
         let listener = smol::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         let minute = Duration::from_secs(60);
-        let limits = Limits { connections: 100, body: 1 << 20, bytes: 16 << 20, request: minute, idle: minute };
+        let limits = Limits {
+            connections: 100,
+            body: 1 << 20,
+            bytes: 16 << 20,
+            request: minute,
+            idle: minute,
+        };
         let served = store.clone();
         let handler = Rc::new(move |request: Request| {
             let store = served.clone();
             async move { store.handle(request).await }
         });
-        ex.spawn(http::server::serve(ex.clone(), listener, limits, handler)).detach();
+        ex.spawn(http::server::serve(ex.clone(), listener, limits, handler))
+            .detach();
         (store, addr)
     }
 
@@ -59,7 +66,12 @@
             return Response::new(503, Vec::new());
         }
         let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
-        let field = |name: &str| query.split('&').find_map(|f| f.strip_prefix(name)?.strip_prefix('=')).unwrap_or("");
+        let field = |name: &str| {
+            query
+                .split('&')
+                .find_map(|f| f.strip_prefix(name)?.strip_prefix('='))
+                .unwrap_or("")
+        };
         match path {
             "/txn" => self.take(cbor::decode(&request.body).unwrap()).await,
             "/follow" => {
@@ -67,22 +79,59 @@
                 if field("wait_ms") != "0" && since >= self.revision.get() {
                     smol::Timer::after(Duration::from_millis(20)).await;
                 }
-                let changes = self.log.borrow().iter().filter(|c| c.version > since).cloned().collect();
-                Response::new(200, cbor::encode(&Changes { revision: self.revision.get(), changes }))
+                let changes = self
+                    .log
+                    .borrow()
+                    .iter()
+                    .filter(|c| c.version > since)
+                    .cloned()
+                    .collect();
+                Response::new(
+                    200,
+                    cbor::encode(&Changes {
+                        revision: self.revision.get(),
+                        changes,
+                    }),
+                )
             }
             "/store" => {
-                let items = self.keys.borrow().iter().map(|(k, (v, n))| Item { key: k.clone(), value: v.clone(), version: *n }).collect();
-                Response::new(200, cbor::encode(&Page { items, more: false, revision: self.revision.get() }))
+                let items = self
+                    .keys
+                    .borrow()
+                    .iter()
+                    .map(|(k, (v, n))| Item {
+                        key: k.clone(),
+                        value: v.clone(),
+                        version: *n,
+                    })
+                    .collect();
+                Response::new(
+                    200,
+                    cbor::encode(&Page {
+                        items,
+                        more: false,
+                        revision: self.revision.get(),
+                    }),
+                )
             }
             _ => match self.get(path.strip_prefix("/store/").unwrap_or("")) {
                 Some(item) => Response::new(200, cbor::encode(&item)),
-                None => Response::new(404, cbor::encode(&Revision { revision: self.revision.get() })),
+                None => Response::new(
+                    404,
+                    cbor::encode(&Revision {
+                        revision: self.revision.get(),
+                    }),
+                ),
             },
         }
     }
 
     pub fn get(&self, key: &str) -> Option<Item> {
-        self.keys.borrow().get(key).map(|(v, n)| Item { key: key.into(), value: v.clone(), version: *n })
+        self.keys.borrow().get(key).map(|(v, n)| Item {
+            key: key.into(),
+            value: v.clone(),
+            version: *n,
+        })
     }
 
     async fn take(&self, txn: Txn) -> Response {
@@ -107,7 +156,12 @@
 
     pub fn apply(&self, txn: &Txn) -> Response {
         let version = |k: &str| self.keys.borrow().get(k).map_or(0, |(_, n)| *n);
-        let failed: Vec<String> = txn.conditions.iter().filter(|c| version(&c.key) != c.version).map(|c| c.key.clone()).collect();
+        let failed: Vec<String> = txn
+            .conditions
+            .iter()
+            .filter(|c| version(&c.key) != c.version)
+            .map(|c| c.key.clone())
+            .collect();
         if !failed.is_empty() {
             return Response::new(409, cbor::encode(&Conflict { failed }));
         }
@@ -116,12 +170,24 @@
         for w in &txn.writes {
             let change = match w {
                 Write::Put { key, value, .. } => {
-                    self.keys.borrow_mut().insert(key.clone(), (value.clone(), revision));
-                    Change { put: Some(key.clone()), dropped: None, value: Some(value.clone()), version: revision }
+                    self.keys
+                        .borrow_mut()
+                        .insert(key.clone(), (value.clone(), revision));
+                    Change {
+                        put: Some(key.clone()),
+                        dropped: None,
+                        value: Some(value.clone()),
+                        version: revision,
+                    }
                 }
                 Write::Drop { key } => {
                     self.keys.borrow_mut().remove(key);
-                    Change { put: None, dropped: Some(key.clone()), value: None, version: revision }
+                    Change {
+                        put: None,
+                        dropped: Some(key.clone()),
+                        value: None,
+                        version: revision,
+                    }
                 }
             };
             self.log.borrow_mut().push(change);
@@ -131,9 +197,19 @@
 }
 
 /// A controller with a replica that is loaded and kept current; nothing else of it runs.
-pub async fn controller(ex: &Rc<smol::LocalExecutor<'static>>, i: usize, store: SocketAddr) -> Rc<Node> {
-    let text = include_str!("settings.toml").replace("MEMBER", &format!("rung-{i}")).replace("OTHER", &format!("rung-{}", 1 - i));
-    let settings = Settings::parse(&text.replace("127.0.0.9:2379", &store.to_string()), "settings").unwrap();
+pub async fn controller(
+    ex: &Rc<smol::LocalExecutor<'static>>,
+    i: usize,
+    store: SocketAddr,
+) -> Rc<Node> {
+    let text = include_str!("settings.toml")
+        .replace("MEMBER", &format!("rung-{i}"))
+        .replace("OTHER", &format!("rung-{}", 1 - i));
+    let settings = Settings::parse(
+        &text.replace("127.0.0.9:2379", &store.to_string()),
+        "settings",
+    )
+    .unwrap();
     let node = ladderroute::node::new(settings, &Tuning::default(), ex.clone());
     node.lock().shared.catalog = Some(vec![wire::cloud::MachineType {
         name: "g8".into(),
--- a/crates/model/src/plain.rs
+++ b/crates/model/src/plain.rs
@@ -23,10 +23,15 @@
             if job.cpus > limit - f64::from(placed) * job.cpus + 1e-6 {
                 break;
             }
-            let fits = |m: &&mut Plain| m.cpus + 1e-6 >= job.cpus && m.memory_gb + 1e-6 >= job.memory_gb;
+            let fits =
+                |m: &&mut Plain| m.cpus + 1e-6 >= job.cpus && m.memory_gb + 1e-6 >= job.memory_gb;
             let best = machines.iter_mut().filter(fits).min_by(|a, b| {
                 let key = |m: &Plain| {
-                    (m.image.is_none(), m.image.as_deref() != Some(job.image.as_str()), ((m.cpus - job.cpus).max(0.0) * 1000.0) as u64)
+                    (
+                        m.image.is_none(),
+                        m.image.as_deref() != Some(job.image.as_str()),
+                        ((m.cpus - job.cpus).max(0.0) * 1000.0) as u64,
+                    )
                 };
                 key(a).cmp(&key(b)).then(a.name.cmp(&b.name))
             });
@@ -65,16 +70,25 @@
     }
 
     fn all_begun(upto: u64) -> wire::store::BegunRecord {
-        wire::store::BegunRecord { upto, waiting: Vec::new() }
+        wire::store::BegunRecord {
+            upto,
+            waiting: Vec::new(),
+        }
     }
 
     fn leader_with(s: sched::setup::Setup, machines: &[(&str, &str)]) -> Leader {
         let mut l = Leader::new("rung-0", s, 1, 1, 4.0, Vec::new(), &BTreeMap::new(), 0, 0.0);
-        l.catalog(vec![machine_type("small", 4.0, 16.0, 0.3), machine_type("large", 16.0, 64.0, 1.1)]);
+        l.catalog(vec![
+            machine_type("small", 4.0, 16.0, 0.3),
+            machine_type("large", 16.0, 64.0, 1.1),
+        ]);
         l.tick(5.0, 0);
         l.drain();
         for (name, kind) in machines {
-            let v = MachineView { usable: false, ..machine_view(name, kind, Vec::new()) };
+            let v = MachineView {
+                usable: false,
+                ..machine_view(name, kind, Vec::new())
+            };
             l.on_owner("rung-0", ToLeader::Machines(vec![v]), 5.0);
             l.roster_result(name, true, true);
         }
@@ -87,10 +101,12 @@
         for d in deeds {
             match d {
                 Deed::Send(_, ToOwner::Give { job, tasks, .. }) => {
-                    *out.entry(job.clone()).or_default() += tasks.iter().map(|(_, n)| n).sum::<u32>()
+                    *out.entry(job.clone()).or_default() +=
+                        tasks.iter().map(|(_, n)| n).sum::<u32>()
                 }
                 Deed::Send(_, ToOwner::Hold { job, places, .. }) => {
-                    *out.entry(job.clone()).or_default() += places.iter().map(|(_, _, n)| n).sum::<u32>()
+                    *out.entry(job.clone()).or_default() +=
+                        places.iter().map(|(_, _, n)| n).sum::<u32>()
                 }
                 _ => {}
             }
@@ -105,7 +121,10 @@
         let mut gangs = 0;
         for round in 0..400 {
             let n = rng.usize(1..=names.len());
-            let machines: Vec<(&str, &str)> = names[..n].iter().map(|m| (*m, if rng.bool() { "small" } else { "large" })).collect();
+            let machines: Vec<(&str, &str)> = names[..n]
+                .iter()
+                .map(|m| (*m, if rng.bool() { "small" } else { "large" }))
+                .collect();
             let limit = f64::from(rng.u32(8..40));
             let mut jobs: Vec<Job> = (0..rng.u32(1..7))
                 .map(|i| {
@@ -151,8 +170,17 @@
             let mut plain: Vec<Plain> = machines
                 .iter()
                 .map(|(name, kind)| {
-                    let t = if *kind == "small" { (4.0, 16.0) } else { (16.0, 64.0) };
-                    Plain { name: (*name).into(), cpus: t.0, memory_gb: t.1, image: None }
+                    let t = if *kind == "small" {
+                        (4.0, 16.0)
+                    } else {
+                        (16.0, 64.0)
+                    };
+                    Plain {
+                        name: (*name).into(),
+                        cpus: t.0,
+                        memory_gb: t.1,
+                        image: None,
+                    }
                 })
                 .collect();
             let small_only = |j: &Job| j.cpus > 4.0;
@@ -162,7 +190,10 @@
             }
             let want = place(&mut plain, &order, limit);
             let got = placed(&l.drain());
-            gangs += jobs.iter().filter(|j| j.shape == Shape::Gang && got.contains_key(&j.id)).count();
+            gangs += jobs
+                .iter()
+                .filter(|j| j.shape == Shape::Gang && got.contains_key(&j.id))
+                .count();
             assert_eq!(got, want, "round {round}: {machines:?} {jobs:?}");
         }
         assert!(gangs > 50);
@@ -173,21 +204,38 @@
     #[test]
     fn one_teams_large_arrays_leave_the_others_their_guarantees() {
         let mut s = setup();
-        let team = |cpus: f64, cpus_max: f64| sched::setup::Team { cpus, cpus_max, gpus: 0.0, gpus_max: 0.0 };
-        s.teams = (0..10).map(|i| (format!("team-{i}"), team(4.0, 50.0))).collect();
+        let team = |cpus: f64, cpus_max: f64| sched::setup::Team {
+            cpus,
+            cpus_max,
+            gpus: 0.0,
+            gpus_max: 0.0,
+        };
+        s.teams = (0..10)
+            .map(|i| (format!("team-{i}"), team(4.0, 50.0)))
+            .collect();
         let names: Vec<String> = (0..10).map(|i| format!("host-{i}")).collect();
         let machines: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), "large")).collect();
         let mut l = leader_with(s, &machines);
         for i in 0..13 {
             let (team, tasks) = if i < 3 { (0, 800) } else { (i - 3, 4) };
             let spec = Rc::new(job(i, &format!("team-{team}"), Shape::Array, tasks, 1.0));
-            l.add_job(OpenJob { spec, revision: u64::from(i) + 1, done: Ranges::default(), earlier: Earlier::Untouched });
+            l.add_job(OpenJob {
+                spec,
+                revision: u64::from(i) + 1,
+                done: Ranges::default(),
+                earlier: Earlier::Untouched,
+            });
         }
         l.begin_result(&all_begun(13), true);
         l.tick(5.1, 0);
         let got = placed(&l.drain());
         for i in 4..13 {
-            assert_eq!(got.get(&format!("wk-{i:06}")), Some(&4), "team-{} did not get its guarantee", i - 3);
+            assert_eq!(
+                got.get(&format!("wk-{i:06}")),
+                Some(&4),
+                "team-{} did not get its guarantee",
+                i - 3
+            );
         }
         let first: u32 = (0..4).filter_map(|i| got.get(&format!("wk-{i:06}"))).sum();
         assert_eq!(first, 50, "the limit of the first team");
@@ -196,7 +244,11 @@
     /// Machines that an earlier leader rostered stay in use (they once idled until returned).
     #[test]
     fn a_new_leader_uses_the_machines_of_the_roster() {
-        let record = wire::store::RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
+        let record = wire::store::RosterRecord {
+            kind: "small".into(),
+            zone: "a".into(),
+            spot: false,
+        };
         let roster = BTreeMap::from([("host-1".to_string(), record)]);
         let mut l = Leader::new("rung-0", setup(), 1, 7, 4.0, Vec::new(), &roster, 0, 0.0);
         l.catalog(vec![machine_type("small", 4.0, 16.0, 0.3)]);
@@ -214,12 +266,19 @@
         let mut l = Leader::new("rung-0", s, 1, 1, 4.0, Vec::new(), &BTreeMap::new(), 0, 0.0);
         l.catalog(vec![machine_type("small", 4.0, 16.0, 0.3)]);
         l.tick(5.0, 0);
-        let view = |tasks: Vec<wire::peers::TaskView>| ToLeader::Machines(vec![machine_view("host-1", "small", tasks)]);
+        let view = |tasks: Vec<wire::peers::TaskView>| {
+            ToLeader::Machines(vec![machine_view("host-1", "small", tasks)])
+        };
         l.on_owner("rung-0", view(Vec::new()), 5.0);
         l.roster_result("host-1", true, true);
         let add = |l: &mut Leader, id: u32, team: &str, tasks: u32, cpus: f64| {
             let spec = Rc::new(job(id, team, Shape::Array, tasks, cpus));
-            l.add_job(OpenJob { spec, revision: u64::from(id), done: Ranges::default(), earlier: Earlier::Untouched });
+            l.add_job(OpenJob {
+                spec,
+                revision: u64::from(id),
+                done: Ranges::default(),
+                earlier: Earlier::Untouched,
+            });
             l.begin_result(&all_begun(u64::from(id)), true);
         };
         add(&mut l, 1, "blue", 4, 1.0);
@@ -229,7 +288,11 @@
             _ => None,
         });
         let running = (0..4).map(|index| wire::peers::TaskView {
-            task: wire::peers::TaskRef { job: "wk-000001".into(), index, attempt: given.unwrap() },
+            task: wire::peers::TaskRef {
+                job: "wk-000001".into(),
+                index,
+                attempt: given.unwrap(),
+            },
             state: wire::workers::TaskState::Running,
             why: None,
             saved: false,
@@ -244,6 +307,10 @@
     #[test]
     fn only_borrowed_room_is_taken_back_and_no_more_than_needed() {
         assert_eq!(stopped_for_red(0.0), 2);
-        assert_eq!(stopped_for_red(12.0), 0, "work within its guarantee was stopped");
+        assert_eq!(
+            stopped_for_red(12.0),
+            0,
+            "work within its guarantee was stopped"
+        );
     }
 }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -89,8 +89,16 @@
 }
 
 enum Message {
-    Report { to: usize, report: Box<Report> },
-    Answer { worker: String, session: u64, seq: u64, answer: Answer },
+    Report {
+        to: usize,
+        report: Box<Report>,
+    },
+    Answer {
+        worker: String,
+        session: u64,
+        seq: u64,
+        answer: Answer,
+    },
 }
 
 struct Controller {
@@ -131,13 +139,26 @@
 impl Jobs for Book<'_> {
     fn room(&self, job: &str) -> Option<Room> {
         let s = &self.0.get(job).filter(|_| !self.over(job))?.spec;
-        Some(Room { cpus: s.cpus, gpus: s.gpus, memory_gb: s.memory_gb })
+        Some(Room {
+            cpus: s.cpus,
+            gpus: s.gpus,
+            memory_gb: s.memory_gb,
+        })
     }
     fn image(&self, job: &str) -> Option<String> {
-        Some(self.0.get(job).filter(|_| !self.over(job))?.spec.image.clone())
+        Some(
+            self.0
+                .get(job)
+                .filter(|_| !self.over(job))?
+                .spec
+                .image
+                .clone(),
+        )
     }
     fn over(&self, job: &str) -> bool {
-        self.0.get(job).is_some_and(|j| j.over.is_some_and(|at| at <= self.1))
+        self.0
+            .get(job)
+            .is_some_and(|j| j.over.is_some_and(|at| at <= self.1))
     }
 }
 
@@ -223,9 +244,17 @@
 }
 
 pub fn setup() -> Setup {
-    let team = |cpus: f64, cpus_max: f64| Team { cpus, cpus_max, gpus: 0.0, gpus_max: 0.0 };
+    let team = |cpus: f64, cpus_max: f64| Team {
+        cpus,
+        cpus_max,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    };
     Setup {
-        teams: BTreeMap::from([("red".into(), team(8.0, 24.0)), ("blue".into(), team(12.0, 32.0))]),
+        teams: BTreeMap::from([
+            ("red".into(), team(8.0, 24.0)),
+            ("blue".into(), team(12.0, 32.0)),
+        ]),
         report_s: 1.0,
         lease_s: 8.0,
         cancel_s: 25.0,
@@ -256,7 +285,10 @@
             defect,
             setup: believed,
             limits: setup.teams,
-            types: vec![machine_type("small", 4.0, 16.0, 0.3), machine_type("large", 16.0, 64.0, 1.1)],
+            types: vec![
+                machine_type("small", 4.0, 16.0, 0.3),
+                machine_type("large", 16.0, 64.0, 1.1),
+            ],
             workers: BTreeMap::new(),
             controllers,
             leader: None,
@@ -331,7 +363,9 @@
             return false;
         }
         let by = able[self.rng.usize(0..able.len())];
-        let Some(j) = self.jobs.get_mut(id).filter(|j| j.over.is_none()) else { return false };
+        let Some(j) = self.jobs.get_mut(id).filter(|j| j.over.is_none()) else {
+            return false;
+        };
         j.over = Some(now);
         j.cancelled = true;
         self.cancelled += 1;
@@ -341,8 +375,14 @@
         match &mut self.leader {
             Some((me, leader, _)) if *me == by => leader.job_over(id),
             _ if self.hints && self.controllers[by].joined => {
-                let at = self.controllers[by].to_leader.back().map_or(0.0, |(at, _)| *at).max(now + 0.05);
-                self.controllers[by].to_leader.push_back((at, ToLeader::Cancelled { job: id.into() }));
+                let at = self.controllers[by]
+                    .to_leader
+                    .back()
+                    .map_or(0.0, |(at, _)| *at)
+                    .max(now + 0.05);
+                self.controllers[by]
+                    .to_leader
+                    .push_back((at, ToLeader::Cancelled { job: id.into() }));
             }
             _ => {}
         }
@@ -351,7 +391,8 @@
 
     /// Whether the store answers this controller now.
     fn reaches_store(&self, i: usize) -> bool {
-        let up = self.now >= self.controllers[i].down_until && self.now >= self.controllers[i].refused_until;
+        let up = self.now >= self.controllers[i].down_until
+            && self.now >= self.controllers[i].refused_until;
         up && self.now >= self.store_down_until && !self.is_alone(i)
     }
 
@@ -419,7 +460,10 @@
             ("store refuses one", _) => self.refuse(leads.unwrap_or(i), long * 10.0),
             ("refused, then store down", _) => {
                 self.refuse(leads.unwrap_or(i), 8.0);
-                self.outage_at = Some((now + 0.2 + long * 2.0, [5.0, 9.0, 30.0][self.rng.usize(0..3)]));
+                self.outage_at = Some((
+                    now + 0.2 + long * 2.0,
+                    [5.0, 9.0, 30.0][self.rng.usize(0..3)],
+                ));
             }
             ("all end", _) => (0..3).for_each(|c| self.crash(c)),
             ("cancel at the end", _) => {
@@ -452,8 +496,13 @@
 
     /// A job of which every task is done, while no record says so yet.
     fn at_its_end(&self) -> Option<String> {
-        let all = |j: &JobState| (0..j.spec.tasks).all(|i| self.completed.contains(&(j.spec.id.clone(), i)));
-        self.jobs.values().find(|j| j.over.is_none() && all(j)).map(|j| j.spec.id.clone())
+        let all = |j: &JobState| {
+            (0..j.spec.tasks).all(|i| self.completed.contains(&(j.spec.id.clone(), i)))
+        };
+        self.jobs
+            .values()
+            .find(|j| j.over.is_none() && all(j))
+            .map(|j| j.spec.id.clone())
     }
 
     fn crash(&mut self, i: usize) {
@@ -476,7 +525,8 @@
 
     /// Whether a controller reaches neither the store nor the others.
     fn is_alone(&self, i: usize) -> bool {
-        self.alone.is_some_and(|(a, until)| a == i && self.now < until)
+        self.alone
+            .is_some_and(|(a, until)| a == i && self.now < until)
     }
 
     fn end_leader(&mut self) {
@@ -526,7 +576,9 @@
         let mut began: BTreeSet<String> = BTreeSet::new();
         let names: Vec<String> = self.workers.keys().cloned().collect();
         for machine in names {
-            let Some(w) = self.workers.get_mut(&machine) else { continue };
+            let Some(w) = self.workers.get_mut(&machine) else {
+                continue;
+            };
             if w.gone || now < w.up_at {
                 continue;
             }
@@ -542,8 +594,11 @@
                 continue;
             }
             for ((job, index, attempt), t) in w.tasks.iter_mut() {
-                let Some(spec) = self.jobs.get(job).map(|j| &j.spec) else { continue };
-                let together = spec.shape != Shape::Gang || whole.contains(&(job.clone(), *attempt));
+                let Some(spec) = self.jobs.get(job).map(|j| &j.spec) else {
+                    continue;
+                };
+                let together =
+                    spec.shape != Shape::Gang || whole.contains(&(job.clone(), *attempt));
                 match t.state {
                     TaskState::Fetching if now - t.began > 0.5 => t.state = TaskState::Waiting,
                     TaskState::Waiting if together => {
@@ -570,7 +625,11 @@
             }
             if w.flight.is_none() && now >= w.next {
                 w.seq += 1;
-                w.flight = Some(InFlight { sent: now, session: w.session, seq: w.seq });
+                w.flight = Some(InFlight {
+                    sent: now,
+                    session: w.session,
+                    seq: w.seq,
+                });
                 w.next = now + report_s;
                 let report = report_of(&machine, w);
                 let to = w.target;
@@ -580,13 +639,25 @@
                 let again = self.rng.u32(0..100) < 2;
                 for _ in 0..=u32::from(again) {
                     if let Some(d) = self.delay() {
-                        self.messages.push((now + d, Message::Report { to, report: Box::new(report.clone()) }));
+                        self.messages.push((
+                            now + d,
+                            Message::Report {
+                                to,
+                                report: Box::new(report.clone()),
+                            },
+                        ));
                     }
                 }
                 // Late copies, from seconds to well over a lease.
                 if self.rng.u32(0..100) < self.late_copies {
                     let d = 1.0 + self.rng.f64() * lease_s * 3.0;
-                    self.messages.push((now + d, Message::Report { to, report: Box::new(report) }));
+                    self.messages.push((
+                        now + d,
+                        Message::Report {
+                            to,
+                            report: Box::new(report),
+                        },
+                    ));
                 }
             }
         }
@@ -606,27 +677,50 @@
         let mut counts: BTreeMap<(String, u64), u32> = BTreeMap::new();
         for w in self.workers.values() {
             for ((job, _, attempt), t) in &w.tasks {
-                let here = matches!(t.state, TaskState::Waiting | TaskState::Running) || t.why == Some(Why::Done);
+                let here = matches!(t.state, TaskState::Waiting | TaskState::Running)
+                    || t.why == Some(Why::Done);
                 if here {
                     *counts.entry((job.clone(), *attempt)).or_default() += 1;
                 }
             }
         }
-        counts.into_iter().filter(|((j, _), n)| self.jobs.get(j).is_some_and(|s| s.spec.tasks == *n)).map(|(k, _)| k).collect()
+        counts
+            .into_iter()
+            .filter(|((j, _), n)| self.jobs.get(j).is_some_and(|s| s.spec.tasks == *n))
+            .map(|(k, _)| k)
+            .collect()
     }
 
     fn take_answer(&mut self, machine: &str, session: u64, seq: u64, answer: Answer) {
         let now = self.now;
-        let Some(w) = self.workers.get_mut(machine) else { return };
+        let Some(w) = self.workers.get_mut(machine) else {
+            return;
+        };
         if now < w.hung_until {
             // It waits there until the machine goes on; by then the worker may have given it up.
-            self.messages.push((w.hung_until + STEP, Message::Answer { worker: machine.into(), session, seq, answer }));
+            self.messages.push((
+                w.hung_until + STEP,
+                Message::Answer {
+                    worker: machine.into(),
+                    session,
+                    seq,
+                    answer,
+                },
+            ));
             return;
         }
-        if w.gone || now < w.deaf_until || w.flight.as_ref().is_none_or(|f| f.seq != seq || f.session != session) || w.session != session {
+        if w.gone
+            || now < w.deaf_until
+            || w.flight
+                .as_ref()
+                .is_none_or(|f| f.seq != seq || f.session != session)
+            || w.session != session
+        {
             return;
         }
-        let Some(sent) = w.flight.take().map(|f| f.sent) else { return };
+        let Some(sent) = w.flight.take().map(|f| f.sent) else {
+            return;
+        };
         match answer {
             Answer::Orders(Orders { token, orders }) => {
                 if token < w.token {
@@ -657,20 +751,39 @@
         let split = |task: &str| wire::split_task(task).map(|(j, i)| (j.to_string(), i));
         match order {
             Order::Start { task, attempt } => {
-                let Some((job, index)) = split(&task) else { return };
+                let Some((job, index)) = split(&task) else {
+                    return;
+                };
                 let key = (job.clone(), index, attempt);
-                if self.workers.get(machine).is_some_and(|w| w.tasks.contains_key(&key)) {
+                if self
+                    .workers
+                    .get(machine)
+                    .is_some_and(|w| w.tasks.contains_key(&key))
+                {
                     return;
                 }
                 self.starts += 1;
                 self.check_start(machine, &job, index);
                 if let Some(w) = self.workers.get_mut(machine) {
-                    w.tasks.insert(key, SimTask { state: TaskState::Fetching, why: None, began: now });
+                    w.tasks.insert(
+                        key,
+                        SimTask {
+                            state: TaskState::Fetching,
+                            why: None,
+                            began: now,
+                        },
+                    );
                 }
             }
             Order::Stop { task, attempt, .. } => {
-                let Some((job, index)) = split(&task) else { return };
-                if let Some(t) = self.workers.get_mut(machine).and_then(|w| w.tasks.get_mut(&(job, index, attempt))) {
+                let Some((job, index)) = split(&task) else {
+                    return;
+                };
+                if let Some(t) = self
+                    .workers
+                    .get_mut(machine)
+                    .and_then(|w| w.tasks.get_mut(&(job, index, attempt)))
+                {
                     if t.state != TaskState::Exited {
                         t.state = TaskState::Exited;
                         t.why = Some(Why::Stopped);
@@ -678,7 +791,9 @@
                 }
             }
             Order::Clear { task, attempt } => {
-                let Some((job, index)) = split(&task) else { return };
+                let Some((job, index)) = split(&task) else {
+                    return;
+                };
                 if let Some(w) = self.workers.get_mut(machine) {
                     w.tasks.remove(&(job, index, attempt));
                 }
@@ -712,11 +827,21 @@
                     let book = Book(&self.jobs, self.known_to(to));
                     let answer = self.controllers[to].owner.on_report(&report, now, &book);
                     if let Some(d) = self.delay() {
-                        let m = Message::Answer { worker: report.machine.clone(), session: report.session, seq: report.seq, answer };
+                        let m = Message::Answer {
+                            worker: report.machine.clone(),
+                            session: report.session,
+                            seq: report.seq,
+                            answer,
+                        };
                         self.messages.push((now + d, m));
                     }
                 }
-                Message::Answer { worker, session, seq, answer } => self.take_answer(&worker, session, seq, answer),
+                Message::Answer {
+                    worker,
+                    session,
+                    seq,
+                    answer,
+                } => self.take_answer(&worker, session, seq, answer),
             }
         }
     }
@@ -747,7 +872,9 @@
                 c.pings.push_back((now + wait, now));
             }
             while c.to_owner.front().is_some_and(|(at, _)| *at <= now) {
-                let Some((_, message)) = c.to_owner.pop_front() else { break };
+                let Some((_, message)) = c.to_owner.pop_front() else {
+                    break;
+                };
                 if matches!(message, ToOwner::Regime { .. }) && !c.regime {
                     c.regime = true;
                     c.owner.authority.set(f64::MIN);
@@ -756,10 +883,16 @@
                 c.owner.on_leader(message, now, &Book(&self.jobs, seen));
             }
             while c.knows.front().is_some_and(|(at, _)| *at <= now) {
-                let Some((_, known)) = c.knows.pop_front() else { break };
+                let Some((_, known)) = c.knows.pop_front() else {
+                    break;
+                };
                 c.owner.authority.learn(known);
             }
-            let mut at = c.to_leader.back().map_or(0.0, |(at, _)| *at).max(now + wait);
+            let mut at = c
+                .to_leader
+                .back()
+                .map_or(0.0, |(at, _)| *at)
+                .max(now + wait);
             for m in c.owner.drain() {
                 at += 0.001;
                 c.to_leader.push_back((at, m));
@@ -772,7 +905,9 @@
         if self.leader.is_none() {
             self.elect();
         }
-        let Some((me, mut leader, id)) = self.leader.take() else { return };
+        let Some((me, mut leader, id)) = self.leader.take() else {
+            return;
+        };
         if self.is_alone(me) {
             // Its owners left at once; its own authority runs out, and then the key is free.
             for i in (0..self.controllers.len()).filter(|i| *i != me) {
@@ -782,7 +917,10 @@
         }
         if self.reaches_store(me) {
             self.lease_end = now + TTL;
-            self.controllers[me].owner.authority.renew(now + TTL * 0.95, now);
+            self.controllers[me]
+                .owner
+                .authority
+                .renew(now + TTL * 0.95, now);
         } else if now < self.store_down_until {
             // An outage preserves the leases; afterwards they get their full time again.
             self.lease_end = self.store_down_until + TTL;
@@ -800,7 +938,9 @@
                 continue;
             }
             while c.pings.front().is_some_and(|(at, _)| *at <= now) {
-                let Some((_, sent)) = c.pings.pop_front() else { break };
+                let Some((_, sent)) = c.pings.pop_front() else {
+                    break;
+                };
                 leader.owner_heard(&name(i), now);
                 let until = answers_until.min(now + self.setup.owner_silence_s() * 1.25);
                 if let Some(valid) = leader.grant(&name(i), now, until) {
@@ -813,7 +953,9 @@
                 }
             }
             while c.to_leader.front().is_some_and(|(at, _)| *at <= now) {
-                let Some((_, m)) = c.to_leader.pop_front() else { break };
+                let Some((_, m)) = c.to_leader.pop_front() else {
+                    break;
+                };
                 leader.on_owner(&name(i), m, now);
             }
         }
@@ -836,7 +978,11 @@
                         let i = (0..3).find(|i| name(*i) == to).unwrap_or(0);
                         if i == me {
                             let seen = self.known_to(me);
-                            self.controllers[me].owner.on_leader(message, now, &Book(&self.jobs, seen));
+                            self.controllers[me].owner.on_leader(
+                                message,
+                                now,
+                                &Book(&self.jobs, seen),
+                            );
                         } else if self.controllers[i].joined {
                             let wait = 0.02 + self.rng.f64() * 0.15;
                             let c = &mut self.controllers[i];
@@ -847,7 +993,13 @@
                     other => {
                         let at = now + 0.02 + self.rng.f64() * 0.3;
                         let expected = self.expected(&other);
-                        self.writes.push(Pending { at, by: id, deed: other, expected, late: false });
+                        self.writes.push(Pending {
+                            at,
+                            by: id,
+                            deed: other,
+                            expected,
+                            late: false,
+                        });
                     }
                 }
             }
@@ -864,22 +1016,57 @@
             return;
         }
         let up: Vec<usize> = (0..3).filter(|i| self.reaches_store(*i)).collect();
-        let Some(me) = (!up.is_empty()).then(|| up[self.rng.usize(0..up.len())]) else { return };
+        let Some(me) = (!up.is_empty()).then(|| up[self.rng.usize(0..up.len())]) else {
+            return;
+        };
         self.term += 1;
         self.revision += 1;
         self.leaders += 1;
         let open = |j: &JobState| self.told(j);
         let ignore = self.defect == Defect::IgnoreCancel;
         let lost = |j: &JobState| self.defect == Defect::LoseJobs && j.revision & 1 == 0;
-        let known = |j: &&JobState| (j.over.is_none() || ignore && j.cancelled) && !lost(j) && !self.kept_from_leader(&j.spec);
+        let known = |j: &&JobState| {
+            (j.over.is_none() || ignore && j.cancelled)
+                && !lost(j)
+                && !self.kept_from_leader(&j.spec)
+        };
         let jobs = self.jobs.values().filter(known).map(open).collect();
         let empty = BTreeMap::new();
-        let roster = if self.defect == Defect::ForgetRoster { &empty } else { &self.roster };
+        let roster = if self.defect == Defect::ForgetRoster {
+            &empty
+        } else {
+            &self.roster
+        };
         let seed = self.rng.u64(..);
-        let mut leader = Leader::new(&name(me), self.setup.clone(), seed, self.term, 4.0, jobs, roster, self.begun, now);
-        let lately = |j: &&JobState| j.cancelled && j.over.is_some_and(|at| now - at < self.setup.lease_s + self.setup.cancel_s);
-        let room = |s: &Job| Room { cpus: s.cpus, gpus: s.gpus, memory_gb: 0.0 }.scaled(s.tasks);
-        let lately = self.jobs.values().filter(lately).map(|j| (j.spec.id.clone(), j.spec.team.clone(), room(&j.spec)));
+        let mut leader = Leader::new(
+            &name(me),
+            self.setup.clone(),
+            seed,
+            self.term,
+            4.0,
+            jobs,
+            roster,
+            self.begun,
+            now,
+        );
+        let lately = |j: &&JobState| {
+            j.cancelled
+                && j.over
+                    .is_some_and(|at| now - at < self.setup.lease_s + self.setup.cancel_s)
+        };
+        let room = |s: &Job| {
+            Room {
+                cpus: s.cpus,
+                gpus: s.gpus,
+                memory_gb: 0.0,
+            }
+            .scaled(s.tasks)
+        };
+        let lately = self
+            .jobs
+            .values()
+            .filter(lately)
+            .map(|j| (j.spec.id.clone(), j.spec.team.clone(), room(&j.spec)));
         if self.defect != Defect::ForgetCancelled {
             leader.set_lately_cancelled(lately);
         }
@@ -905,12 +1092,19 @@
             spec.types = None;
             spec.zone = None;
         }
-        OpenJob { spec: Rc::new(spec), revision: j.revision, done: j.done.clone(), earlier: j.earlier.clone() }
+        OpenJob {
+            spec: Rc::new(spec),
+            revision: j.revision,
+            done: j.done.clone(),
+            earlier: j.earlier.clone(),
+        }
     }
 
     /// What the leader knows, in words.
     pub fn explain(&self) -> String {
-        let Some((me, l, _)) = &self.leader else { return "no leader".into() };
+        let Some((me, l, _)) = &self.leader else {
+            return "no leader".into();
+        };
         let owners = self.controllers.iter().enumerate().map(|(i, c)| {
             format!(
                 "{} token={} authority={} joined={} regime={}\n{}",
@@ -922,19 +1116,34 @@
                 c.owner.explain()
             )
         });
-        let head = format!("leader {} token={} members={:?}", name(*me), l.token(), l.members());
+        let head = format!(
+            "leader {} token={} members={:?}",
+            name(*me),
+            l.token(),
+            l.members()
+        );
         let workers = self.workers.iter().map(|(n, w)| {
             format!(
                 "{n} gone={} up={:.1} session={} seq={} token={} lease={:.1} next={:.1} target={} now={:.1} tasks={:?}",
                 w.gone, w.up_at, w.session, w.seq, w.token, w.lease_from, w.next, w.target, self.now, w.tasks
             )
         });
-        [head].into_iter().chain(owners).chain(workers).chain([l.explain()]).collect::<Vec<_>>().join("\n")
+        [head]
+            .into_iter()
+            .chain(owners)
+            .chain(workers)
+            .chain([l.explain()])
+            .collect::<Vec<_>>()
+            .join("\n")
     }
 
     /// Jobs that are neither done nor cancelled.
     pub fn open_jobs(&self) -> Vec<String> {
-        self.jobs.iter().filter(|(_, j)| j.over.is_none()).map(|(id, _)| id.clone()).collect()
+        self.jobs
+            .iter()
+            .filter(|(_, j)| j.over.is_none())
+            .map(|(id, _)| id.clone())
+            .collect()
     }
 }
 
@@ -982,7 +1191,13 @@
         tasks: w
             .tasks
             .iter()
-            .map(|((j, i, a), t)| TaskReport { task: wire::task_name(j, *i), attempt: *a, state: t.state, why: t.why, saved: None })
+            .map(|((j, i, a), t)| TaskReport {
+                task: wire::task_name(j, *i),
+                attempt: *a,
+                state: t.state,
+                why: t.why,
+                saved: None,
+            })
             .collect(),
     }
 }
@@ -1051,7 +1266,13 @@
     let gang = rng.u32(0..4) == 0;
     let shape = if gang { Shape::Gang } else { Shape::Array };
     let tasks = if gang { rng.u32(1..4) } else { rng.u32(1..12) };
-    let mut j = job(id, if rng.bool() { "red" } else { "blue" }, shape, tasks, f64::from(rng.u32(1..4)));
+    let mut j = job(
+        id,
+        if rng.bool() { "red" } else { "blue" },
+        shape,
+        tasks,
+        f64::from(rng.u32(1..4)),
+    );
     j.image = format!("img-{}", rng.u32(0..3));
     j.estimate_s = 1.0 + rng.f64() * 6.0;
     j.spot = rng.bool();
--- a/crates/model/src/world/rules.rs
+++ b/crates/model/src/world/rules.rs
@@ -4,17 +4,28 @@
 
 impl World {
     pub(super) fn live_on(w: &Worker) -> impl Iterator<Item = &Key> {
-        w.tasks.iter().filter(|(_, t)| t.state != TaskState::Exited).map(|(k, _)| k)
+        w.tasks
+            .iter()
+            .filter(|(_, t)| t.state != TaskState::Exited)
+            .map(|(k, _)| k)
     }
 
     pub(super) fn check_start(&mut self, machine: &str, job: &str, index: u32) {
         let mut broken = Vec::new();
         // Only an answer that was under way, from a leader that could not know yet.
         let allowed = self.setup.start_knowledge_s() + wire::ANSWER_DROPPED_S;
-        if self.jobs.get(job).is_some_and(|j| j.cancelled && j.over.is_some_and(|at| self.now > at + allowed)) {
+        if self
+            .jobs
+            .get(job)
+            .is_some_and(|j| j.cancelled && j.over.is_some_and(|at| self.now > at + allowed))
+        {
             broken.push("started_cancelled");
         }
-        if self.workers.values().any(|w| Self::live_on(w).any(|(j, i, _)| j == job && *i == index)) {
+        if self
+            .workers
+            .values()
+            .any(|w| Self::live_on(w).any(|(j, i, _)| j == job && *i == index))
+        {
             broken.push("ran_twice");
         }
         if let (Some(j), Some(w)) = (self.jobs.get(job), self.workers.get(machine)) {
@@ -28,7 +39,8 @@
                 }
             }
             let elsewhere = s.one_zone && zones.keys().any(|z| *z != w.zone);
-            let crowded = s.spread && zones.get(w.zone.as_str()).copied().unwrap_or(0) + 1 > s.tasks.div_ceil(2);
+            let crowded = s.spread
+                && zones.get(w.zone.as_str()).copied().unwrap_or(0) + 1 > s.tasks.div_ceil(2);
             if bad_type || bad_zone || (w.spot && !s.spot) || elsewhere || crowded {
                 broken.push("wrong_place");
             }
@@ -42,14 +54,19 @@
         let mut broken = Vec::new();
         for w in self.workers.values() {
             for (job, _, _) in Self::live_on(w) {
-                let Some(j) = self.jobs.get(job) else { continue };
+                let Some(j) = self.jobs.get(job) else {
+                    continue;
+                };
                 *used.entry(j.spec.team.as_str()).or_default() += j.spec.cpus;
                 if j.cancelled && j.over.is_some_and(|at| self.now > at + self.setup.cancel_s) {
                     broken.push("ran_cancelled");
                 }
             }
         }
-        if used.iter().any(|(t, cpus)| limits.get(*t).is_none_or(|l| *cpus > l.cpus_max + 1e-6)) {
+        if used
+            .iter()
+            .any(|(t, cpus)| limits.get(*t).is_none_or(|l| *cpus > l.cpus_max + 1e-6))
+        {
             broken.push("quota");
         }
         broken.into_iter().for_each(|r| self.break_rule(r));
@@ -57,8 +74,14 @@
 
     /// Once troubles are over, every accepted job that is not over is known to the leader.
     pub(super) fn check_known(&mut self) {
-        let Some((_, leader, _)) = &self.leader else { return };
-        if self.jobs.iter().any(|(id, j)| j.over.is_none() && !leader.knows(id)) {
+        let Some((_, leader, _)) = &self.leader else {
+            return;
+        };
+        if self
+            .jobs
+            .iter()
+            .any(|(id, j)| j.over.is_none() && !leader.knows(id))
+        {
             self.break_rule("forgotten");
         }
     }
@@ -68,8 +91,14 @@
     pub(super) fn check_waiting(&mut self) {
         let mut used: BTreeMap<&str, f64> = BTreeMap::new();
         let mut free: Vec<(&String, &Worker, f64, f64)> = Vec::new();
-        for (name, w) in self.workers.iter().filter(|(_, w)| !w.gone && self.now >= w.up_at && self.now >= w.hung_until) {
-            let Some(t) = self.types.iter().find(|t| t.name == w.kind) else { continue };
+        for (name, w) in self
+            .workers
+            .iter()
+            .filter(|(_, w)| !w.gone && self.now >= w.up_at && self.now >= w.hung_until)
+        {
+            let Some(t) = self.types.iter().find(|t| t.name == w.kind) else {
+                continue;
+            };
             let (mut cpus, mut memory_gb) = (t.cpus, t.memory_gb);
             for j in Self::live_on(w).filter_map(|(id, _, _)| self.jobs.get(id)) {
                 *used.entry(j.spec.team.as_str()).or_default() += j.spec.cpus;
@@ -79,19 +108,34 @@
             free.push((name, w, cpus, memory_gb));
         }
         let mut fitting: BTreeSet<(String, String)> = BTreeSet::new();
-        for (id, j) in self.jobs.iter().filter(|(id, j)| j.over.is_none() && self.live_tasks(id) == 0) {
+        for (id, j) in self
+            .jobs
+            .iter()
+            .filter(|(id, j)| j.over.is_none() && self.live_tasks(id) == 0)
+        {
             let s = &j.spec;
-            let done = (0..s.tasks).filter(|i| self.completed.contains(&(id.clone(), *i))).count();
+            let done = (0..s.tasks)
+                .filter(|i| self.completed.contains(&(id.clone(), *i)))
+                .count();
             let (lacks, gang) = (s.tasks as usize - done, s.shape == Shape::Gang);
             let needs = if gang { lacks } else { lacks.min(1) };
             let limit = self.limits.get(&s.team).map_or(0.0, |l| l.cpus_max);
-            if needs == 0 || used.get(s.team.as_str()).copied().unwrap_or(0.0) + s.cpus * needs as f64 > limit + 1e-6 {
+            if needs == 0
+                || used.get(s.team.as_str()).copied().unwrap_or(0.0) + s.cpus * needs as f64
+                    > limit + 1e-6
+            {
                 continue;
             }
             let allowed = |w: &Worker| {
-                s.types.as_ref().is_none_or(|l| l.contains(&w.kind)) && s.zone.as_ref().is_none_or(|z| *z == w.zone) && (s.spot || !w.spot)
+                s.types.as_ref().is_none_or(|l| l.contains(&w.kind))
+                    && s.zone.as_ref().is_none_or(|z| *z == w.zone)
+                    && (s.spot || !w.spot)
+            };
+            let room = |cpus: f64, memory_gb: f64| {
+                ((cpus + 1e-6) / s.cpus)
+                    .min((memory_gb + 1e-6) / s.memory_gb)
+                    .max(0.0) as usize
             };
-            let room = |cpus: f64, memory_gb: f64| ((cpus + 1e-6) / s.cpus).min((memory_gb + 1e-6) / s.memory_gb).max(0.0) as usize;
             let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
             for (name, w, cpus, memory_gb) in free.iter().filter(|(_, w, _, _)| allowed(w)) {
                 *zones.entry(w.zone.as_str()).or_default() += room(*cpus, *memory_gb);
@@ -99,9 +143,17 @@
                     fitting.insert((id.clone(), name.to_string()));
                 }
             }
-            let half = if s.spread { s.tasks.div_ceil(2) as usize } else { usize::MAX };
+            let half = if s.spread {
+                s.tasks.div_ceil(2) as usize
+            } else {
+                usize::MAX
+            };
             let places = zones.values().map(|n| (*n).min(half));
-            let most = if s.one_zone { places.max().unwrap_or(0) } else { places.sum() };
+            let most = if s.one_zone {
+                places.max().unwrap_or(0)
+            } else {
+                places.sum()
+            };
             if gang && most >= needs {
                 fitting.insert((id.clone(), String::new()));
             }
@@ -110,7 +162,11 @@
         for k in fitting {
             self.fits_since.entry(k).or_insert(self.now);
         }
-        if self.fits_since.values().any(|since| self.now - since > WAITS_S) {
+        if self
+            .fits_since
+            .values()
+            .any(|since| self.now - since > WAITS_S)
+        {
             self.break_rule("waits");
         }
     }
@@ -120,9 +176,16 @@
     pub(super) fn check_served(&mut self) {
         let mut groups: BTreeMap<String, (u32, u32)> = BTreeMap::new();
         let mut broken = Vec::new();
-        for j in self.jobs.values().filter(|j| !j.cancelled && self.now - j.accepted > BEGIN_S) {
+        for j in self
+            .jobs
+            .values()
+            .filter(|j| !j.cancelled && self.now - j.accepted > BEGIN_S)
+        {
             let late = j.begun_at.is_none_or(|at| at - j.accepted > BEGIN_S);
-            let mut of = vec![format!("{:?}", j.spec.shape), format!("{:?} of {}", j.spec.shape, j.spec.team)];
+            let mut of = vec![
+                format!("{:?}", j.spec.shape),
+                format!("{:?} of {}", j.spec.shape, j.spec.team),
+            ];
             if j.spec.shape == Shape::Gang && j.spec.tasks == LARGEST_GANG {
                 of.push("largest gangs".into());
             }
@@ -134,7 +197,11 @@
         }
         for (group, (all, served)) in groups {
             if served * 2 < all {
-                broken.push(if group == "largest gangs" { "late" } else { "unserved" });
+                broken.push(if group == "largest gangs" {
+                    "late"
+                } else {
+                    "unserved"
+                });
             }
         }
         broken.into_iter().for_each(|r| self.break_rule(r));
--- a/crates/model/src/world/script.rs
+++ b/crates/model/src/world/script.rs
@@ -39,12 +39,17 @@
 
     /// Machines on which something is, as many as asked for at most.
     pub fn busy_machines(&self, most: usize) -> Vec<String> {
-        let busy = self.workers.iter().filter(|(_, w)| !w.gone && Self::live_on(w).next().is_some());
+        let busy = self
+            .workers
+            .iter()
+            .filter(|(_, w)| !w.gone && Self::live_on(w).next().is_some());
         busy.map(|(n, _)| n.clone()).take(most).collect()
     }
 
     fn on_machines(&mut self, names: &[String], change: impl Fn(&mut Worker)) {
-        names.iter().for_each(|n| self.workers.get_mut(n).into_iter().for_each(&change));
+        names
+            .iter()
+            .for_each(|n| self.workers.get_mut(n).into_iter().for_each(&change));
     }
 
     pub fn hang(&mut self, names: &[String], for_s: f64) {
@@ -74,7 +79,12 @@
 
     /// A zone is cut off with its machines; a controller in it keeps them.
     pub fn cut_zone(&mut self, zone: &str, controller: Option<usize>, for_s: f64) {
-        let names: Vec<String> = self.workers.iter().filter(|(_, w)| w.zone == zone).map(|(n, _)| n.clone()).collect();
+        let names: Vec<String> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.zone == zone)
+            .map(|(n, _)| n.clone())
+            .collect();
         match controller {
             Some(i) => self.leave_alone(i, for_s),
             None => self.mute(&names, for_s),
@@ -83,8 +93,17 @@
 
     /// Cancels jobs that run, as many as asked for; says which were confirmed.
     pub fn cancel_running(&mut self, most: usize) -> Vec<String> {
-        let runs = |id: &String| self.workers.values().any(|w| Self::live_on(w).any(|(j, _, _)| j == id));
-        let ids: Vec<String> = self.open_jobs().into_iter().filter(runs).take(most).collect();
+        let runs = |id: &String| {
+            self.workers
+                .values()
+                .any(|w| Self::live_on(w).any(|(j, _, _)| j == id))
+        };
+        let ids: Vec<String> = self
+            .open_jobs()
+            .into_iter()
+            .filter(runs)
+            .take(most)
+            .collect();
         ids.into_iter().filter(|id| self.cancel(id)).collect()
     }
 
@@ -96,7 +115,11 @@
 
     /// A job's tasks that are on machines now.
     pub fn live_tasks(&self, id: &str) -> usize {
-        self.workers.values().flat_map(Self::live_on).filter(|(j, _, _)| j == id).count()
+        self.workers
+            .values()
+            .flat_map(Self::live_on)
+            .filter(|(j, _, _)| j == id)
+            .count()
     }
 
     /// Machines that were ever rented.
@@ -107,7 +130,8 @@
     /// What the store says of a job: done, cancelled, or neither yet.
     pub fn outcome(&self, id: &str) -> Option<&'static str> {
         let j = self.jobs.get(id)?;
-        j.over.map(|_| if j.cancelled { "cancelled" } else { "done" })
+        j.over
+            .map(|_| if j.cancelled { "cancelled" } else { "done" })
     }
 
     /// Runs on without troubles until all is done, for `seconds` at most.
--- a/crates/model/src/world/store.rs
+++ b/crates/model/src/world/store.rs
@@ -35,9 +35,13 @@
                     self.learn(i, sent);
                 }
             }
-            if self.controllers[i].look.is_none() && now - self.controllers[i].seen >= TTL / 5.0 && self.reaches_store(i) {
+            if self.controllers[i].look.is_none()
+                && now - self.controllers[i].seen >= TTL / 5.0
+                && self.reaches_store(i)
+            {
                 let usual = if self.rng.u32(0..100) < 2 { 1.2 } else { 0.1 };
-                self.controllers[i].look = Some((now, now + self.slow_looks + self.rng.f64() * usual));
+                self.controllers[i].look =
+                    Some((now, now + self.slow_looks + self.rng.f64() * usual));
             }
         }
     }
@@ -54,7 +58,11 @@
         let before = std::mem::replace(&mut self.controllers[i].seen, sent);
         if let Some((_, mut leader, id)) = self.leader.take_if(|(me, _, _)| *me == i) {
             let new = |at: f64| at > before && at <= sent;
-            for j in self.jobs.values().filter(|j| new(j.accepted) && !self.kept_from_leader(&j.spec)) {
+            for j in self
+                .jobs
+                .values()
+                .filter(|j| new(j.accepted) && !self.kept_from_leader(&j.spec))
+            {
                 leader.add_job(self.told(j));
             }
             if self.defect != Defect::IgnoreCancel {
@@ -68,7 +76,9 @@
 
     /// The version that the leader believes the key of a write to have.
     pub(super) fn expected(&self, deed: &Deed) -> u64 {
-        key(deed).and_then(|k| self.known_versions.get(&k).copied()).unwrap_or(0)
+        key(deed)
+            .and_then(|k| self.known_versions.get(&k).copied())
+            .unwrap_or(0)
     }
 
     pub(super) fn run_writes(&mut self) {
@@ -80,7 +90,9 @@
                 continue;
             }
             let write = self.writes.remove(i);
-            let Some((me, mut leader, id)) = self.leader.take() else { continue };
+            let Some((me, mut leader, id)) = self.leader.take() else {
+                continue;
+            };
             // A write of an earlier leader fails on its condition.
             if id == write.by {
                 if write.late {
@@ -99,7 +111,12 @@
         if reached && key(&write.deed).is_some() && self.rng.u32(0..100) < self.late_writes {
             let at = self.now + 2.0 + self.rng.f64() * 10.0;
             *self.troubles.entry("late write").or_default() += 1;
-            self.writes.push(Pending { at, late: true, deed: write.deed.clone(), ..write });
+            self.writes.push(Pending {
+                at,
+                late: true,
+                deed: write.deed.clone(),
+                ..write
+            });
             self.carry_out(leader, write.deed, false, false);
             return;
         }
@@ -125,14 +142,27 @@
             return;
         }
         self.moved(&write.deed);
-        let mut nobody = Leader::new("nobody", self.setup.clone(), 0, leader.token(), 4.0, vec![], &BTreeMap::new(), 0, self.now);
+        let mut nobody = Leader::new(
+            "nobody",
+            self.setup.clone(),
+            0,
+            leader.token(),
+            4.0,
+            vec![],
+            &BTreeMap::new(),
+            0,
+            self.now,
+        );
         self.carry_out(&mut nobody, write.deed, true, false);
     }
 
     /// Whether a write's key is still as its writer knew it.
     pub(super) fn admits(&self, write: &Pending) -> bool {
-        let Some(k) = key(&write.deed) else { return true };
-        self.defect == Defect::NoVersions || self.versions.get(&k).copied().unwrap_or(0) == write.expected
+        let Some(k) = key(&write.deed) else {
+            return true;
+        };
+        self.defect == Defect::NoVersions
+            || self.versions.get(&k).copied().unwrap_or(0) == write.expected
     }
 
     pub(super) fn moved(&mut self, deed: &Deed) {
@@ -160,9 +190,13 @@
                 }
                 leader.roster_result(&machine, put, told);
             }
-            Deed::Progress { job, chunk, bits, .. } => {
+            Deed::Progress {
+                job, chunk, bits, ..
+            } => {
                 let mut written = Ranges::default();
-                let bytes: Vec<u8> = (0..bits.len() / 2).filter_map(|i| u8::from_str_radix(&bits[i * 2..i * 2 + 2], 16).ok()).collect();
+                let bytes: Vec<u8> = (0..bits.len() / 2)
+                    .filter_map(|i| u8::from_str_radix(&bits[i * 2..i * 2 + 2], 16).ok())
+                    .collect();
                 written.add_bits(chunk * chunk_bits(4.0), &bytes, u32::MAX);
                 if ok {
                     if let Some(j) = self.jobs.get_mut(&job) {
@@ -181,15 +215,27 @@
                 leader.finish_result(&job, ok && open);
             }
             Deed::Begin(record) => {
-                for j in self.jobs.values_mut().filter(|j| ok && j.spec.shape != Shape::Gang) {
-                    j.earlier = if record.covers(j.revision) { Earlier::Anywhere } else { Earlier::Untouched };
+                for j in self
+                    .jobs
+                    .values_mut()
+                    .filter(|j| ok && j.spec.shape != Shape::Gang)
+                {
+                    j.earlier = if record.covers(j.revision) {
+                        Earlier::Anywhere
+                    } else {
+                        Earlier::Untouched
+                    };
                 }
                 if ok {
                     self.begun = self.begun.max(record.upto);
                 }
                 leader.begin_result(&record, told);
             }
-            Deed::Bind { job, attempt, places } => {
+            Deed::Bind {
+                job,
+                attempt,
+                places,
+            } => {
                 if let Some(j) = self.jobs.get_mut(&job).filter(|_| ok) {
                     j.earlier = Earlier::Bound(places.into_iter().map(|(m, _, _)| m).collect());
                 }
@@ -210,8 +256,12 @@
             Deed::Send(..) => {}
         }
         if self.defect == Defect::HalfDone {
-            let half: Vec<String> =
-                self.jobs.iter().filter(|(_, j)| j.over.is_none() && j.done.len() * 2 >= j.spec.tasks).map(|(id, _)| id.clone()).collect();
+            let half: Vec<String> = self
+                .jobs
+                .iter()
+                .filter(|(_, j)| j.over.is_none() && j.done.len() * 2 >= j.spec.tasks)
+                .map(|(id, _)| id.clone())
+                .collect();
             half.iter().for_each(|id| self.finish(id));
         }
     }
@@ -219,8 +269,12 @@
     /// Records a job as done; the truth is what the workers have completed.
     pub(super) fn finish(&mut self, id: &str) {
         let now = self.now;
-        let Some(j) = self.jobs.get_mut(id) else { return };
-        let completed = (0..j.spec.tasks).filter(|i| self.completed.contains(&(id.to_string(), *i))).count() as u32;
+        let Some(j) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let completed = (0..j.spec.tasks)
+            .filter(|i| self.completed.contains(&(id.to_string(), *i)))
+            .count() as u32;
         let all = completed == j.spec.tasks || j.spec.shape == Shape::Gang && completed > 0;
         j.over = Some(now);
         self.done += 1;
@@ -230,7 +284,13 @@
     }
 
     pub(super) fn hire(&mut self, hire: &Hire) -> Vec<String> {
-        let here = self.workers.values().filter(|w| !w.gone && w.kind == hire.kind && w.zone == hire.zone && w.spot == hire.spot).count();
+        let here = self
+            .workers
+            .values()
+            .filter(|w| {
+                !w.gone && w.kind == hire.kind && w.zone == hire.zone && w.spot == hire.spot
+            })
+            .count();
         let n = (hire.count as usize).min(3usize.saturating_sub(here));
         let mut names = Vec::new();
         for _ in 0..n {
--- a/crates/model/src/world/tests.rs
+++ b/crates/model/src/world/tests.rs
@@ -37,7 +37,12 @@
     for seed in 100..180 {
         let mut w = World::new(seed, Defect::None);
         w.live(100.0, 300.0);
-        assert_eq!(w.open_jobs(), Vec::<String>::new(), "seed {seed}\n{}", w.explain());
+        assert_eq!(
+            w.open_jobs(),
+            Vec::<String>::new(),
+            "seed {seed}\n{}",
+            w.explain()
+        );
         assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
         assert!(w.done > 10);
     }
@@ -49,19 +54,56 @@
 fn a_machine_that_gets_no_answers_traps_no_work() {
     for seed in 0..12 {
         // Long enough for such a worker to come round to its owner again within its lease.
-        let mut w = World::with(seed, Defect::None, Setup { lease_s: 24.0, ..setup() });
-        (1..9).for_each(|i| w.submit(job(i, "red", if i % 2 == 0 { Shape::Gang } else { Shape::Array }, 3, 2.0)));
+        let mut w = World::with(
+            seed,
+            Defect::None,
+            Setup {
+                lease_s: 24.0,
+                ..setup()
+            },
+        );
+        (1..9).for_each(|i| {
+            w.submit(job(
+                i,
+                "red",
+                if i % 2 == 0 {
+                    Shape::Gang
+                } else {
+                    Shape::Array
+                },
+                3,
+                2.0,
+            ))
+        });
         while w.starts < 3 {
             w.step();
         }
         let deaf: Vec<String> = w.workers.keys().take(2).cloned().collect();
-        deaf.iter().for_each(|n| w.workers.get_mut(n).unwrap().deaf_until = 1e9);
-        (9..17).for_each(|i| w.submit(job(i, "blue", if i % 2 == 0 { Shape::Gang } else { Shape::Array }, 3, 2.0)));
+        deaf.iter()
+            .for_each(|n| w.workers.get_mut(n).unwrap().deaf_until = 1e9);
+        (9..17).for_each(|i| {
+            w.submit(job(
+                i,
+                "blue",
+                if i % 2 == 0 {
+                    Shape::Gang
+                } else {
+                    Shape::Array
+                },
+                3,
+                2.0,
+            ))
+        });
         let end = w.now + 120.0;
         while w.now < end {
             w.step();
         }
-        assert_eq!(w.open_jobs(), Vec::<String>::new(), "seed {seed}\n{}", w.explain());
+        assert_eq!(
+            w.open_jobs(),
+            Vec::<String>::new(),
+            "seed {seed}\n{}",
+            w.explain()
+        );
         assert!(w.broken.is_empty(), "{:?}", w.broken);
     }
 }
@@ -71,14 +113,36 @@
 /// machines of one zone are set aside for it.
 #[test]
 fn a_large_gang_is_not_starved_by_small_ones() {
-    let wide = Team { cpus: 0.0, cpus_max: 1e6, gpus: 0.0, gpus_max: 0.0 };
-    let teams = BTreeMap::from([("red".to_string(), wide.clone()), ("blue".to_string(), wide)]);
+    let wide = Team {
+        cpus: 0.0,
+        cpus_max: 1e6,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    };
+    let teams = BTreeMap::from([
+        ("red".to_string(), wide.clone()),
+        ("blue".to_string(), wide),
+    ]);
     let wait_s = BTreeMap::from([("any".to_string(), 20.0)]);
-    let mut w = World::with(3, Defect::None, Setup { teams, wait_s, ..setup() });
+    let mut w = World::with(
+        3,
+        Defect::None,
+        Setup {
+            teams,
+            wait_s,
+            ..setup()
+        },
+    );
     w.held_up = 0;
     let gang = |id: u32, team: &str, tasks: u32| {
         let only = Some(vec!["large".to_string()]);
-        Job { spot: false, one_zone: true, types: only, estimate_s: 4.0, ..job(id, team, Shape::Gang, tasks, 14.0) }
+        Job {
+            spot: false,
+            one_zone: true,
+            types: only,
+            estimate_s: 4.0,
+            ..job(id, team, Shape::Gang, tasks, 14.0)
+        }
     };
     for i in 1..300 {
         if i == 60 {
@@ -88,7 +152,11 @@
         (0..4).for_each(|_| w.step());
     }
     let large = &w.jobs["wk-009999"];
-    assert!(large.begun_at.is_some_and(|at| at - large.accepted < 60.0), "it began at {:?}", large.begun_at);
+    assert!(
+        large.begun_at.is_some_and(|at| at - large.accepted < 60.0),
+        "it began at {:?}",
+        large.begun_at
+    );
     assert!(w.open_jobs().len() > 20, "the machines were never short");
     assert!(w.broken.is_empty(), "{:?}", w.broken);
 }
@@ -99,7 +167,9 @@
     for seed in 0..10 {
         let mut w = World::new(seed, Defect::None);
         w.live(150.0, 0.0);
-        w.troubles.into_iter().for_each(|(k, n)| *seen.entry(k).or_default() += n);
+        w.troubles
+            .into_iter()
+            .for_each(|(k, n)| *seen.entry(k).or_default() += n);
     }
     assert_eq!(seen.len(), 15, "{seen:?}");
 }
@@ -122,7 +192,11 @@
 fn trips_when_calm(defect: Defect, rule: &str) {
     let mut w = World::new(4, defect);
     w.live(150.0, 300.0);
-    assert!(w.broken.contains(rule), "{defect:?} went unnoticed: {:?}", w.broken);
+    assert!(
+        w.broken.contains(rule),
+        "{defect:?} went unnoticed: {:?}",
+        w.broken
+    );
     let mut whole = World::new(4, Defect::None);
     whole.live(150.0, 300.0);
     assert!(whole.broken.is_empty(), "{:?}", whole.broken);
@@ -130,14 +204,20 @@
 
 fn trips(defect: Defect, rule: &str) {
     let (broken, _, _) = days(defect, 0..30, 15);
-    assert!(broken.contains(rule), "{defect:?} went unnoticed: {broken:?}");
+    assert!(
+        broken.contains(rule),
+        "{defect:?} went unnoticed: {broken:?}"
+    );
 }
 
 #[test]
 fn trusting_held_up_reports_is_noticed() {
     // What it leads to first depends on luck: a second start, or a limit exceeded by it.
     let (broken, _, _) = days(Defect::TrustAnyReport, 0..60, 15);
-    assert!(broken.contains("ran_twice") || broken.contains("quota"), "went unnoticed: {broken:?}");
+    assert!(
+        broken.contains("ran_twice") || broken.contains("quota"),
+        "went unnoticed: {broken:?}"
+    );
 }
 
 #[test]
--- a/crates/model/tests/knowledge.rs
+++ b/crates/model/tests/knowledge.rs
@@ -21,7 +21,11 @@
 
 impl Jobs for Replica {
     fn room(&self, job: &str) -> Option<Room> {
-        (job == "wk-1" && !self.over).then_some(Room { cpus: 1.0, gpus: 0.0, memory_gb: 1.0 })
+        (job == "wk-1" && !self.over).then_some(Room {
+            cpus: 1.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+        })
     }
     fn image(&self, job: &str) -> Option<String> {
         (job == "wk-1" && !self.over).then(|| "i".into())
@@ -37,10 +41,28 @@
 /// An owner whose part is one machine, since token 5.
 fn owner() -> Owner {
     let mut owner = Owner::new("rung-1", setup());
-    let card = MachineCard { name: "host-1".into(), kind: "small".into(), zone: "a".into(), spot: false, usable: true };
-    let regime = ToOwner::Regime { token: 5, prev: 0, members: vec!["rung-1".into()], extra_ms: 0, machines: vec![card] };
+    let card = MachineCard {
+        name: "host-1".into(),
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: false,
+        usable: true,
+    };
+    let regime = ToOwner::Regime {
+        token: 5,
+        prev: 0,
+        members: vec!["rung-1".into()],
+        extra_ms: 0,
+        machines: vec![card],
+    };
     owner.on_leader(regime, 10.0, &OPEN);
-    owner.on_leader(ToOwner::Catalog { types: vec![model::world::machine_type("small", 4.0, 16.0, 0.3)] }, 10.0, &OPEN);
+    owner.on_leader(
+        ToOwner::Catalog {
+            types: vec![model::world::machine_type("small", 4.0, 16.0, 0.3)],
+        },
+        10.0,
+        &OPEN,
+    );
     owner.authority.set(1e9);
     owner.authority.learn(10.0);
     owner
@@ -48,8 +70,20 @@
 
 fn report(seq: u64, token: u64, state: Option<TaskState>) -> Report {
     let why = (state == Some(TaskState::Exited)).then_some(Why::Stopped);
-    let task = |state| TaskReport { task: "wk-1/0".into(), attempt: 3, state, why, saved: None };
-    model::world::report("host-1", 1, seq, token, state.into_iter().map(task).collect())
+    let task = |state| TaskReport {
+        task: "wk-1/0".into(),
+        attempt: 3,
+        state,
+        why,
+        saved: None,
+    };
+    model::world::report(
+        "host-1",
+        1,
+        seq,
+        token,
+        state.into_iter().map(task).collect(),
+    )
 }
 
 fn orders(answer: Answer) -> Vec<Order> {
@@ -60,13 +94,34 @@
 }
 
 fn stop() -> Order {
-    Order::Stop { task: "wk-1/0".into(), attempt: 3, grace_s: 0.0 }
+    Order::Stop {
+        task: "wk-1/0".into(),
+        attempt: 3,
+        grace_s: 0.0,
+    }
 }
 
 fn give() -> ToOwner {
-    let kinds = vec![Allowed { kind: "small".into(), spot: false, tier: 0 }];
-    let needs = Needs { cpus: 1.0, gpus: 0.0, memory_gb: 1.0, image: "i".into(), image_gb: 1.0, kinds, zone: None };
-    ToOwner::Give { job: "wk-1".into(), attempt: 3, needs, tasks: vec![(0, 1)] }
+    let kinds = vec![Allowed {
+        kind: "small".into(),
+        spot: false,
+        tier: 0,
+    }];
+    let needs = Needs {
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        kinds,
+        zone: None,
+    };
+    ToOwner::Give {
+        job: "wk-1".into(),
+        attempt: 3,
+        needs,
+        tasks: vec![(0, 1)],
+    }
 }
 
 /// Leaders changed faster than a machine reported: each answer only told it the next token and
@@ -74,12 +129,30 @@
 #[test]
 fn an_answer_to_a_report_that_does_not_count_stops_what_is_over() {
     let mut o = owner();
-    assert_eq!(orders(o.on_report(&report(1, 4, Some(TaskState::Running)), 11.0, &OPEN)), vec![]);
-    assert_eq!(orders(o.on_report(&report(2, 4, Some(TaskState::Running)), 12.0, &OVER)), vec![stop()]);
+    assert_eq!(
+        orders(o.on_report(&report(1, 4, Some(TaskState::Running)), 11.0, &OPEN)),
+        vec![]
+    );
+    assert_eq!(
+        orders(o.on_report(&report(2, 4, Some(TaskState::Running)), 12.0, &OVER)),
+        vec![stop()]
+    );
     // The leader said so, and this controller's own replica is blind.
-    o.on_leader(ToOwner::Over { jobs: vec!["wk-1".into()] }, 12.5, &OPEN);
-    assert_eq!(orders(o.on_report(&report(3, 4, Some(TaskState::Fetching)), 13.0, &OPEN)), vec![stop()]);
-    assert_eq!(orders(o.on_report(&report(4, 4, Some(TaskState::Exited)), 14.0, &OPEN)), vec![]);
+    o.on_leader(
+        ToOwner::Over {
+            jobs: vec!["wk-1".into()],
+        },
+        12.5,
+        &OPEN,
+    );
+    assert_eq!(
+        orders(o.on_report(&report(3, 4, Some(TaskState::Fetching)), 13.0, &OPEN)),
+        vec![stop()]
+    );
+    assert_eq!(
+        orders(o.on_report(&report(4, 4, Some(TaskState::Exited)), 14.0, &OPEN)),
+        vec![]
+    );
 }
 
 /// A stop goes with every answer until a report shows the task gone, though the leader never asks
@@ -88,14 +161,37 @@
 fn what_is_over_is_stopped_until_it_is_seen_to_be_gone() {
     let mut o = owner();
     for seq in 1..4 {
-        assert_eq!(orders(o.on_report(&report(seq, 5, Some(TaskState::Running)), 10.0 + seq as f64, &OVER)), vec![stop()]);
+        assert_eq!(
+            orders(o.on_report(
+                &report(seq, 5, Some(TaskState::Running)),
+                10.0 + seq as f64,
+                &OVER
+            )),
+            vec![stop()]
+        );
     }
     // A new regime under which the records go on, and one under which they begin anew.
     for (token, prev) in [(6, 5), (7, 0)] {
-        o.on_leader(ToOwner::Regime { token, prev, members: vec!["rung-1".into()], extra_ms: 0, machines: vec![] }, 14.0, &OVER);
-        assert_eq!(orders(o.on_report(&report(token, token, Some(TaskState::Running)), 14.0, &OVER)), vec![stop()]);
+        o.on_leader(
+            ToOwner::Regime {
+                token,
+                prev,
+                members: vec!["rung-1".into()],
+                extra_ms: 0,
+                machines: vec![],
+            },
+            14.0,
+            &OVER,
+        );
+        assert_eq!(
+            orders(o.on_report(&report(token, token, Some(TaskState::Running)), 14.0, &OVER)),
+            vec![stop()]
+        );
     }
-    assert_eq!(orders(o.on_report(&report(8, 7, Some(TaskState::Exited)), 15.0, &OVER)), vec![]);
+    assert_eq!(
+        orders(o.on_report(&report(8, 7, Some(TaskState::Exited)), 15.0, &OVER)),
+        vec![]
+    );
 }
 
 /// A start that the owner holds when its job is called off is not sent, nor shown as pending.
@@ -106,24 +202,42 @@
         o.on_report(&report(1, 5, None), 11.0, &OPEN);
         o.on_leader(give(), 11.0, &OPEN);
         let replica = if told {
-            o.on_leader(ToOwner::Over { jobs: vec!["wk-1".into()] }, 11.2, &OPEN);
+            o.on_leader(
+                ToOwner::Over {
+                    jobs: vec!["wk-1".into()],
+                },
+                11.2,
+                &OPEN,
+            );
             OPEN
         } else {
             OVER
         };
-        assert_eq!(orders(o.on_report(&report(2, 5, None), 11.5, &replica)), vec![]);
+        assert_eq!(
+            orders(o.on_report(&report(2, 5, None), 11.5, &replica)),
+            vec![]
+        );
         o.tick(12.0);
         let last = o.drain().into_iter().rev().find_map(|m| match m {
             ToLeader::Machines(v) => Some(v),
             _ => None,
         });
-        assert!(last.is_some_and(|v| v.iter().all(|v| v.pending.is_empty())), "told={told}");
+        assert!(
+            last.is_some_and(|v| v.iter().all(|v| v.pending.is_empty())),
+            "told={told}"
+        );
     }
     // The same, when nothing is over: the check above can fail.
     let mut o = owner();
     o.on_report(&report(1, 5, None), 11.0, &OPEN);
     o.on_leader(give(), 11.0, &OPEN);
-    assert_eq!(orders(o.on_report(&report(2, 5, None), 11.5, &OPEN)), vec![Order::Start { task: "wk-1/0".into(), attempt: 3 }]);
+    assert_eq!(
+        orders(o.on_report(&report(2, 5, None), 11.5, &OPEN)),
+        vec![Order::Start {
+            task: "wk-1/0".into(),
+            attempt: 3
+        }]
+    );
 }
 
 /// Starts need knowledge as fresh as the leadership; answers, which prolong leases, only so fresh
@@ -135,13 +249,25 @@
     o.on_report(&report(1, 5, None), 10.5, &OPEN);
     o.on_leader(give(), 10.5, &OPEN);
     let stale = 10.0 + s.start_knowledge_s() + 0.01;
-    assert_eq!(orders(o.on_report(&report(2, 5, None), stale, &OPEN)), vec![]);
+    assert_eq!(
+        orders(o.on_report(&report(2, 5, None), stale, &OPEN)),
+        vec![]
+    );
     // It was only put off.
     o.authority.learn(stale);
-    assert_eq!(orders(o.on_report(&report(3, 5, None), stale + 0.1, &OPEN)).len(), 1);
+    assert_eq!(
+        orders(o.on_report(&report(3, 5, None), stale + 0.1, &OPEN)).len(),
+        1
+    );
     let end = stale + s.knowledge_s();
-    assert!(matches!(o.on_report(&report(4, 5, None), end - 0.01, &OPEN), Answer::Orders(_)));
-    assert_eq!(o.on_report(&report(5, 5, None), end + 0.01, &OPEN), Answer::NotNow);
+    assert!(matches!(
+        o.on_report(&report(4, 5, None), end - 0.01, &OPEN),
+        Answer::Orders(_)
+    ));
+    assert_eq!(
+        o.on_report(&report(5, 5, None), end + 0.01, &OPEN),
+        Answer::NotNow
+    );
     // The last lease that such an answer can prolong ends within cancel_s of the look.
     assert!(end + s.lease_s * 1.0005 <= stale + s.cancel_s);
 }
@@ -169,7 +295,10 @@
 
 #[test]
 fn settings_without_time_between_lease_and_cancel_keep_the_freshest_bound() {
-    let s = Setup { cancel_s: 9.0, ..setup() };
+    let s = Setup {
+        cancel_s: 9.0,
+        ..setup()
+    };
     assert!(!s.cancels_in_time() && setup().cancels_in_time());
     assert_eq!(s.knowledge_s(), s.start_knowledge_s());
 }
@@ -178,11 +307,26 @@
 /// owners at once and at each new regime.
 #[test]
 fn a_cancellation_reaches_the_owners_once_and_with_each_new_regime() {
-    let setup = Setup { teams: BTreeMap::new(), ..setup() };
+    let setup = Setup {
+        teams: BTreeMap::new(),
+        ..setup()
+    };
     let spec = Rc::new(model::world::job(1, "red", Shape::Array, 4, 1.0));
-    let open = OpenJob { spec, revision: 1, done: Ranges::default(), earlier: Earlier::Anywhere };
+    let open = OpenJob {
+        spec,
+        revision: 1,
+        done: Ranges::default(),
+        earlier: Earlier::Anywhere,
+    };
     // What it may have begun on that machine is not known yet.
-    let roster = BTreeMap::from([("host-1".to_string(), RosterRecord { kind: "small".into(), zone: "a".into(), spot: false })]);
+    let roster = BTreeMap::from([(
+        "host-1".to_string(),
+        RosterRecord {
+            kind: "small".into(),
+            zone: "a".into(),
+            spot: false,
+        },
+    )]);
     let mut leader = Leader::new("rung-0", setup, 1, 1, 4.0, vec![open], &roster, 1, 0.0);
     leader.set_lately_cancelled([("wk-000009".to_string(), "red".to_string(), Room::default())]);
     leader.owner_heard("rung-1", 0.0);
@@ -195,7 +339,13 @@
         leader.drain().into_iter().filter_map(over).collect()
     };
     assert_eq!(told(&mut leader), vec![vec!["wk-000009".to_string()]]);
-    leader.on_owner("rung-1", ToLeader::Cancelled { job: "wk-000001".into() }, 1.5);
+    leader.on_owner(
+        "rung-1",
+        ToLeader::Cancelled {
+            job: "wk-000001".into(),
+        },
+        1.5,
+    );
     assert_eq!(told(&mut leader), vec![vec!["wk-000001".to_string()]]);
     leader.job_over("wk-000001");
     assert_eq!(told(&mut leader), Vec::<Vec<String>>::new());
@@ -203,7 +353,10 @@
     leader.owner_heard("rung-1", 2.0);
     leader.tick(2.5, 1);
     leader.token_result(Some(2), 2.6);
-    assert_eq!(told(&mut leader), vec![vec!["wk-000001".to_string(), "wk-000009".to_string()]]);
+    assert_eq!(
+        told(&mut leader),
+        vec![vec!["wk-000001".to_string(), "wk-000009".to_string()]]
+    );
 }
 
 /// A start that the owner took on by itself and gave up before any view showed it: the leader has to
@@ -214,12 +367,43 @@
     o.on_report(&report(1, 5, None), 10.5, &OPEN);
     o.tick(11.0);
     o.drain();
-    let ToOwner::Give { job, attempt, needs, tasks } = give() else { unreachable!() };
-    o.on_leader(ToOwner::Ahead { job, attempt, needs, tasks, wait_ms: 5000 }, 11.0, &OPEN);
+    let ToOwner::Give {
+        job,
+        attempt,
+        needs,
+        tasks,
+    } = give()
+    else {
+        unreachable!()
+    };
+    o.on_leader(
+        ToOwner::Ahead {
+            job,
+            attempt,
+            needs,
+            tasks,
+            wait_ms: 5000,
+        },
+        11.0,
+        &OPEN,
+    );
     o.drain();
-    assert_eq!(orders(o.on_report(&report(2, 5, None), 11.01, &OPEN)).len(), 1);
-    o.on_leader(ToOwner::Use { machine: "host-1".into(), usable: false }, 11.02, &OPEN);
-    assert_eq!(orders(o.on_report(&report(3, 5, None), 11.03, &OPEN)), vec![]);
+    assert_eq!(
+        orders(o.on_report(&report(2, 5, None), 11.01, &OPEN)).len(),
+        1
+    );
+    o.on_leader(
+        ToOwner::Use {
+            machine: "host-1".into(),
+            usable: false,
+        },
+        11.02,
+        &OPEN,
+    );
+    assert_eq!(
+        orders(o.on_report(&report(3, 5, None), 11.03, &OPEN)),
+        vec![]
+    );
     let back = |m: &ToLeader| matches!(m, ToLeader::HandBack { job, attempt: 3, tasks } if job == "wk-1" && *tasks == [(0, 1)]);
     assert!(o.drain().iter().any(back));
 }
