--- a/crates/model/tests/leader_and_owner.rs
+++ b/crates/model/tests/leader_and_owner.rs
@@ -15,8 +15,16 @@
 use wire::workers::{Report, TaskReport, TaskState, Why};
 
 fn setup() -> Setup {
-    let team = Team { cpus: 8.0, cpus_max: 16.0, gpus: 0.0, gpus_max: 0.0 };
-    Setup { teams: BTreeMap::from([("red".to_string(), team)]), ..model::world::setup() }
+    let team = Team {
+        cpus: 8.0,
+        cpus_max: 16.0,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    };
+    Setup {
+        teams: BTreeMap::from([("red".to_string(), team)]),
+        ..model::world::setup()
+    }
 }
 
 struct NoJobs;
@@ -39,15 +47,33 @@
         session,
         seq,
         token,
-        vec![TaskReport { task: "wk-1/0".into(), attempt: 3, state: TaskState::Exited, why: Some(Why::Done), saved: None }],
+        vec![TaskReport {
+            task: "wk-1/0".into(),
+            attempt: 3,
+            state: TaskState::Exited,
+            why: Some(Why::Done),
+            saved: None,
+        }],
     )
 }
 
 /// An owner whose part is one machine, since token 5.
 fn owner_of_host_1() -> Owner {
     let mut owner = Owner::new("rung-1", setup());
-    let card = MachineCard { name: "host-1".into(), kind: "small".into(), zone: "a".into(), spot: false, usable: true };
-    let regime = ToOwner::Regime { token: 5, prev: 0, members: vec!["rung-1".into()], extra_ms: 0, machines: vec![card] };
+    let card = MachineCard {
+        name: "host-1".into(),
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: false,
+        usable: true,
+    };
+    let regime = ToOwner::Regime {
+        token: 5,
+        prev: 0,
+        members: vec!["rung-1".into()],
+        extra_ms: 0,
+        machines: vec![card],
+    };
     owner.on_leader(regime, 10.0, &NoJobs);
     owner.authority.set(1e9);
     owner.authority.learn(1e9);
@@ -60,14 +86,28 @@
 #[test]
 fn a_report_of_a_lease_that_is_over_does_not_count_though_none_counted_before() {
     let mut owner = owner_of_host_1();
-    assert!(matches!(owner.on_report(&report(2, 57, 4), 10.5, &NoJobs), Answer::Orders(o) if o.token == 5 && o.orders.is_empty()));
+    assert!(
+        matches!(owner.on_report(&report(2, 57, 4), 10.5, &NoJobs), Answer::Orders(o) if o.token == 5 && o.orders.is_empty())
+    );
     owner.tick(10.5 + setup().lease_certainly_over_s() + 0.1);
     owner.drain();
-    assert_eq!(owner.on_report(&report(2, 58, 5), 25.0, &NoJobs), Answer::NotNow);
+    assert_eq!(
+        owner.on_report(&report(2, 58, 5), 25.0, &NoJobs),
+        Answer::NotNow
+    );
     // The worker itself is back, in a new session, and learns the token first.
-    assert!(matches!(owner.on_report(&report(3, 60, 4), 26.0, &NoJobs), Answer::Orders(_)));
-    assert_eq!(owner.on_report(&report(2, 59, 5), 26.5, &NoJobs), Answer::NotNow);
-    assert!(matches!(owner.on_report(&report(3, 61, 5), 27.0, &NoJobs), Answer::Orders(_)));
+    assert!(matches!(
+        owner.on_report(&report(3, 60, 4), 26.0, &NoJobs),
+        Answer::Orders(_)
+    ));
+    assert_eq!(
+        owner.on_report(&report(2, 59, 5), 26.5, &NoJobs),
+        Answer::NotNow
+    );
+    assert!(matches!(
+        owner.on_report(&report(3, 61, 5), 27.0, &NoJobs),
+        Answer::Orders(_)
+    ));
     owner.tick(28.0);
     let back = |m: &ToLeader| matches!(m, ToLeader::Machines(v) if v.iter().any(|v| v.session == 3 && !v.lapsed));
     assert!(owner.drain().iter().any(back));
@@ -78,15 +118,32 @@
 }
 
 fn view_of(index: u32, attempt: u64, state: TaskState, why: Option<Why>) -> TaskView {
-    TaskView { task: TaskRef { job: "wk-1".into(), index, attempt }, state, why, saved: false }
+    TaskView {
+        task: TaskRef {
+            job: "wk-1".into(),
+            index,
+            attempt,
+        },
+        state,
+        why,
+        saved: false,
+    }
 }
 
 fn small() -> MachineType {
-    MachineType { boot_s: 10.0, zones: vec!["a".into()], ..machine_type("small", 8.0, 32.0, 1.0) }
+    MachineType {
+        boot_s: 10.0,
+        zones: vec!["a".into()],
+        ..machine_type("small", 8.0, 32.0, 1.0)
+    }
 }
 
 fn array(id: &str) -> Rc<Job> {
-    Rc::new(Job { id: id.into(), spot: false, ..job(1, "red", Shape::Array, 2, 4.0) })
+    Rc::new(Job {
+        id: id.into(),
+        spot: false,
+        ..job(1, "red", Shape::Array, 2, 4.0)
+    })
 }
 
 /// The end of another attempt completes the task, but the attempt that is on a machine still uses
@@ -94,18 +151,38 @@
 #[test]
 fn an_attempt_stays_charged_when_another_one_is_done() {
     let spec = array("wk-1");
-    let open = OpenJob { spec, revision: 1, done: Ranges::default(), earlier: Earlier::Anywhere };
-    let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
-    let roster = BTreeMap::from([("host-1".to_string(), record.clone()), ("host-2".to_string(), record)]);
+    let open = OpenJob {
+        spec,
+        revision: 1,
+        done: Ranges::default(),
+        earlier: Earlier::Anywhere,
+    };
+    let record = RosterRecord {
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: false,
+    };
+    let roster = BTreeMap::from([
+        ("host-1".to_string(), record.clone()),
+        ("host-2".to_string(), record),
+    ]);
     let mut leader = Leader::new("rung-0", setup(), 1, 1, 4.0, vec![open], &roster, 1, 0.0);
     leader.catalog(vec![small()]);
     leader.tick(0.0, 0);
     let running = view_of(0, 9, TaskState::Running, None);
-    leader.on_owner("rung-0", ToLeader::Machines(vec![machine_view("host-1", vec![running])]), 1.0);
+    leader.on_owner(
+        "rung-0",
+        ToLeader::Machines(vec![machine_view("host-1", vec![running])]),
+        1.0,
+    );
     assert_eq!(leader.used_by("red").cpus, 4.0);
     leader.drain();
     let done = view_of(0, 7, TaskState::Exited, Some(Why::Done));
-    leader.on_owner("rung-0", ToLeader::Machines(vec![machine_view("host-2", vec![done])]), 1.1);
+    leader.on_owner(
+        "rung-0",
+        ToLeader::Machines(vec![machine_view("host-2", vec![done])]),
+        1.1,
+    );
     assert_eq!(leader.used_by("red").cpus, 4.0);
     assert!(leader.done_of("wk-1").contains(0));
     let stop = |d: &Deed| matches!(d, Deed::Send(_, ToOwner::Stop { machine, task, .. }) if machine == "host-1" && task.attempt == 9);
@@ -116,9 +193,20 @@
 /// its tasks may still be there, and count against the team's limit.
 #[test]
 fn a_job_cancelled_before_all_machines_are_known_still_counts() {
-    let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
-    let roster: BTreeMap<_, _> = ["host-1", "host-2", "host-3"].map(|n| (n.to_string(), record.clone())).into();
-    let open = |id: &str, revision, earlier| OpenJob { spec: array(id), revision, done: Ranges::default(), earlier };
+    let record = RosterRecord {
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: false,
+    };
+    let roster: BTreeMap<_, _> = ["host-1", "host-2", "host-3"]
+        .map(|n| (n.to_string(), record.clone()))
+        .into();
+    let open = |id: &str, revision, earlier| OpenJob {
+        spec: array(id),
+        revision,
+        done: Ranges::default(),
+        earlier,
+    };
     let old = open("wk-1", 1, Earlier::Anywhere);
     let mut leader = Leader::new("rung-0", setup(), 1, 1, 4.0, vec![old], &roster, 1, 0.0);
     leader.catalog(vec![small()]);
@@ -128,7 +216,13 @@
     leader.job_over("wk-1");
     leader.add_job(open("wk-2", 2, Earlier::Untouched));
     leader.add_job(open("wk-3", 3, Earlier::Untouched));
-    leader.begin_result(&BegunRecord { upto: 3, waiting: Vec::new() }, true);
+    leader.begin_result(
+        &BegunRecord {
+            upto: 3,
+            waiting: Vec::new(),
+        },
+        true,
+    );
     leader.drain();
     leader.tick(2.0, 0);
     let given = |d: Deed| match d {
@@ -144,7 +238,17 @@
 #[test]
 fn a_leader_that_has_just_started_waits_for_the_others_that_start() {
     let regimes = |starting: bool| {
-        let mut leader = Leader::new("rung-0", setup(), 1, 1, 4.0, Vec::new(), &BTreeMap::new(), 0, 0.0);
+        let mut leader = Leader::new(
+            "rung-0",
+            setup(),
+            1,
+            1,
+            4.0,
+            Vec::new(),
+            &BTreeMap::new(),
+            0,
+            0.0,
+        );
         if starting {
             leader.expect_others();
         }
@@ -160,7 +264,9 @@
             for d in leader.drain() {
                 match d {
                     Deed::NewToken => leader.token_result(Some(leader.token() + 1), now),
-                    Deed::Send(to, ToOwner::Regime { members, .. }) if to == "rung-0" => seen.push(members.len()),
+                    Deed::Send(to, ToOwner::Regime { members, .. }) if to == "rung-0" => {
+                        seen.push(members.len())
+                    }
                     _ => {}
                 }
             }
@@ -176,34 +282,85 @@
 #[test]
 fn a_few_machines_that_stay_silent_are_returned_soon() {
     let returned_at = |silent: usize| {
-        let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
+        let record = RosterRecord {
+            kind: "small".into(),
+            zone: "a".into(),
+            spot: false,
+        };
         let names: Vec<String> = (0..100).map(|i| format!("host-{i}")).collect();
         let roster: BTreeMap<_, _> = names.iter().map(|n| (n.clone(), record.clone())).collect();
-        let old = OpenJob { spec: array("wk-1"), revision: 1, done: Ranges::default(), earlier: Earlier::Anywhere };
-        let mut leader = Leader::new("rung-0", Setup { report_s: 10.0, ..setup() }, 1, 1, 4.0, vec![old], &roster, 1, 0.0);
+        let old = OpenJob {
+            spec: array("wk-1"),
+            revision: 1,
+            done: Ranges::default(),
+            earlier: Earlier::Anywhere,
+        };
+        let mut leader = Leader::new(
+            "rung-0",
+            Setup {
+                report_s: 10.0,
+                ..setup()
+            },
+            1,
+            1,
+            4.0,
+            vec![old],
+            &roster,
+            1,
+            0.0,
+        );
         leader.catalog(vec![small()]);
         leader.tick(0.0, 0);
-        let known = names[silent..].iter().map(|n| machine_view(n, Vec::new())).collect();
+        let known = names[silent..]
+            .iter()
+            .map(|n| machine_view(n, Vec::new()))
+            .collect();
         leader.on_owner("rung-0", ToLeader::Machines(known), 2.0);
         leader.drain();
         (20..400).map(|t| f64::from(t) / 10.0).find(|now| {
             leader.tick(*now, 0);
-            leader.drain().iter().any(|d| matches!(d, Deed::Release(names) if names.len() == silent))
+            leader
+                .drain()
+                .iter()
+                .any(|d| matches!(d, Deed::Release(names) if names.len() == silent))
         })
     };
-    assert!(returned_at(2).is_some_and(|at| (7.0..9.0).contains(&at)), "{:?}", returned_at(2));
-    assert!(returned_at(10).is_some_and(|at| at > 20.0), "{:?}", returned_at(10));
+    assert!(
+        returned_at(2).is_some_and(|at| (7.0..9.0).contains(&at)),
+        "{:?}",
+        returned_at(2)
+    );
+    assert!(
+        returned_at(10).is_some_and(|at| at > 20.0),
+        "{:?}",
+        returned_at(10)
+    );
 }
 
 /// An array that waits for its turn is named as untouched, so that a later leader starts it at
 /// once, while it still has to learn what runs on some machine that does not report.
 #[test]
 fn arrays_that_wait_their_turn_are_not_recorded_as_begun() {
-    let mut leader = Leader::new("rung-0", setup(), 1, 1, 4.0, Vec::new(), &BTreeMap::new(), 0, 0.0);
+    let mut leader = Leader::new(
+        "rung-0",
+        setup(),
+        1,
+        1,
+        4.0,
+        Vec::new(),
+        &BTreeMap::new(),
+        0,
+        0.0,
+    );
     leader.tick(0.0, 0);
     for (i, id) in ["wk-1", "wk-2", "wk-3"].iter().enumerate() {
         let earlier = Earlier::Untouched;
-        leader.add_job(OpenJob { spec: array(id), revision: 10 + i as u64, done: Ranges::default(), earlier });
+        leader.add_job(OpenJob {
+            spec: array(id),
+            revision: 10 + i as u64,
+            done: Ranges::default(),
+            earlier,
+        });
     }
     leader.tick(1.0, 0);
     let record = leader.drain().into_iter().find_map(|d| match d {
@@ -211,19 +368,32 @@
         _ => None,
     });
     let record = record.expect("the first in the queue begins");
-    assert_eq!((record.upto, record.waiting.as_slice()), (12, &[11, 12][..]));
-    assert_eq!([9, 10, 11, 12, 13].map(|r| record.covers(r)), [true, true, false, false, false]);
+    assert_eq!(
+        (record.upto, record.waiting.as_slice()),
+        (12, &[11, 12][..])
+    );
+    assert_eq!(
+        [9, 10, 11, 12, 13].map(|r| record.covers(r)),
+        [true, true, false, false, false]
+    );
     // Of unknown outcome: it is asked for again.
     leader.begin_result(&record, false);
     leader.tick(2.0, 0);
-    assert!(leader.drain().iter().any(|d| matches!(d, Deed::Begin(again) if *again == record)));
+    assert!(leader
+        .drain()
+        .iter()
+        .any(|d| matches!(d, Deed::Begin(again) if *again == record)));
 }
 
 struct OneJob;
 
 impl Jobs for OneJob {
     fn room(&self, job: &str) -> Option<Room> {
-        (job == "wk-1").then_some(Room { cpus: 4.0, gpus: 0.0, memory_gb: 1.0 })
+        (job == "wk-1").then_some(Room {
+            cpus: 4.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+        })
     }
     fn image(&self, job: &str) -> Option<String> {
         (job == "wk-1").then(|| "i".into())
@@ -239,15 +409,31 @@
 #[test]
 fn tasks_that_wait_at_an_owner_fill_what_a_report_shows_to_be_free() {
     let mut owner = owner_of_host_1();
-    owner.on_leader(ToOwner::Catalog { types: vec![small()] }, 10.0, &OneJob);
+    owner.on_leader(
+        ToOwner::Catalog {
+            types: vec![small()],
+        },
+        10.0,
+        &OneJob,
+    );
     let starts = |answer: Answer| match answer {
-        Answer::Orders(o) => o.orders.iter().filter(|o| matches!(o, wire::workers::Order::Start { .. })).count(),
+        Answer::Orders(o) => o
+            .orders
+            .iter()
+            .filter(|o| matches!(o, wire::workers::Order::Start { .. }))
+            .count(),
         _ => 0,
     };
     let mut busy = report(1, 1, 5);
     busy.tasks = vec![("wk-1/8", 3), ("wk-1/9", 3)]
         .into_iter()
-        .map(|(t, attempt)| TaskReport { task: t.into(), attempt, state: TaskState::Running, why: None, saved: None })
+        .map(|(t, attempt)| TaskReport {
+            task: t.into(),
+            attempt,
+            state: TaskState::Running,
+            why: None,
+            saved: None,
+        })
         .collect();
     assert_eq!(starts(owner.on_report(&busy, 11.0, &OneJob)), 0);
     let needs = Needs {
@@ -256,19 +442,36 @@
         memory_gb: 1.0,
         image: "i".into(),
         image_gb: 1.0,
-        kinds: vec![Allowed { kind: "small".into(), spot: false, tier: 0 }],
+        kinds: vec![Allowed {
+            kind: "small".into(),
+            spot: false,
+            tier: 0,
+        }],
         zone: None,
     };
-    let ahead = |job: &str| ToOwner::Ahead { job: job.into(), attempt: 7, needs: needs.clone(), tasks: vec![(0, 3)], wait_ms: 4000 };
+    let ahead = |job: &str| ToOwner::Ahead {
+        job: job.into(),
+        attempt: 7,
+        needs: needs.clone(),
+        tasks: vec![(0, 3)],
+        wait_ms: 4000,
+    };
     owner.on_leader(ahead("wk-2"), 11.1, &OneJob);
     owner.on_leader(ahead("wk-1"), 11.2, &OneJob);
     (busy.seq, busy.tasks) = (2, busy.tasks[..1].to_vec());
-    assert_eq!(starts(owner.on_report(&busy, 12.0, &OneJob)), 1, "one has ended, one takes its place");
+    assert_eq!(
+        starts(owner.on_report(&busy, 12.0, &OneJob)),
+        1,
+        "one has ended, one takes its place"
+    );
     owner.drain();
     owner.tick(15.5);
     let back: Vec<_> = owner.drain();
     let handed = |job: &str, tasks: &[(u32, u32)]| {
         back.iter().any(|m| matches!(m, ToLeader::HandBack { job: j, attempt: 7, tasks: t } if j == job && t == tasks))
     };
-    assert!(handed("wk-2", &[(0, 3)]) && handed("wk-1", &[(1, 2)]), "{back:?}");
+    assert!(
+        handed("wk-2", &[(0, 3)]) && handed("wk-1", &[(1, 2)]),
+        "{back:?}"
+    );
 }
--- a/crates/model/tests/meetings.rs
+++ b/crates/model/tests/meetings.rs
@@ -12,8 +12,14 @@
     w.late_copies = 5;
     for i in 1..=4 {
         let team = if i % 2 == 0 { "red" } else { "blue" };
-        w.submit(Job { estimate_s: 120.0, ..job(i, team, Shape::Array, 3, 1.0) });
-        w.submit(Job { estimate_s: 120.0, ..job(10 + i, team, Shape::Gang, 2, 1.0) });
+        w.submit(Job {
+            estimate_s: 120.0,
+            ..job(i, team, Shape::Array, 3, 1.0)
+        });
+        w.submit(Job {
+            estimate_s: 120.0,
+            ..job(10 + i, team, Shape::Gang, 2, 1.0)
+        });
         w.submit(job(20 + i, team, Shape::Array, 6, 1.0));
     }
     w.pass(25.0);
@@ -32,8 +38,18 @@
         script(&mut w);
         assert!(w.cancelled > 0, "seed {seed}: nothing was cancelled");
         w.calm(400.0);
-        assert!(w.broken.is_empty(), "seed {seed}: {:?}\n{}", w.broken, w.explain());
-        assert_eq!(w.open_jobs(), Vec::<String>::new(), "seed {seed}\n{}", w.explain());
+        assert!(
+            w.broken.is_empty(),
+            "seed {seed}: {:?}\n{}",
+            w.broken,
+            w.explain()
+        );
+        assert_eq!(
+            w.open_jobs(),
+            Vec::<String>::new(),
+            "seed {seed}\n{}",
+            w.explain()
+        );
     }
 }
 
@@ -80,7 +96,12 @@
 fn the_store_refuses_the_leader_then_everybody() {
     let (lease, cancel) = (setup().lease_s, setup().cancel_s);
     for hints in [true, false] {
-        for (refused_s, out_s) in [(0.5, 0.5 * lease), (1.0, 1.1 * lease), (1.5, 1.3 * cancel), (3.0, 1.3 * cancel)] {
+        for (refused_s, out_s) in [
+            (0.5, 0.5 * lease),
+            (1.0, 1.1 * lease),
+            (1.5, 1.3 * cancel),
+            (3.0, 1.3 * cancel),
+        ] {
             meeting(4, |w| {
                 w.hints = hints;
                 gap(w, refused_s, out_s);
@@ -145,7 +166,10 @@
 
 #[test]
 fn trusting_a_picture_from_before_an_outage_is_noticed() {
-    assert!(breaks("ran_cancelled", Defect::TrustOldPicture, setup(), slow_gaps), "it went unnoticed");
+    assert!(
+        breaks("ran_cancelled", Defect::TrustOldPicture, setup(), slow_gaps),
+        "it went unnoticed"
+    );
 }
 
 #[test]
@@ -204,12 +228,22 @@
         assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
         // One winner: whoever wrote first, and so it stays; nobody can cancel it again.
         met += called_off.len();
-        assert!(called_off.iter().all(|id| w.outcome(id) == Some("cancelled") && w.live_tasks(id) == 0));
-        let done: Vec<String> = (100..160).map(|i| format!("wk-{i:06}")).filter(|id| w.outcome(id) == Some("done")).collect();
+        assert!(called_off
+            .iter()
+            .all(|id| w.outcome(id) == Some("cancelled") && w.live_tasks(id) == 0));
+        let done: Vec<String> = (100..160)
+            .map(|i| format!("wk-{i:06}"))
+            .filter(|id| w.outcome(id) == Some("done"))
+            .collect();
         kept += done.len();
-        assert!(done.iter().all(|id| !w.cancel(id) && w.outcome(id) == Some("done")));
+        assert!(done
+            .iter()
+            .all(|id| !w.cancel(id) && w.outcome(id) == Some("done")));
     }
-    assert!(met > 50 && kept > 50, "too few met: {met} cancelled, {kept} done");
+    assert!(
+        met > 50 && kept > 50,
+        "too few met: {met} cancelled, {kept} done"
+    );
 }
 
 #[test]
@@ -244,9 +278,17 @@
         w.held_up = 12;
         for i in 0..40 {
             let team = if i % 2 == 0 { "red" } else { "blue" };
-            let shape = if i % 4 == 0 { Shape::Gang } else { Shape::Array };
+            let shape = if i % 4 == 0 {
+                Shape::Gang
+            } else {
+                Shape::Array
+            };
             let mut j = job(200 + i, team, shape, 3, 3.0);
-            j.priority = if i % 3 == 0 { wire::users::Priority::Prod } else { wire::users::Priority::BestEffort };
+            j.priority = if i % 3 == 0 {
+                wire::users::Priority::Prod
+            } else {
+                wire::users::Priority::BestEffort
+            };
             w.submit(j);
             w.pass(0.5);
         }
@@ -261,7 +303,12 @@
 fn a_team_is_at_its_limit_while_the_leader_changes_and_machines_cannot_be_asked() {
     meeting(8, |w| {
         // Far more than the limit of 24 CPUs.
-        (0..6).for_each(|i| w.submit(Job { estimate_s: 30.0, ..job(300 + i, "red", Shape::Array, 8, 2.0) }));
+        (0..6).for_each(|i| {
+            w.submit(Job {
+                estimate_s: 30.0,
+                ..job(300 + i, "red", Shape::Array, 8, 2.0)
+            })
+        });
         w.pass(15.0);
         let names = w.busy_machines(4);
         w.hang(&names, 7.5);
@@ -305,10 +352,26 @@
 
 #[test]
 fn jobs_bound_to_one_zone_lose_machines() {
-    let zoned = |i: u32, shape| Job { one_zone: true, estimate_s: 10.0, ..job(400 + i, "blue", shape, 3, 2.0) };
+    let zoned = |i: u32, shape| Job {
+        one_zone: true,
+        estimate_s: 10.0,
+        ..job(400 + i, "blue", shape, 3, 2.0)
+    };
     meeting(6, |w| {
-        (0..4).for_each(|i| w.submit(zoned(i, if i % 2 == 0 { Shape::Gang } else { Shape::Array })));
-        w.submit(Job { zone: Some("a".into()), ..zoned(9, Shape::Array) });
+        (0..4).for_each(|i| {
+            w.submit(zoned(
+                i,
+                if i % 2 == 0 {
+                    Shape::Gang
+                } else {
+                    Shape::Array
+                },
+            ))
+        });
+        w.submit(Job {
+            zone: Some("a".into()),
+            ..zoned(9, Shape::Array)
+        });
         w.pass(6.0);
         let names = w.busy_machines(4);
         w.mute(&names, 9.0);
@@ -326,7 +389,10 @@
     meeting(8, |w| {
         for i in 0..12 {
             // On machines that hang or not, the same tasks end at different times.
-            w.submit(Job { estimate_s: 6.0, ..job(500 + i, "blue", Shape::Array, 2 + i % 2, 1.0) });
+            w.submit(Job {
+                estimate_s: 6.0,
+                ..job(500 + i, "blue", Shape::Array, 2 + i % 2, 1.0)
+            });
         }
         w.pass(5.0);
         let names = w.busy_machines(3);
@@ -345,7 +411,12 @@
 /// Reports every 6 s, leaders every 3: no report shows the token of the day.
 #[test]
 fn leaders_change_faster_than_machines_report() {
-    let slow = Setup { report_s: 6.0, lease_s: 14.0, cancel_s: 30.0, ..setup() };
+    let slow = Setup {
+        report_s: 6.0,
+        lease_s: 14.0,
+        cancel_s: 30.0,
+        ..setup()
+    };
     let script = |w: &mut World| {
         w.hints = false;
         w.cancel_running(6);
@@ -359,7 +430,10 @@
         }
     };
     meeting_with(6, slow.clone(), script);
-    assert!(breaks("ran_cancelled", Defect::ForgetCancelled, slow, script), "the check can't fail");
+    assert!(
+        breaks("ran_cancelled", Defect::ForgetCancelled, slow, script),
+        "the check can't fail"
+    );
 }
 
 #[test]
@@ -393,8 +467,15 @@
 fn late_writes(w: &mut World) {
     w.late_writes = 25;
     for i in 0..30 {
-        let shape = if i % 3 == 0 { Shape::Gang } else { Shape::Array };
-        w.submit(Job { estimate_s: 12.0, ..job(700 + i, "blue", shape, 2, 2.0) });
+        let shape = if i % 3 == 0 {
+            Shape::Gang
+        } else {
+            Shape::Array
+        };
+        w.submit(Job {
+            estimate_s: 12.0,
+            ..job(700 + i, "blue", shape, 2, 2.0)
+        });
         w.pass(2.0);
         if i % 10 == 9 {
             let names = w.busy_machines(2);
@@ -416,16 +497,28 @@
 #[test]
 fn writes_without_the_versions_of_their_keys_are_noticed() {
     // An old page of the roster or an old binding makes the next leader start tasks again.
-    assert!(breaks("ran_twice", Defect::NoVersions, setup(), late_writes), "it went unnoticed");
+    assert!(
+        breaks("ran_twice", Defect::NoVersions, setup(), late_writes),
+        "it went unnoticed"
+    );
 }
 
 /// Work of the other team keeps machines in use that have room to spare.
 #[test]
 fn letting_work_wait_beside_free_room_is_noticed() {
     let mut w = busy(1, Defect::NeverRed, setup());
-    (0..3).for_each(|i| w.submit(Job { estimate_s: 200.0, ..job(800 + i, "blue", Shape::Array, 3, 1.0) }));
+    (0..3).for_each(|i| {
+        w.submit(Job {
+            estimate_s: 200.0,
+            ..job(800 + i, "blue", Shape::Array, 3, 1.0)
+        })
+    });
     w.calm(150.0);
-    assert!(w.broken.contains("waits"), "it went unnoticed: {:?}", w.broken);
+    assert!(
+        w.broken.contains("waits"),
+        "it went unnoticed: {:?}",
+        w.broken
+    );
 }
 
 /// A leader that never learns of cancellations goes on starting tasks of what is called off.
@@ -436,8 +529,16 @@
             w.submit(job(900 + i, "red", Shape::Array, 12, 2.0));
         }
         w.pass(2.0);
-        assert!((900..906).filter(|i| w.cancel(&format!("wk-{i:06}"))).count() > 0);
+        assert!(
+            (900..906)
+                .filter(|i| w.cancel(&format!("wk-{i:06}")))
+                .count()
+                > 0
+        );
         w.pass(30.0);
     };
-    assert!(breaks("started_cancelled", Defect::IgnoreCancel, setup(), script), "it went unnoticed");
+    assert!(
+        breaks("started_cancelled", Defect::IgnoreCancel, setup(), script),
+        "it went unnoticed"
+    );
 }
--- a/crates/model/tests/reclaim.rs
+++ b/crates/model/tests/reclaim.rs
@@ -26,21 +26,66 @@
 }
 
 fn array_task(index: u32, state: TaskState, why: Option<Why>) -> TaskView {
-    let task = TaskRef { job: "wk-000001".into(), index, attempt: ARRAY_ATTEMPT };
-    TaskView { task, state, why, saved: why.is_some() }
+    let task = TaskRef {
+        job: "wk-000001".into(),
+        index,
+        attempt: ARRAY_ATTEMPT,
+    };
+    TaskView {
+        task,
+        state,
+        why,
+        saved: why.is_some(),
+    }
 }
 
 impl Scene {
     fn new(array: Job, gang: Job) -> Scene {
-        let setup = Setup { keep_boots: 1e6, ..setup() };
-        let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
-        let roster = HOSTS.iter().map(|host| (host.to_string(), record.clone())).collect();
-        let open = |job: Job, revision, earlier| OpenJob { spec: Rc::new(job), revision, done: Ranges::default(), earlier };
-        let mut leader = Leader::new("rung-0", setup, 1, 1, 4.0, vec![open(array, 1, Earlier::Anywhere)], &roster, 1, 0.0);
+        let setup = Setup {
+            keep_boots: 1e6,
+            ..setup()
+        };
+        let record = RosterRecord {
+            kind: "small".into(),
+            zone: "a".into(),
+            spot: false,
+        };
+        let roster = HOSTS
+            .iter()
+            .map(|host| (host.to_string(), record.clone()))
+            .collect();
+        let open = |job: Job, revision, earlier| OpenJob {
+            spec: Rc::new(job),
+            revision,
+            done: Ranges::default(),
+            earlier,
+        };
+        let mut leader = Leader::new(
+            "rung-0",
+            setup,
+            1,
+            1,
+            4.0,
+            vec![open(array, 1, Earlier::Anywhere)],
+            &roster,
+            1,
+            0.0,
+        );
         leader.catalog(vec![machine_type("small", 4.0, 16.0, 0.3)]);
         let running = |index| vec![array_task(index, TaskState::Running, None)];
-        let tasks = HOSTS.iter().zip(0..).map(|(host, index)| (*host, running(index))).collect();
-        let mut scene = Scene { leader, now: 0.0, tasks, stopped: BTreeSet::new(), rented: 0, given: 0 };
+        let tasks = HOSTS
+            .iter()
+            .zip(0..)
+            .map(|(host, index)| (*host, running(index)))
+            .collect();
+        let mut scene = Scene {
+            leader,
+            now: 0.0,
+            tasks,
+            stopped: BTreeSet::new(),
+            rented: 0,
+            given: 0,
+        };
         scene.pass(1.0);
         scene.rented = 0;
         scene.leader.add_job(open(gang, 2, Earlier::Untouched));
@@ -65,19 +110,32 @@
                     _ => {}
                 }
             }
-            let views = self.tasks.iter().map(|(host, tasks)| machine_view(host, "small", tasks.clone())).collect();
-            self.leader.on_owner("rung-0", ToLeader::Machines(views), self.now);
+            let views = self
+                .tasks
+                .iter()
+                .map(|(host, tasks)| machine_view(host, "small", tasks.clone()))
+                .collect();
+            self.leader
+                .on_owner("rung-0", ToLeader::Machines(views), self.now);
         }
         held
     }
 
     fn exits(&mut self, host: &'static str, index: u32) {
-        self.tasks.insert(host, vec![array_task(index, TaskState::Exited, Some(Why::Stopped))]);
+        self.tasks.insert(
+            host,
+            vec![array_task(index, TaskState::Exited, Some(Why::Stopped))],
+        );
     }
 }
 
 fn guest_array() -> Job {
-    Job { priority: Priority::BestEffort, checkpoint_s: 30.0, save_s: 2.0, ..job(1, "blue", Shape::Array, 2, 4.0) }
+    Job {
+        priority: Priority::BestEffort,
+        checkpoint_s: 30.0,
+        save_s: 2.0,
+        ..job(1, "blue", Shape::Array, 2, 4.0)
+    }
 }
 
 /// Long tasks of low priority held all machines that a gang fits on; room was taken back for single
@@ -86,14 +144,28 @@
 fn a_whole_gang_has_room_taken_back_and_kept_until_it_is_complete() {
     let mut scene = Scene::new(guest_array(), job(2, "red", Shape::Gang, 2, 3.0));
     assert!(!scene.pass(2.0));
-    assert_eq!(scene.stopped.iter().map(|task| task.index).collect::<Vec<_>>(), [0, 1]);
+    assert_eq!(
+        scene
+            .stopped
+            .iter()
+            .map(|task| task.index)
+            .collect::<Vec<_>>(),
+        [0, 1]
+    );
     // One machine is free before the other: the array does not get it back.
     scene.exits("host-1", 0);
     assert!(!scene.pass(1.0));
     scene.exits("host-2", 1);
-    assert!(scene.pass(1.0), "the gang's room is held as soon as all of it is free");
+    assert!(
+        scene.pass(1.0),
+        "the gang's room is held as soon as all of it is free"
+    );
     assert_eq!(scene.given, 0, "nothing else is placed there meanwhile");
-    assert!(scene.rented <= 2, "{}: only for the tasks that were stopped", scene.rented);
+    assert!(
+        scene.rented <= 2,
+        "{}: only for the tasks that were stopped",
+        scene.rented
+    );
 }
 
 /// Half a gang's room serves nobody.
@@ -108,7 +180,10 @@
 /// Work of the same priority that its team runs within its guarantee is left alone.
 #[test]
 fn a_gang_takes_nothing_from_what_is_within_a_guarantee() {
-    let array = Job { priority: Priority::Standard, ..guest_array() };
+    let array = Job {
+        priority: Priority::Standard,
+        ..guest_array()
+    };
     let mut scene = Scene::new(array, job(2, "red", Shape::Gang, 2, 3.0));
     scene.pass(4.0);
     assert!(scene.stopped.is_empty(), "{:?}", scene.stopped);
--- a/crates/model/tests/waits.rs
+++ b/crates/model/tests/waits.rs
@@ -14,10 +14,28 @@
 /// it waited beside a free machine long after the faulty one was gone.
 #[test]
 fn a_job_that_failed_often_is_tried_again_within_the_users_time() {
-    let s = sched::setup::Setup { report_s: 10.0, lease_s: 45.0, cancel_s: 75.0, keep_boots: 1e6, ..setup() };
+    let s = sched::setup::Setup {
+        report_s: 10.0,
+        lease_s: 45.0,
+        cancel_s: 75.0,
+        keep_boots: 1e6,
+        ..setup()
+    };
     let spec = Rc::new(job(1, "red", Shape::Array, 1, 1.0));
-    let open = OpenJob { spec, revision: 1, done: Ranges::default(), earlier: Earlier::Anywhere };
-    let roster = BTreeMap::from([("host-1".to_string(), RosterRecord { kind: "small".into(), zone: "a".into(), spot: false })]);
+    let open = OpenJob {
+        spec,
+        revision: 1,
+        done: Ranges::default(),
+        earlier: Earlier::Anywhere,
+    };
+    let roster = BTreeMap::from([(
+        "host-1".to_string(),
+        RosterRecord {
+            kind: "small".into(),
+            zone: "a".into(),
+            spot: false,
+        },
+    )]);
     let mut leader = Leader::new("rung-0", s, 1, 1, 4.0, vec![open], &roster, 1, 0.0);
     leader.catalog(vec![model::world::machine_type("small", 4.0, 16.0, 0.3)]);
     let (mut now, mut tries, mut seq) = (0.0, Vec::new(), 0);
@@ -28,8 +46,17 @@
         for deed in leader.drain() {
             if let Deed::Send(_, ToOwner::Give { job, attempt, .. }) = deed {
                 tries.push(now);
-                let task = TaskRef { job, index: 0, attempt };
-                exits.push(TaskView { task, state: TaskState::Exited, why: Some(Why::Error), saved: false });
+                let task = TaskRef {
+                    job,
+                    index: 0,
+                    attempt,
+                };
+                exits.push(TaskView {
+                    task,
+                    state: TaskState::Exited,
+                    why: Some(Why::Error),
+                    saved: false,
+                });
             }
         }
         seq += 1;
@@ -47,7 +74,11 @@
 /// half at a time. The gang stays known, rents nothing and holds nobody up, until it is cancelled.
 #[test]
 fn what_no_zone_may_hold_stays_known_and_costs_nothing() {
-    let both = |id: u32, shape, tasks| Job { one_zone: true, spread: true, ..job(id, "red", shape, tasks, 1.0) };
+    let both = |id: u32, shape, tasks| Job {
+        one_zone: true,
+        spread: true,
+        ..job(id, "red", shape, tasks, 1.0)
+    };
     for seed in 0..4 {
         let mut w = World::new(seed, Defect::None);
         w.submit(both(1, Shape::Gang, 2));
@@ -60,7 +91,11 @@
         assert_eq!(w.open_jobs(), ["wk-000001"], "seed {seed}\n{}", w.explain());
         assert!(w.cancel("wk-000001"));
         w.calm(30.0);
-        assert!(w.broken.is_empty() && w.open_jobs().is_empty(), "seed {seed}: {:?}", w.broken);
+        assert!(
+            w.broken.is_empty() && w.open_jobs().is_empty(),
+            "seed {seed}: {:?}",
+            w.broken
+        );
     }
 }
 
@@ -70,17 +105,35 @@
 fn a_gang_whose_owners_all_refuse_the_bind_begins_anew() {
     let spec = Rc::new(job(1, "red", Shape::Gang, 2, 3.0));
     let members = ["rung-1", "rung-2"].map(String::from);
-    let host = |owner: &str| (0..99).map(|i| format!("host-{i}")).find(|h| sched::part::owner(h, &members) == Some(owner)).unwrap();
+    let host = |owner: &str| {
+        (0..99)
+            .map(|i| format!("host-{i}"))
+            .find(|h| sched::part::owner(h, &members) == Some(owner))
+            .unwrap()
+    };
     let hosts = ["rung-1", "rung-2"].map(host);
-    let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
+    let record = RosterRecord {
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: false,
+    };
     let roster: BTreeMap<_, _> = hosts.iter().map(|h| (h.clone(), record.clone())).collect();
-    let open = OpenJob { spec, revision: 1, done: Ranges::default(), earlier: Earlier::Untouched };
+    let open = OpenJob {
+        spec,
+        revision: 1,
+        done: Ranges::default(),
+        earlier: Earlier::Untouched,
+    };
     let mut leader = Leader::new("rung-0", setup(), 1, 1, 4.0, vec![open], &roster, 1, 0.0);
     leader.catalog(vec![model::world::machine_type("small", 4.0, 16.0, 0.3)]);
     members.iter().for_each(|m| leader.owner_heard(m, 0.5));
     leader.tick(0.6, 2);
     for (m, h) in members.iter().zip(&hosts) {
-        leader.on_owner(m, ToLeader::Machines(vec![machine_view(h, "small", vec![])]), 0.7);
+        leader.on_owner(
+            m,
+            ToLeader::Machines(vec![machine_view(h, "small", vec![])]),
+            0.7,
+        );
     }
     let mut now = 0.8;
     let mut hold = |leader: &mut Leader| {
@@ -93,9 +146,27 @@
                 _ => None,
             });
             if let Some(attempt) = held {
-                members.iter().for_each(|m| leader.on_owner(m, ToLeader::HoldAnswer { attempt, held: true }, now));
+                members.iter().for_each(|m| {
+                    leader.on_owner(
+                        m,
+                        ToLeader::HoldAnswer {
+                            attempt,
+                            held: true,
+                        },
+                        now,
+                    )
+                });
                 leader.bind_result("wk-000001", attempt, true, now);
-                members.iter().for_each(|m| leader.on_owner(m, ToLeader::HoldAnswer { attempt, held: false }, now));
+                members.iter().for_each(|m| {
+                    leader.on_owner(
+                        m,
+                        ToLeader::HoldAnswer {
+                            attempt,
+                            held: false,
+                        },
+                        now,
+                    )
+                });
                 return Some(attempt);
             }
         }
@@ -110,15 +181,37 @@
 /// look faulty, which were drained, and others were rented for what failed there again.
 #[test]
 fn a_job_that_fails_on_every_machine_drains_and_rents_none() {
-    let s = sched::setup::Setup { keep_boots: 1e6, ..setup() };
+    let s = sched::setup::Setup {
+        keep_boots: 1e6,
+        ..setup()
+    };
     let open = |id, revision| {
         let spec = Rc::new(job(id, "red", Shape::Array, 12, 1.0));
-        OpenJob { spec, revision, done: Ranges::default(), earlier: Earlier::Anywhere }
+        OpenJob {
+            spec,
+            revision,
+            done: Ranges::default(),
+            earlier: Earlier::Anywhere,
+        }
+    };
+    let record = RosterRecord {
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: false,
     };
-    let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
     let hosts: Vec<String> = (1..=4).map(|i| format!("host-{i}")).collect();
     let roster: BTreeMap<_, _> = hosts.iter().map(|h| (h.clone(), record.clone())).collect();
-    let mut leader = Leader::new("rung-0", s, 1, 1, 4.0, vec![open(1, 1), open(2, 2)], &roster, 2, 0.0);
+    let mut leader = Leader::new(
+        "rung-0",
+        s,
+        1,
+        1,
+        4.0,
+        vec![open(1, 1), open(2, 2)],
+        &roster,
+        2,
+        0.0,
+    );
     leader.catalog(vec![model::world::machine_type("small", 4.0, 16.0, 0.3)]);
     let (mut now, mut given, mut bad) = (0.0, Vec::new(), Vec::new());
     let mut waiting: BTreeMap<String, Vec<TaskView>> = BTreeMap::new();
@@ -128,35 +221,76 @@
         let mut turn = 0;
         for deed in leader.drain() {
             match deed {
-                Deed::Send(_, ToOwner::Give { job, attempt, tasks, .. }) => {
+                Deed::Send(
+                    _,
+                    ToOwner::Give {
+                        job,
+                        attempt,
+                        tasks,
+                        ..
+                    },
+                ) => {
                     given.push((now, tasks.iter().map(|(_, n)| n).sum::<u32>()));
                     for index in tasks.iter().flat_map(|(a, n)| *a..a + n) {
                         // Spread over the machines, as an owner does.
-                        let task = TaskRef { job: job.clone(), index, attempt };
-                        let view = TaskView { task, state: TaskState::Exited, why: Some(Why::Error), saved: false };
-                        waiting.entry(hosts[turn % hosts.len()].clone()).or_default().push(view);
+                        let task = TaskRef {
+                            job: job.clone(),
+                            index,
+                            attempt,
+                        };
+                        let view = TaskView {
+                            task,
+                            state: TaskState::Exited,
+                            why: Some(Why::Error),
+                            saved: false,
+                        };
+                        waiting
+                            .entry(hosts[turn % hosts.len()].clone())
+                            .or_default()
+                            .push(view);
                         turn += 1;
                     }
                 }
                 Deed::Hire(_) if now > 2.0 => bad.push(format!("{now}: rented")),
-                Deed::Send(_, ToOwner::Use { machine, usable: false }) => bad.push(format!("{now}: {machine} drained")),
+                Deed::Send(
+                    _,
+                    ToOwner::Use {
+                        machine,
+                        usable: false,
+                    },
+                ) => bad.push(format!("{now}: {machine} drained")),
                 _ => {}
             }
         }
-        let views = hosts.iter().map(|h| machine_view(h, "small", waiting.remove(h).unwrap_or_default())).collect();
+        let views = hosts
+            .iter()
+            .map(|h| machine_view(h, "small", waiting.remove(h).unwrap_or_default()))
+            .collect();
         leader.on_owner("rung-0", ToLeader::Machines(views), now);
     }
     assert_eq!(bad, Vec::<String>::new());
     // After the first ones, one task at a time shows whether it still fails.
-    assert!(given.len() > 8 && given[2..].iter().all(|(_, n)| *n == 1), "{given:?}");
+    assert!(
+        given.len() > 8 && given[2..].iter().all(|(_, n)| *n == 1),
+        "{given:?}"
+    );
 }
 
 /// Machines stood idle for as long after the last job of a day as between the jobs of a busy hour.
 #[test]
 fn idle_machines_are_returned_sooner_when_no_jobs_come() {
-    let s = sched::setup::Setup { keep_boots: 20.0, ..setup() };
-    let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
-    let roster: BTreeMap<_, _> = (0..4).map(|i| (format!("host-{i}"), record.clone())).collect();
+    let s = sched::setup::Setup {
+        keep_boots: 20.0,
+        ..setup()
+    };
+    let record = RosterRecord {
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: false,
+    };
+    let roster: BTreeMap<_, _> = (0..4)
+        .map(|i| (format!("host-{i}"), record.clone()))
+        .collect();
     let first_drained = |every_s: f64| {
         let mut leader = Leader::new("rung-0", s.clone(), 1, 1, 4.0, vec![], &roster, 1, 0.0);
         leader.catalog(vec![model::world::machine_type("small", 4.0, 16.0, 0.3)]);
@@ -164,17 +298,31 @@
         loop {
             now += 0.5;
             leader.tick(now, 0);
-            if leader.drain().iter().any(|deed| matches!(deed, Deed::Send(_, ToOwner::Use { usable: false, .. }))) {
+            if leader
+                .drain()
+                .iter()
+                .any(|deed| matches!(deed, Deed::Send(_, ToOwner::Use { usable: false, .. })))
+            {
                 return now;
             }
-            let views = roster.keys().map(|host| machine_view(host, "small", vec![])).collect();
+            let views = roster
+                .keys()
+                .map(|host| machine_view(host, "small", vec![]))
+                .collect();
             leader.on_owner("rung-0", ToLeader::Machines(views), now);
             if now >= f64::from(jobs + 1) * every_s {
                 // A job of another type: it comes, and leaves these machines idle.
                 jobs += 1;
-                let elsewhere = Job { types: Some(vec!["large".into()]), ..job(jobs, "red", Shape::Array, 2, 4.0) };
-                let open =
-                    OpenJob { spec: Rc::new(elsewhere), revision: u64::from(jobs), done: Ranges::default(), earlier: Earlier::Untouched };
+                let elsewhere = Job {
+                    types: Some(vec!["large".into()]),
+                    ..job(jobs, "red", Shape::Array, 2, 4.0)
+                };
+                let open = OpenJob {
+                    spec: Rc::new(elsewhere),
+                    revision: u64::from(jobs),
+                    done: Ranges::default(),
+                    earlier: Earlier::Untouched,
+                };
                 leader.add_job(open);
             }
         }
@@ -190,30 +338,97 @@
 fn only_the_machine_of_a_failure_is_blamed_for_it() {
     let open = |id, revision| {
         let spec = Rc::new(job(id, "red", Shape::Array, 6, 1.0));
-        OpenJob { spec, revision, done: Ranges::default(), earlier: Earlier::Anywhere }
+        OpenJob {
+            spec,
+            revision,
+            done: Ranges::default(),
+            earlier: Earlier::Anywhere,
+        }
+    };
+    let record = RosterRecord {
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: false,
     };
-    let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
-    let roster = ["host-1", "host-2"].map(|host| (host.to_string(), record.clone())).into();
-    let s = sched::setup::Setup { keep_boots: 1e6, ..setup() };
-    let mut leader = Leader::new("rung-0", s, 1, 1, 4.0, vec![open(1, 1), open(2, 2), open(3, 3)], &roster, 3, 0.0);
+    let roster = ["host-1", "host-2"]
+        .map(|host| (host.to_string(), record.clone()))
+        .into();
+    let s = sched::setup::Setup {
+        keep_boots: 1e6,
+        ..setup()
+    };
+    let mut leader = Leader::new(
+        "rung-0",
+        s,
+        1,
+        1,
+        4.0,
+        vec![open(1, 1), open(2, 2), open(3, 3)],
+        &roster,
+        3,
+        0.0,
+    );
     leader.catalog(vec![model::world::machine_type("small", 4.0, 16.0, 0.3)]);
-    let task = |job: u32, index| TaskRef { job: format!("wk-{job:06}"), index, attempt: 7 };
-    let running = |task| TaskView { task, state: TaskState::Running, why: None, saved: false };
-    let exited = |task, why| TaskView { task, state: TaskState::Exited, why: Some(why), saved: false };
+    let task = |job: u32, index| TaskRef {
+        job: format!("wk-{job:06}"),
+        index,
+        attempt: 7,
+    };
+    let running = |task| TaskView {
+        task,
+        state: TaskState::Running,
+        why: None,
+        saved: false,
+    };
+    let exited = |task, why| TaskView {
+        task,
+        state: TaskState::Exited,
+        why: Some(why),
+        saved: false,
+    };
     let mut now = 0.0;
     let mut drained = |host_1: Vec<TaskView>, host_2: Vec<TaskView>| {
         now += 1.0;
         leader.tick(now, 0);
-        let views = vec![machine_view("host-1", "small", host_1), machine_view("host-2", "small", host_2)];
+        let views = vec![
+            machine_view("host-1", "small", host_1),
+            machine_view("host-2", "small", host_2),
+        ];
         leader.on_owner("rung-0", ToLeader::Machines(views), now);
         leader.tick(now + 0.9, 0);
-        leader.drain().iter().any(|deed| matches!(deed, Deed::Send(_, ToOwner::Use { usable: false, .. })))
+        leader
+            .drain()
+            .iter()
+            .any(|deed| matches!(deed, Deed::Send(_, ToOwner::Use { usable: false, .. })))
     };
     // Job 1 fails on the first machine, which then completes a task of job 3.
-    drained(vec![running(task(1, 0)), running(task(3, 0)), running(task(2, 0))], vec![running(task(1, 1))]);
-    assert!(!drained(vec![exited(task(1, 0), Why::Error), running(task(3, 0)), running(task(2, 0))], vec![running(task(1, 1))]));
-    assert!(!drained(vec![exited(task(3, 0), Why::Done), running(task(2, 0))], vec![running(task(1, 1))]));
+    drained(
+        vec![
+            running(task(1, 0)),
+            running(task(3, 0)),
+            running(task(2, 0)),
+        ],
+        vec![running(task(1, 1))],
+    );
+    assert!(!drained(
+        vec![
+            exited(task(1, 0), Why::Error),
+            running(task(3, 0)),
+            running(task(2, 0))
+        ],
+        vec![running(task(1, 1))]
+    ));
+    assert!(!drained(
+        vec![exited(task(3, 0), Why::Done), running(task(2, 0))],
+        vec![running(task(1, 1))]
+    ));
     // It fails on the second one as well, and job 2 on the first.
-    assert!(!drained(vec![running(task(2, 0))], vec![exited(task(1, 1), Why::Error)]));
-    assert!(!drained(vec![exited(task(2, 0), Why::Error)], vec![]), "a healthy machine is drained");
+    assert!(!drained(
+        vec![running(task(2, 0))],
+        vec![exited(task(1, 1), Why::Error)]
+    ));
+    assert!(
+        !drained(vec![exited(task(2, 0), Why::Error)], vec![]),
+        "a healthy machine is drained"
+    );
 }
--- a/crates/sched/src/authority.rs
+++ b/crates/sched/src/authority.rs
@@ -27,7 +27,13 @@
 impl Authority {
     pub fn new(setup: &Setup) -> Authority {
         let (answer_s, start_s) = (setup.knowledge_s(), setup.start_knowledge_s());
-        Authority { until: f64::MIN, known: f64::MIN, back: f64::MIN, answer_s, start_s }
+        Authority {
+            until: f64::MIN,
+            known: f64::MIN,
+            back: f64::MIN,
+            answer_s,
+            start_s,
+        }
     }
 
     /// Takes authority until an instant that the caller has proved.
--- a/crates/sched/src/index.rs
+++ b/crates/sched/src/index.rs
@@ -50,34 +50,58 @@
 
 impl Index {
     fn pool(&mut self, t: &MachineType, zone: &str, spot: bool, guarantee_s: f64) -> usize {
-        match self.pools.iter().position(|p| p.kind == t.name && *p.zone == *zone && p.spot == spot) {
+        match self
+            .pools
+            .iter()
+            .position(|p| p.kind == t.name && *p.zone == *zone && p.spot == spot)
+        {
             Some(at) => at,
             None => {
                 let slow_above_gb = slow_above_gb(t, guarantee_s);
-                self.pools.push(Pool { kind: t.name.clone(), zone: zone.into(), spot, slow_above_gb, by_room: BTreeSet::new() });
+                self.pools.push(Pool {
+                    kind: t.name.clone(),
+                    zone: zone.into(),
+                    spot,
+                    slow_above_gb,
+                    by_room: BTreeSet::new(),
+                });
                 self.pools.len() - 1
             }
         }
     }
 
     /// Takes a machine in, or what has changed of it.
-    pub fn put(&mut self, name: &str, t: &MachineType, zone: &str, spot: bool, guarantee_s: f64, s: Spot) {
+    pub fn put(
+        &mut self,
+        name: &str,
+        t: &MachineType,
+        zone: &str,
+        spot: bool,
+        guarantee_s: f64,
+        s: Spot,
+    ) {
         let key: Rc<str> = match self.spots.get_key_value(name) {
             Some((_, (_, old))) if *old == s => return,
             Some((key, (pool, old))) => {
-                self.pools[*pool].by_room.remove(&(thousandths(old.free.cpus), key.clone()));
+                self.pools[*pool]
+                    .by_room
+                    .remove(&(thousandths(old.free.cpus), key.clone()));
                 key.clone()
             }
             None => name.into(),
         };
         let pool = self.pool(t, zone, spot, guarantee_s);
-        self.pools[pool].by_room.insert((thousandths(s.free.cpus), key.clone()));
+        self.pools[pool]
+            .by_room
+            .insert((thousandths(s.free.cpus), key.clone()));
         self.spots.insert(key, (pool, s));
     }
 
     pub fn remove(&mut self, name: &str) {
         if let Some((key, (pool, s))) = self.spots.remove_entry(name) {
-            self.pools[pool].by_room.remove(&(thousandths(s.free.cpus), key));
+            self.pools[pool]
+                .by_room
+                .remove(&(thousandths(s.free.cpus), key));
         }
     }
 
@@ -90,12 +114,18 @@
     }
 
     pub fn zones(&self) -> BTreeSet<Rc<str>> {
-        self.pools.iter().filter(|p| !p.by_room.is_empty()).map(|p| p.zone.clone()).collect()
+        self.pools
+            .iter()
+            .filter(|p| !p.by_room.is_empty())
+            .map(|p| p.zone.clone())
+            .collect()
     }
 
     /// Sets room of a machine aside for tasks that need an image.
     pub fn take(&mut self, name: &str, room: Room, n: u32, image: &str) {
-        let Some((key, (pool, s))) = self.spots.get_key_value(name) else { return };
+        let Some((key, (pool, s))) = self.spots.get_key_value(name) else {
+            return;
+        };
         let (key, pool, mut s) = (key.clone(), *pool, s.clone());
         let before = thousandths(s.free.cpus);
         s.free.sub(room.scaled(n));
@@ -128,7 +158,9 @@
                 continue;
             }
             for (_, name) in p.by_room.range((from, Rc::from(""))..) {
-                let Some((_, s)) = self.spots.get(name) else { continue };
+                let Some((_, s)) = self.spots.get(name) else {
+                    continue;
+                };
                 let c = Candidate {
                     kind: &p.kind,
                     zone: &p.zone,
@@ -139,7 +171,12 @@
                     empty: s.empty,
                 };
                 if let Some(rank) = rank(needs, &c) {
-                    out.push(Found { rank, name: name.clone(), zone: p.zone.clone(), times: s.free.times(room) });
+                    out.push(Found {
+                        rank,
+                        name: name.clone(),
+                        zone: p.zone.clone(),
+                        times: s.free.times(room),
+                    });
                 }
             }
         }
@@ -151,7 +188,10 @@
     pub fn contents(&self) -> BTreeMap<String, (String, String, bool, Spot)> {
         let one = |(n, (p, s)): (&Rc<str>, &(usize, Spot))| {
             let p = &self.pools[*p];
-            (n.to_string(), (p.kind.clone(), p.zone.to_string(), p.spot, s.clone()))
+            (
+                n.to_string(),
+                (p.kind.clone(), p.zone.to_string(), p.spot, s.clone()),
+            )
         };
         self.spots.iter().map(one).collect()
     }
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -125,7 +125,11 @@
 
 impl Job {
     pub fn room(&self) -> Room {
-        Room { cpus: self.spec.cpus, gpus: self.spec.gpus, memory_gb: self.spec.memory_gb }
+        Room {
+            cpus: self.spec.cpus,
+            gpus: self.spec.gpus,
+            memory_gb: self.spec.memory_gb,
+        }
     }
     pub fn is_gang(&self) -> bool {
         self.spec.shape == Shape::Gang
@@ -493,19 +497,36 @@
             booting: self.fleet.booting.len(),
             unaccounted: self.machines.values().filter(|m| !m.accounted).count(),
             cpus: [false, true].map(|spot| {
-                self.machines.values().filter(|m| m.spot == spot).map(|m| self.cap(&m.kind).map_or(0.0, |c| c.cpus)).sum::<f64>() as u32
+                self.machines
+                    .values()
+                    .filter(|m| m.spot == spot)
+                    .map(|m| self.cap(&m.kind).map_or(0.0, |c| c.cpus))
+                    .sum::<f64>() as u32
             }),
-            cpus_running: self.jobs.values().map(|j| j.active.values().filter(|a| a.running).count() as f64 * j.spec.cpus).sum::<f64>()
-                as u32,
+            cpus_running: self
+                .jobs
+                .values()
+                .map(|j| j.active.values().filter(|a| a.running).count() as f64 * j.spec.cpus)
+                .sum::<f64>() as u32,
             cpus_ahead: self.ahead.values().sum::<f64>() as u32,
-            cpus_used: [false, true].map(|spot| self.machines.values().filter(|m| m.spot == spot).map(|m| m.used.cpus).sum::<f64>() as u32),
+            cpus_used: [false, true].map(|spot| {
+                self.machines
+                    .values()
+                    .filter(|m| m.spot == spot)
+                    .map(|m| m.used.cpus)
+                    .sum::<f64>() as u32
+            }),
         }
     }
 
     /// Every open job in words, for logs and failed tests.
     pub fn explain(&self) -> String {
         let job = |(id, j): (&String, &Job)| {
-            let at: Vec<String> = j.active.iter().map(|(i, a)| format!("{i}@{:?}", a.place)).collect();
+            let at: Vec<String> = j
+                .active
+                .iter()
+                .map(|(i, a)| format!("{i}@{:?}", a.place))
+                .collect();
             format!(
                 "{id} {:?} tasks={} cpus={} team={} ready={} done={} uncertain={} phase={:?} backoff={:.1} active=[{}]",
                 j.spec.shape,
@@ -526,7 +547,12 @@
                 m.kind, m.zone, m.spot, m.owner, m.accounted, m.usable_told, m.lapsed_at, m.foreign, m.used.cpus, m.rostered, m.drain, m.closed, m.quiet, m.releasing
             )
         };
-        self.jobs.iter().map(job).chain(self.machines.iter().map(machine)).collect::<Vec<_>>().join("\n")
+        self.jobs
+            .iter()
+            .map(job)
+            .chain(self.machines.iter().map(machine))
+            .collect::<Vec<_>>()
+            .join("\n")
     }
 
     pub(crate) fn send(&mut self, to: &str, message: ToOwner) {
@@ -556,7 +582,11 @@
             ready,
             active: BTreeMap::new(),
             uncertain: j.earlier != Earlier::Untouched,
-            begun: if j.earlier == Earlier::Untouched { Begun::No } else { Begun::Yes },
+            begun: if j.earlier == Earlier::Untouched {
+                Begun::No
+            } else {
+                Begun::Yes
+            },
             suspects: match j.earlier {
                 Earlier::Bound(machines) => Some(machines),
                 _ => None,
@@ -588,13 +618,21 @@
             // Owners hold starts that no view has shown yet.
             self.lately_over.insert(id.into(), self.time);
             for member in self.members.clone() {
-                self.send(&member, ToOwner::Over { jobs: vec![id.into()] });
+                self.send(
+                    &member,
+                    ToOwner::Over {
+                        jobs: vec![id.into()],
+                    },
+                );
             }
         }
-        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
         if job.uncertain {
             // Cancelled before all machines are known: what was not seen of it may still be there.
-            let unseen = (job.spec.tasks - job.done.len().min(job.spec.tasks)).saturating_sub(job.active.len() as u32);
+            let unseen = (job.spec.tasks - job.done.len().min(job.spec.tasks))
+                .saturating_sub(job.active.len() as u32);
             let (team, room) = (job.spec.team.clone(), job.room().scaled(unseen));
             self.lately_cancelled.entry(team).or_default().add(room);
         }
@@ -625,26 +663,55 @@
         for (index, a) in job.active.iter_mut().filter(|(_, a)| !a.stop_sent) {
             if let Place::On(m) = &a.place {
                 a.stop_sent = true;
-                stops.push((m.clone(), TaskRef { job: id.into(), index: *index, attempt: a.attempt }));
+                stops.push((
+                    m.clone(),
+                    TaskRef {
+                        job: id.into(),
+                        index: *index,
+                        attempt: a.attempt,
+                    },
+                ));
             }
         }
         for (machine, task) in stops {
             if let Some(owner) = self.machines.get(&machine).map(|m| m.owner.clone()) {
-                self.send(&owner, ToOwner::Stop { machine, task, grace_s });
+                self.send(
+                    &owner,
+                    ToOwner::Stop {
+                        machine,
+                        task,
+                        grace_s,
+                    },
+                );
             }
         }
     }
 
     /// Has one task stopped, if it is on a machine and was not told yet.
     pub(crate) fn stop_task(&mut self, id: &str, index: u32, grace_s: f64) {
-        let Some(a) = self.jobs.get_mut(id).and_then(|j| j.active.get_mut(&index)) else { return };
-        let Place::On(machine) = a.place.clone() else { return };
+        let Some(a) = self.jobs.get_mut(id).and_then(|j| j.active.get_mut(&index)) else {
+            return;
+        };
+        let Place::On(machine) = a.place.clone() else {
+            return;
+        };
         if std::mem::replace(&mut a.stop_sent, true) {
             return;
         }
-        let task = TaskRef { job: id.into(), index, attempt: a.attempt };
+        let task = TaskRef {
+            job: id.into(),
+            index,
+            attempt: a.attempt,
+        };
         if let Some(owner) = self.machines.get(&machine).map(|m| m.owner.clone()) {
-            self.send(&owner, ToOwner::Stop { machine, task, grace_s });
+            self.send(
+                &owner,
+                ToOwner::Stop {
+                    machine,
+                    task,
+                    grace_s,
+                },
+            );
         }
     }
 
@@ -654,7 +721,13 @@
         };
         if m.cleared.insert(task.clone()) {
             let owner = m.owner.clone();
-            self.send(&owner, ToOwner::Clear { machine: machine.into(), task });
+            self.send(
+                &owner,
+                ToOwner::Clear {
+                    machine: machine.into(),
+                    task,
+                },
+            );
         }
     }
 
@@ -678,7 +751,10 @@
                 self.stale.insert(name.clone());
             }
         }
-        self.team_used.entry(job.spec.team.clone()).or_default().add(room);
+        self.team_used
+            .entry(job.spec.team.clone())
+            .or_default()
+            .add(room);
         job.active.insert(index, active);
     }
 
@@ -737,10 +813,21 @@
         };
         // What another attempt did says nothing of where this one is: it stays charged until it
         // is seen to be gone.
-        let same = job.active.get(&index).is_some_and(|a| a.attempt == task.attempt);
-        let started = job.active.get(&index).filter(|a| same && a.running).map(|a| a.since);
+        let same = job
+            .active
+            .get(&index)
+            .is_some_and(|a| a.attempt == task.attempt);
+        let started = job
+            .active
+            .get(&index)
+            .filter(|a| same && a.running)
+            .map(|a| a.since);
         // The tasks of a gang complete together: if one is done, all are.
-        let indexes: Vec<u32> = if job.is_gang() { (0..job.spec.tasks).collect() } else { vec![index] };
+        let indexes: Vec<u32> = if job.is_gang() {
+            (0..job.spec.tasks).collect()
+        } else {
+            vec![index]
+        };
         for i in indexes {
             if job.done.insert(i) {
                 job.ready.remove(i);
@@ -796,7 +883,9 @@
         written.iter().filter(|i| i / bits == chunk).for_each(|i| {
             job.durable.insert(i);
         });
-        let (ready, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut job.clears).into_iter().partition(|(_, t)| job.durable.contains(t.index));
+        let (ready, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut job.clears)
+            .into_iter()
+            .partition(|(_, t)| job.durable.contains(t.index));
         job.clears = rest;
         for (machine, task) in ready {
             self.clear(&machine, task);
@@ -805,7 +894,10 @@
 
     /// What is done of a job at present.
     pub fn done_of(&self, id: &str) -> Ranges {
-        self.jobs.get(id).map(|j| j.done.clone()).unwrap_or_default()
+        self.jobs
+            .get(id)
+            .map(|j| j.done.clone())
+            .unwrap_or_default()
     }
 
     /// Has it recorded which arrays begin, if any are to and no record is on its way.
@@ -816,7 +908,10 @@
         self.begun_asked = true;
         let arrays = || self.jobs.values().filter(|j| !j.is_gang() && !j.over);
         let upto = arrays().map(|j| j.revision).fold(self.begun_upto, u64::max);
-        let mut waiting: Vec<u64> = arrays().filter(|j| j.begun == Begun::No).map(|j| j.revision).collect();
+        let mut waiting: Vec<u64> = arrays()
+            .filter(|j| j.begun == Begun::No)
+            .map(|j| j.revision)
+            .collect();
         waiting.sort_unstable();
         // One that is not named is only taken to have begun.
         waiting.truncate(self.chunk_bits as usize / BITS_PER_WAITING);
@@ -830,7 +925,11 @@
         if written {
             self.begun_upto = self.begun_upto.max(record.upto);
         }
-        for j in self.jobs.values_mut().filter(|j| j.begun != Begun::Yes && record.covers(j.revision)) {
+        for j in self
+            .jobs
+            .values_mut()
+            .filter(|j| j.begun != Begun::Yes && record.covers(j.revision))
+        {
             j.begun = if written { Begun::Yes } else { Begun::No };
         }
         self.wake = true;
@@ -878,7 +977,13 @@
             m.usable_told = usable;
             self.stale.insert(machine.into());
             let owner = m.owner.clone();
-            self.send(&owner, ToOwner::Use { machine: machine.into(), usable });
+            self.send(
+                &owner,
+                ToOwner::Use {
+                    machine: machine.into(),
+                    usable,
+                },
+            );
         }
     }
 
@@ -904,7 +1009,8 @@
     pub fn tick(&mut self, now: Secs, known: usize) {
         self.time = now;
         let remembered = self.setup.cancel_s + self.setup.lease_certainly_over_s();
-        self.lately_over.retain(|_, since| now - *since < remembered);
+        self.lately_over
+            .retain(|_, since| now - *since < remembered);
         self.review_regime(now, known);
         if !self.regime_set {
             return;
@@ -920,7 +1026,9 @@
             self.end_hold(&id, now, true);
         }
         self.mind_notices(now);
-        if std::mem::take(&mut self.wake) || now - self.placed_at > self.setup.report_s.min(1.0) / 2.0 {
+        if std::mem::take(&mut self.wake)
+            || now - self.placed_at > self.setup.report_s.min(1.0) / 2.0
+        {
             self.placed_at = now;
             self.schedule(now);
             self.preempt(now);
@@ -948,16 +1056,29 @@
             for chunk in dirty {
                 let to = ((chunk + 1) * bits).min(job.spec.tasks);
                 let bits = job.done.hex(chunk * bits, to);
-                self.deeds.push(Deed::Progress { job: id.clone(), chunk, bits });
+                self.deeds.push(Deed::Progress {
+                    job: id.clone(),
+                    chunk,
+                    bits,
+                });
             }
         }
         // A roster write that failed is tried again: an idle machine brings no new view.
-        let missing: Vec<String> = self.machines.iter().filter(|(_, m)| m.rostered == Rostered::No).map(|(n, _)| n.clone()).collect();
+        let missing: Vec<String> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.rostered == Rostered::No)
+            .map(|(n, _)| n.clone())
+            .collect();
         for name in missing {
             self.roster(&name);
         }
-        let retry: Vec<String> =
-            self.jobs.iter().filter(|(_, j)| !j.over && !j.finishing && !j.uncertain).map(|(id, _)| id.clone()).collect();
+        let retry: Vec<String> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| !j.over && !j.finishing && !j.uncertain)
+            .map(|(id, _)| id.clone())
+            .collect();
         for id in retry {
             self.maybe_finish(&id);
         }
@@ -967,13 +1088,23 @@
         let running: Vec<(String, u32)> = self
             .jobs
             .iter()
-            .map(|(id, j)| (id.clone(), j.active.values().filter(|a| a.running).count() as u32))
+            .map(|(id, j)| {
+                (
+                    id.clone(),
+                    j.active.values().filter(|a| a.running).count() as u32,
+                )
+            })
             .filter(|(_, n)| *n > 0)
             .collect();
         if running != self.last_display {
             let me = self.me.clone();
             for m in self.links.keys().cloned().chain([me]).collect::<Vec<_>>() {
-                self.send(&m, ToOwner::Display { running: running.clone() });
+                self.send(
+                    &m,
+                    ToOwner::Display {
+                        running: running.clone(),
+                    },
+                );
             }
             self.last_display = running;
         }
@@ -983,18 +1114,27 @@
     pub(crate) fn mind_notices(&mut self, now: Secs) {
         let mut stops = Vec::new();
         for (name, m) in &self.machines {
-            let Some(until) = m.notice_until else { continue };
+            let Some(until) = m.notice_until else {
+                continue;
+            };
             for (id, i) in m.tasks.keys() {
-                let Some(job) = self.jobs.get(id) else { continue };
+                let Some(job) = self.jobs.get(id) else {
+                    continue;
+                };
                 let spare = job.spec.save_s * 1.5 + self.setup.report_s * 2.5 + 1.0;
-                if job.spec.checkpoint_s > 0.0 && job.active.get(i).is_some_and(|a| a.running && !a.stop_sent) && until - now < spare {
+                if job.spec.checkpoint_s > 0.0
+                    && job.active.get(i).is_some_and(|a| a.running && !a.stop_sent)
+                    && until - now < spare
+                {
                     stops.push((name.clone(), id.clone()));
                 }
             }
         }
         for (name, id) in stops {
             log::info!("event=save_before_notice job={id} machine={name}");
-            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
             let grace = job.spec.save_s * 1.2 + 0.5;
             if job.is_gang() {
                 job.phase = Phase::Ending;
@@ -1026,7 +1166,9 @@
             self.stale.extend(self.machines.keys().cloned());
         }
         if !same && self.regime_set {
-            let message = ToOwner::Catalog { types: self.types.values().cloned().collect() };
+            let message = ToOwner::Catalog {
+                types: self.types.values().cloned().collect(),
+            };
             for m in self.members.clone() {
                 self.send(&m, message.clone());
             }
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -170,7 +170,11 @@
                 m.stops.len()
             )
         };
-        self.machines.iter().map(line).collect::<Vec<_>>().join("\n")
+        self.machines
+            .iter()
+            .map(line)
+            .collect::<Vec<_>>()
+            .join("\n")
     }
 
     pub fn token(&self) -> u64 {
@@ -196,7 +200,8 @@
             }
             while !views.is_empty() {
                 let rest = views.split_off(views.len().min(VIEWS_AT_ONCE));
-                self.out.push(ToLeader::Machines(std::mem::replace(&mut views, rest)));
+                self.out
+                    .push(ToLeader::Machines(std::mem::replace(&mut views, rest)));
             }
         }
         std::mem::take(&mut self.out)
@@ -206,7 +211,13 @@
     pub fn on_leader(&mut self, message: ToOwner, now: Secs, jobs: &dyn Jobs) {
         self.show = true;
         match message {
-            ToOwner::Regime { token, prev, members, extra_ms, machines } => {
+            ToOwner::Regime {
+                token,
+                prev,
+                members,
+                extra_ms,
+                machines,
+            } => {
                 if token < self.token {
                     return;
                 }
@@ -220,12 +231,38 @@
                     self.stale.insert(machine);
                 }
             }
-            ToOwner::Give { job, attempt, needs, tasks } => self.give(job, attempt, &needs, &tasks, now, jobs),
-            ToOwner::Ahead { job, attempt, needs, tasks, wait_ms } => {
-                let indexes = tasks.iter().flat_map(|(a, n)| *a..a.saturating_add(*n)).collect();
-                self.ahead.push_back(Ahead { job, attempt, needs, indexes, until: now + wait_ms as f64 / 1000.0 });
+            ToOwner::Give {
+                job,
+                attempt,
+                needs,
+                tasks,
+            } => self.give(job, attempt, &needs, &tasks, now, jobs),
+            ToOwner::Ahead {
+                job,
+                attempt,
+                needs,
+                tasks,
+                wait_ms,
+            } => {
+                let indexes = tasks
+                    .iter()
+                    .flat_map(|(a, n)| *a..a.saturating_add(*n))
+                    .collect();
+                self.ahead.push_back(Ahead {
+                    job,
+                    attempt,
+                    needs,
+                    indexes,
+                    until: now + wait_ms as f64 / 1000.0,
+                });
             }
-            ToOwner::Hold { job, attempt, needs, places, wait_ms } => {
+            ToOwner::Hold {
+                job,
+                attempt,
+                needs,
+                places,
+                wait_ms,
+            } => {
                 let until = now + wait_ms as f64 / 1000.0;
                 let held = self.hold(job, attempt, &needs, places, until, jobs);
                 self.out.push(ToLeader::HoldAnswer { attempt, held });
@@ -236,7 +273,11 @@
                     self.stale.extend(h.places.into_iter().map(|(m, _, _)| m));
                 }
             }
-            ToOwner::Stop { machine, task, grace_s } => {
+            ToOwner::Stop {
+                machine,
+                task,
+                grace_s,
+            } => {
                 if let Some(m) = self.machines.get_mut(&machine) {
                     let grace = m.stops.get(&task).map_or(grace_s, |g| g.min(grace_s));
                     m.stops.insert(task, grace);
@@ -263,7 +304,15 @@
         self.stale.extend(self.machines.keys().cloned());
     }
 
-    fn regime(&mut self, token: u64, prev: u64, members: Vec<String>, extra_ms: u64, cards: Vec<wire::peers::MachineCard>, now: Secs) {
+    fn regime(
+        &mut self,
+        token: u64,
+        prev: u64,
+        members: Vec<String>,
+        extra_ms: u64,
+        cards: Vec<wire::peers::MachineCard>,
+        now: Secs,
+    ) {
         // Room that was lent ends with the regime: the leader releases its waiting gangs.
         self.holds.clear();
         // What waits for room is nowhere yet; the leader takes it back once all is accounted for.
@@ -277,13 +326,15 @@
         self.regime_at = now;
         self.extra_s = extra_ms as f64 / 1000.0;
         let (me, members) = (&self.me, &self.members);
-        self.machines.retain(|name, _| part::owner(name, members) == Some(me.as_str()));
+        self.machines
+            .retain(|name, _| part::owner(name, members) == Some(me.as_str()));
         for card in cards {
             if part::owner(&card.name, &self.members) != Some(self.me.as_str()) {
                 continue;
             }
-            let m =
-                self.machines.entry(card.name).or_insert_with(|| new_machine(card.kind, card.zone, card.spot, token, now + self.extra_s));
+            let m = self.machines.entry(card.name).or_insert_with(|| {
+                new_machine(card.kind, card.zone, card.spot, token, now + self.extra_s)
+            });
             m.usable = card.usable;
         }
         for m in self.machines.values_mut() {
@@ -305,10 +356,18 @@
         }
         let (token, born) = (self.token, self.regime_at + self.extra_s);
         if !self.machines.contains_key(&report.machine) {
-            let new = new_machine(report.kind.clone(), report.zone.clone(), report.spot, token, born);
+            let new = new_machine(
+                report.kind.clone(),
+                report.zone.clone(),
+                report.spot,
+                token,
+                born,
+            );
             self.machines.insert(report.machine.clone(), new);
         }
-        let Some(m) = self.machines.get_mut(&report.machine) else { return Answer::NotNow };
+        let Some(m) = self.machines.get_mut(&report.machine) else {
+            return Answer::NotNow;
+        };
         let order = (report.session, report.seq);
         if m.known && order <= (m.session, m.seq) || m.lapsed && report.session <= m.heard {
             // A copy that was held up; nobody waits for its answer any more.
@@ -325,7 +384,13 @@
             // stopped all the same, for that is safe whenever the report was sent.
             let live = report.tasks.iter().filter(|t| t.state != TaskState::Exited);
             let known = live.filter(|t| split_task(&t.task).is_some_and(|(job, _)| over(job)));
-            let orders = known.map(|t| Order::Stop { task: t.task.clone(), attempt: t.attempt, grace_s: 0.0 }).collect();
+            let orders = known
+                .map(|t| Order::Stop {
+                    task: t.task.clone(),
+                    attempt: t.attempt,
+                    grace_s: 0.0,
+                })
+                .collect();
             return Answer::Orders(Orders { token, orders });
         }
         // A worker that gets its answer stays, so that its next report comes here as well; one that
@@ -333,7 +398,11 @@
         // will: this report lacks it, and no later answer repeats it.
         let deaf = m.is_deaf();
         if m.asked != (0, 0) {
-            m.unheard = if order == (m.asked.0, m.asked.1 + 1) { 0 } else { m.unheard + 1 };
+            m.unheard = if order == (m.asked.0, m.asked.1 + 1) {
+                0
+            } else {
+                m.unheard + 1
+            };
         }
         m.asked = order;
         m.dirty |= m.is_deaf() != deaf;
@@ -347,8 +416,20 @@
             .iter()
             .filter_map(|t| {
                 let (job, index) = split_task(&t.task)?;
-                let task = TaskRef { job: job.into(), index, attempt: t.attempt };
-                Some((task.clone(), TaskView { task, state: t.state, why: t.why, saved: t.saved.unwrap_or(false) }))
+                let task = TaskRef {
+                    job: job.into(),
+                    index,
+                    attempt: t.attempt,
+                };
+                Some((
+                    task.clone(),
+                    TaskView {
+                        task,
+                        state: t.state,
+                        why: t.why,
+                        saved: t.saved.unwrap_or(false),
+                    },
+                ))
             })
             .collect();
         if tasks != m.tasks || report.notice_s.is_some() != m.notice_s.is_some() {
@@ -357,7 +438,11 @@
         m.tasks = tasks;
         m.notice_s = report.notice_s;
         if m.is_deaf() {
-            log::info!("event=starts_lost machine={} tasks={}", report.machine, m.pending.len());
+            log::info!(
+                "event=starts_lost machine={} tasks={}",
+                report.machine,
+                m.pending.len()
+            );
             self.show |= give_up(m, &mut self.out, |_| true);
         }
         settle(m, over, &mut self.out);
@@ -365,7 +450,9 @@
         if starts {
             self.fill(&report.machine, jobs);
         }
-        let Some(m) = self.machines.get(&report.machine) else { return Answer::NotNow };
+        let Some(m) = self.machines.get(&report.machine) else {
+            return Answer::NotNow;
+        };
         // What is pending stays so until knowledge is fresh enough for starts.
         let orders = orders(m, starts);
         if m.dirty {
@@ -380,19 +467,35 @@
         if self.ahead.is_empty() {
             return;
         }
-        let Some(m) = self.machines.get(name).filter(|m| m.open()) else { return };
-        let Some(mut free) = self.free(name, m, jobs) else { return };
-        let Some(m) = self.machines.get_mut(name) else { return };
+        let Some(m) = self.machines.get(name).filter(|m| m.open()) else {
+            return;
+        };
+        let Some(mut free) = self.free(name, m, jobs) else {
+            return;
+        };
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
         for a in self.ahead.iter_mut() {
             // A job that is over is not known any more.
-            if tier(&a.needs, &m.kind, &m.zone, m.spot).is_none() || jobs.room(&a.job).is_none() || self.over.contains_key(&a.job) {
+            if tier(&a.needs, &m.kind, &m.zone, m.spot).is_none()
+                || jobs.room(&a.job).is_none()
+                || self.over.contains_key(&a.job)
+            {
                 continue;
             }
             let room = Room::of(&a.needs);
             let most = STARTS_AT_ONCE.saturating_sub(m.pending.len());
             let n = (free.times(room) as usize).min(a.indexes.len()).min(most);
             free.sub(room.scaled(n as u32));
-            take_on(m, &a.job, a.attempt, a.indexes.drain(..n), room, &a.needs.image);
+            take_on(
+                m,
+                &a.job,
+                a.attempt,
+                a.indexes.drain(..n),
+                room,
+                &a.needs.image,
+            );
         }
         self.ahead.retain(|a| !a.indexes.is_empty());
     }
@@ -408,7 +511,11 @@
             let back = which(a);
             if back {
                 let tasks = crate::ranges::runs(std::mem::take(&mut a.indexes));
-                out.push(ToLeader::HandBack { job: std::mem::take(&mut a.job), attempt: a.attempt, tasks });
+                out.push(ToLeader::HandBack {
+                    job: std::mem::take(&mut a.job),
+                    attempt: a.attempt,
+                    tasks,
+                });
             }
             !back
         });
@@ -435,11 +542,16 @@
         let over = self.setup.lease_certainly_over_s();
         // A closed machine that was not heard for many leases is forgotten; should it report
         // again, it is taken up as a new one.
-        self.machines.retain(|_, m| !m.lapsed || m.usable || m.dirty || now <= m.answered + over * LEASES_REMEMBERED);
+        self.machines.retain(|_, m| {
+            !m.lapsed || m.usable || m.dirty || now <= m.answered + over * LEASES_REMEMBERED
+        });
         for (name, m) in self.machines.iter_mut() {
             if !m.lapsed && now > m.answered + over {
                 // The worker has killed and forgotten its tasks; only a later session counts.
-                log::info!("event=machine_lapsed machine={name} tasks={}", m.tasks.len());
+                log::info!(
+                    "event=machine_lapsed machine={name} tasks={}",
+                    m.tasks.len()
+                );
                 m.lapsed = true;
                 m.tasks.clear();
                 give_up(m, &mut self.out, |_| true);
@@ -455,7 +567,11 @@
     /// Brings the index up to what has changed since it was last looked at.
     fn refresh_index(&mut self, jobs: &dyn Jobs) {
         for name in std::mem::take(&mut self.stale) {
-            let found = self.machines.get(&name).filter(|m| m.open()).and_then(|m| Some((m, self.types.get(&m.kind)?)));
+            let found = self
+                .machines
+                .get(&name)
+                .filter(|m| m.open())
+                .and_then(|m| Some((m, self.types.get(&m.kind)?)));
             let Some((m, t)) = found else {
                 self.index.remove(&name);
                 continue;
@@ -466,10 +582,17 @@
                     images.push(image);
                 }
             }
-            let empty = m.pending.is_empty() && m.tasks.values().all(|t| t.state == TaskState::Exited);
+            let empty =
+                m.pending.is_empty() && m.tasks.values().all(|t| t.state == TaskState::Exited);
             let free = self.free(&name, m, jobs);
-            let spot = Spot { owner: String::new(), free: free.unwrap_or_default(), images, empty };
-            self.index.put(&name, t, &m.zone, m.spot, self.setup.guarantee_s, spot);
+            let spot = Spot {
+                owner: String::new(),
+                free: free.unwrap_or_default(),
+                images,
+                empty,
+            };
+            self.index
+                .put(&name, t, &m.zone, m.spot, self.setup.guarantee_s, spot);
             if free.is_none() {
                 // A job that is not known here yet: look again next time.
                 self.stale.insert(name);
@@ -494,60 +617,123 @@
         Some(free)
     }
 
-    fn give(&mut self, job: String, attempt: u64, needs: &Needs, runs: &[(u32, u32)], now: Secs, jobs: &dyn Jobs) {
+    fn give(
+        &mut self,
+        job: String,
+        attempt: u64,
+        needs: &Needs,
+        runs: &[(u32, u32)],
+        now: Secs,
+        jobs: &dyn Jobs,
+    ) {
         let room = Room::of(needs);
         self.refresh_index(jobs);
-        let mut indexes = runs.iter().flat_map(|(a, n)| *a..a.saturating_add(*n)).peekable();
+        let mut indexes = runs
+            .iter()
+            .flat_map(|(a, n)| *a..a.saturating_add(*n))
+            .peekable();
         let mut found = self.index.fits(needs);
         // A start goes with the answer to a report: of machines that suit alike, the one that
         // reports next starts first.
         let quarter = self.setup.report_s / 4.0;
-        let silent = |name: &str| self.machines.get(name).map_or(0, |m| ((now - m.answered) / quarter).clamp(0.0, 4.0) as u32);
+        let silent = |name: &str| {
+            self.machines
+                .get(name)
+                .map_or(0, |m| ((now - m.answered) / quarter).clamp(0.0, 4.0) as u32)
+        };
         found.sort_by_cached_key(|f| {
             let (slow, tier, empty, fetch, left) = f.rank;
-            (slow, tier, empty, fetch, std::cmp::Reverse(silent(&f.name)), left, f.name.clone())
+            (
+                slow,
+                tier,
+                empty,
+                fetch,
+                std::cmp::Reverse(silent(&f.name)),
+                left,
+                f.name.clone(),
+            )
         });
         for f in found {
             if indexes.peek().is_none() {
                 break;
             }
-            let Some(m) = self.machines.get_mut(&*f.name) else { continue };
-            let n = take_on(m, &job, attempt, indexes.by_ref().take(f.times as usize), room, &needs.image);
+            let Some(m) = self.machines.get_mut(&*f.name) else {
+                continue;
+            };
+            let n = take_on(
+                m,
+                &job,
+                attempt,
+                indexes.by_ref().take(f.times as usize),
+                room,
+                &needs.image,
+            );
             self.index.take(&f.name, room, n, &needs.image);
             self.stale.insert(f.name.to_string());
         }
         let back: Vec<u32> = indexes.collect();
         if !back.is_empty() {
-            self.out.push(ToLeader::HandBack { job, attempt, tasks: crate::ranges::runs(back) });
+            self.out.push(ToLeader::HandBack {
+                job,
+                attempt,
+                tasks: crate::ranges::runs(back),
+            });
         }
     }
 
-    fn hold(&mut self, job: String, attempt: u64, needs: &Needs, places: Vec<(String, u32, u32)>, until: Secs, jobs: &dyn Jobs) -> bool {
+    fn hold(
+        &mut self,
+        job: String,
+        attempt: u64,
+        needs: &Needs,
+        places: Vec<(String, u32, u32)>,
+        until: Secs,
+        jobs: &dyn Jobs,
+    ) -> bool {
         let room = Room::of(needs);
         for (name, _, n) in &places {
             let Some(m) = self.machines.get(name) else {
                 return false;
             };
-            let fits = || self.free(name, m, jobs).is_some_and(|f| f.times(room) >= *n);
+            let fits = || {
+                self.free(name, m, jobs)
+                    .is_some_and(|f| f.times(room) >= *n)
+            };
             if !m.open() || !fits() {
                 return false;
             }
         }
         self.stale.extend(places.iter().map(|(m, _, _)| m.clone()));
-        self.holds.insert(attempt, Hold { job, room, image: needs.image.clone(), places, until });
+        self.holds.insert(
+            attempt,
+            Hold {
+                job,
+                room,
+                image: needs.image.clone(),
+                places,
+                until,
+            },
+        );
         true
     }
 
     fn bind(&mut self, attempt: u64, now: Secs) {
         let Some(h) = self.holds.remove(&attempt) else {
-            self.out.push(ToLeader::HoldAnswer { attempt, held: false });
+            self.out.push(ToLeader::HoldAnswer {
+                attempt,
+                held: false,
+            });
             return;
         };
-        self.stale.extend(h.places.iter().map(|(m, _, _)| m.clone()));
+        self.stale
+            .extend(h.places.iter().map(|(m, _, _)| m.clone()));
         // A machine that was lost while it held room would never start the task, nor show it gone.
         let here = |name: &String| self.machines.get(name).is_some_and(Machine::open);
         if now >= h.until || !h.places.iter().all(|(m, _, _)| here(m)) {
-            self.out.push(ToLeader::HoldAnswer { attempt, held: false });
+            self.out.push(ToLeader::HoldAnswer {
+                attempt,
+                held: false,
+            });
             return;
         }
         for (name, first, n) in h.places {
@@ -584,9 +770,25 @@
 }
 
 /// A machine is to start tasks of a job, with the answers to its reports; says how many.
-fn take_on(m: &mut Machine, job: &str, attempt: u64, indexes: impl Iterator<Item = u32>, room: Room, image: &str) -> u32 {
+fn take_on(
+    m: &mut Machine,
+    job: &str,
+    attempt: u64,
+    indexes: impl Iterator<Item = u32>,
+    room: Room,
+    image: &str,
+) -> u32 {
     let before = m.pending.len();
-    m.pending.extend(indexes.map(|index| (TaskRef { job: job.into(), index, attempt }, room)));
+    m.pending.extend(indexes.map(|index| {
+        (
+            TaskRef {
+                job: job.into(),
+                index,
+                attempt,
+            },
+            room,
+        )
+    }));
     let n = m.pending.len() - before;
     if n > 0 {
         remember(m, image);
@@ -626,7 +828,11 @@
     m.pending.retain(|t, _| {
         let drop = !tasks.contains_key(t) && which(t);
         if drop {
-            out.push(ToLeader::HandBack { job: t.job.clone(), attempt: t.attempt, tasks: vec![(t.index, 1)] });
+            out.push(ToLeader::HandBack {
+                job: t.job.clone(),
+                attempt: t.attempt,
+                tasks: vec![(t.index, 1)],
+            });
         }
         !drop
     });
@@ -640,31 +846,54 @@
 /// in every answer until a report shows it gone, whoever owned the machine before and whether or not
 /// the leader has said so.
 fn settle(m: &mut Machine, over: impl Fn(&str) -> bool, out: &mut Vec<ToLeader>) {
-    for t in m.tasks.values().filter(|t| t.state != TaskState::Exited && over(&t.task.job)) {
+    for t in m
+        .tasks
+        .values()
+        .filter(|t| t.state != TaskState::Exited && over(&t.task.job))
+    {
         m.stops.insert(t.task.clone(), 0.0);
     }
-    let (stops, closed) = (std::mem::take(&mut m.stops), !m.usable || m.notice_s.is_some());
+    let (stops, closed) = (
+        std::mem::take(&mut m.stops),
+        !m.usable || m.notice_s.is_some(),
+    );
     give_up(m, out, |t| closed || stops.contains_key(t) || over(&t.job));
     m.stops = stops;
     let tasks = &m.tasks;
     let before = m.pending.len();
     m.pending.retain(|t, _| !tasks.contains_key(t));
     m.dirty |= m.pending.len() != before;
-    m.clears.retain(|t| tasks.get(t).is_some_and(|v| v.state == TaskState::Exited));
-    m.stops.retain(|t, _| tasks.get(t).is_some_and(|v| v.state != TaskState::Exited));
+    m.clears
+        .retain(|t| tasks.get(t).is_some_and(|v| v.state == TaskState::Exited));
+    m.stops
+        .retain(|t, _| tasks.get(t).is_some_and(|v| v.state != TaskState::Exited));
 }
 
 /// Orders for a machine whose newest report was settled; starts only if they are allowed now.
 fn orders(m: &Machine, starts: bool) -> Vec<Order> {
     let mut out = Vec::new();
     for t in &m.clears {
-        out.push(Order::Clear { task: task_name(&t.job, t.index), attempt: t.attempt });
+        out.push(Order::Clear {
+            task: task_name(&t.job, t.index),
+            attempt: t.attempt,
+        });
     }
     for (t, grace) in &m.stops {
-        out.push(Order::Stop { task: task_name(&t.job, t.index), attempt: t.attempt, grace_s: *grace });
+        out.push(Order::Stop {
+            task: task_name(&t.job, t.index),
+            attempt: t.attempt,
+            grace_s: *grace,
+        });
     }
-    for t in m.pending.keys().take(if starts { STARTS_AT_ONCE } else { 0 }) {
-        out.push(Order::Start { task: task_name(&t.job, t.index), attempt: t.attempt });
+    for t in m
+        .pending
+        .keys()
+        .take(if starts { STARTS_AT_ONCE } else { 0 })
+    {
+        out.push(Order::Start {
+            task: task_name(&t.job, t.index),
+            attempt: t.attempt,
+        });
     }
     out
 }
--- a/crates/sched/src/part.rs
+++ b/crates/sched/src/part.rs
@@ -14,7 +14,10 @@
 
 /// The member that owns a machine; none without members.
 pub fn owner<'a>(machine: &str, members: &'a [String]) -> Option<&'a str> {
-    members.iter().max_by_key(|m| (hash(machine, m), m.as_str())).map(String::as_str)
+    members
+        .iter()
+        .max_by_key(|m| (hash(machine, m), m.as_str()))
+        .map(String::as_str)
 }
 
 #[cfg(test)]
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -17,11 +17,19 @@
 
 impl Room {
     pub fn of_type(t: &MachineType) -> Room {
-        Room { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb }
+        Room {
+            cpus: t.cpus,
+            gpus: t.gpus,
+            memory_gb: t.memory_gb,
+        }
     }
 
     pub fn of(needs: &Needs) -> Room {
-        Room { cpus: needs.cpus, gpus: needs.gpus, memory_gb: needs.memory_gb }
+        Room {
+            cpus: needs.cpus,
+            gpus: needs.gpus,
+            memory_gb: needs.memory_gb,
+        }
     }
 
     pub fn add(&mut self, o: Room) {
@@ -39,17 +47,32 @@
     /// The same for `n` tasks.
     pub fn scaled(&self, n: u32) -> Room {
         let n = f64::from(n);
-        Room { cpus: self.cpus * n, gpus: self.gpus * n, memory_gb: self.memory_gb * n }
+        Room {
+            cpus: self.cpus * n,
+            gpus: self.gpus * n,
+            memory_gb: self.memory_gb * n,
+        }
     }
 
     pub fn holds(&self, o: Room) -> bool {
-        o.cpus <= self.cpus + SLACK && o.gpus <= self.gpus + SLACK && o.memory_gb <= self.memory_gb + SLACK
+        o.cpus <= self.cpus + SLACK
+            && o.gpus <= self.gpus + SLACK
+            && o.memory_gb <= self.memory_gb + SLACK
     }
 
     /// How many tasks of this size fit.
     pub fn times(&self, o: Room) -> u32 {
-        let one = |have: f64, need: f64| if need <= 0.0 { f64::INFINITY } else { ((have + SLACK) / need).floor().max(0.0) };
-        one(self.cpus, o.cpus).min(one(self.gpus, o.gpus)).min(one(self.memory_gb, o.memory_gb)).min(1e6) as u32
+        let one = |have: f64, need: f64| {
+            if need <= 0.0 {
+                f64::INFINITY
+            } else {
+                ((have + SLACK) / need).floor().max(0.0)
+            }
+        };
+        one(self.cpus, o.cpus)
+            .min(one(self.gpus, o.gpus))
+            .min(one(self.memory_gb, o.memory_gb))
+            .min(1e6) as u32
     }
 }
 
@@ -72,7 +95,11 @@
     if needs.zone.as_deref().is_some_and(|z| z != zone) {
         return None;
     }
-    needs.kinds.iter().find(|a| a.kind == kind && a.spot == spot).map(|a| a.tier)
+    needs
+        .kinds
+        .iter()
+        .find(|a| a.kind == kind && a.spot == spot)
+        .map(|a| a.tier)
 }
 
 /// How well a machine suits; less is better.
@@ -86,7 +113,13 @@
     if !c.free.holds(Room::of(needs)) {
         return None;
     }
-    Some((c.slow_fetch && !c.has_image, tier, c.empty, !c.has_image, ((c.free.cpus - needs.cpus).max(0.0) * 1000.0) as u64))
+    Some((
+        c.slow_fetch && !c.has_image,
+        tier,
+        c.empty,
+        !c.has_image,
+        ((c.free.cpus - needs.cpus).max(0.0) * 1000.0) as u64,
+    ))
 }
 
 /// Images above this size take more than half of the time allowed for a guaranteed start.
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -71,17 +71,32 @@
         if now - self.preempted_at < self.setup.guarantee_s * PATIENCE / 2.0 {
             return;
         }
-        let due = |(id, n): &(String, u32)| self.may_reclaim(self.jobs.get(id)?, now).then(|| (id.clone(), *n));
+        let due = |(id, n): &(String, u32)| {
+            self.may_reclaim(self.jobs.get(id)?, now)
+                .then(|| (id.clone(), *n))
+        };
         let due: Vec<(String, u32)> = self.fleet.unmet.iter().filter_map(due).collect();
         let mut used = self.used_after_stops();
-        let over = |(team, used): (&String, &Room)| self.setup.teams.get(team).is_some_and(|t| used.cpus > t.cpus + SLACK);
-        if due.is_empty() || !used.iter().any(over) && !due.iter().any(|(id, _)| self.lower(self.jobs[id].spec.priority)) {
+        let over = |(team, used): (&String, &Room)| {
+            self.setup
+                .teams
+                .get(team)
+                .is_some_and(|t| used.cpus > t.cpus + SLACK)
+        };
+        if due.is_empty()
+            || !used.iter().any(over)
+                && !due
+                    .iter()
+                    .any(|(id, _)| self.lower(self.jobs[id].spec.priority))
+        {
             return;
         }
         self.preempted_at = now;
         let mut fields = self.fields(now);
         for (id, n) in due {
-            let Some(job) = self.jobs.get(&id) else { continue };
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
             let needs = self.needs(job, None);
             if job.needs_many_at_once() {
                 let stops = self.make_room_for_gang(job, &needs, &mut fields, &mut used);
@@ -92,7 +107,9 @@
             }
             for _ in 0..n {
                 let Some(job) = self.jobs.get(&id) else { break };
-                let Some(stops) = self.make_room(job, &needs, &mut fields, &mut used) else { break };
+                let Some(stops) = self.make_room(job, &needs, &mut fields, &mut used) else {
+                    break;
+                };
                 self.stop_victims(&id, &fields, vec![stops]);
             }
         }
@@ -105,7 +122,12 @@
         if job.needs_many_at_once() {
             // Many machines at once seldom become free by themselves, and would be rented meanwhile. It
             // is worth trying for as long as its class's objective can still be met.
-            let objective = self.setup.wait_s.get(&job.spec.class).copied().unwrap_or_default();
+            let objective = self
+                .setup
+                .wait_s
+                .get(&job.spec.class)
+                .copied()
+                .unwrap_or_default();
             window = 0.0..=objective.max(self.setup.guarantee_s);
         }
         let in_time = window.contains(&waited);
@@ -125,14 +147,22 @@
 
     /// How long a task of a job may take to save when it is stopped.
     fn grace_s(&self, id: &str) -> Secs {
-        self.jobs.get(id).filter(|j| j.spec.checkpoint_s > 0.0).map_or(0.0, |j| j.spec.save_s * 1.2 + 0.5)
+        self.jobs
+            .get(id)
+            .filter(|j| j.spec.checkpoint_s > 0.0)
+            .map_or(0.0, |j| j.spec.save_s * 1.2 + 0.5)
     }
 
     /// Has victims stopped, with time to save where their jobs can.
     fn stop_victims(&mut self, id: &str, fields: &[Field], stops: Vec<Stops>) {
         for (at, victims) in stops {
             for v in victims {
-                log::info!("event=preempt task={}/{} machine={} for={id}", v.job, v.index, fields[at].name);
+                log::info!(
+                    "event=preempt task={}/{} machine={} for={id}",
+                    v.job,
+                    v.index,
+                    fields[at].name
+                );
                 self.stop_task(&v.job, v.index, self.grace_s(&v.job));
             }
         }
@@ -140,7 +170,13 @@
 
     /// Finds room for all tasks of a gang, in the zone where that costs least if it wants one. Half
     /// a gang's room serves nobody: without room for the whole nothing is stopped.
-    fn make_room_for_gang(&self, job: &Job, needs: &Needs, fields: &mut [Field], used: &mut BTreeMap<String, Room>) -> Option<Vec<Stops>> {
+    fn make_room_for_gang(
+        &self,
+        job: &Job,
+        needs: &Needs,
+        fields: &mut [Field],
+        used: &mut BTreeMap<String, Room>,
+    ) -> Option<Vec<Stops>> {
         if job.spec.spread {
             return None;
         }
@@ -149,7 +185,17 @@
         } else {
             BTreeSet::from([needs.zone.clone()])
         };
-        let plans = zones.into_iter().filter_map(|zone| self.plan_in_zone(job, &Needs { zone, ..needs.clone() }, fields, used));
+        let plans = zones.into_iter().filter_map(|zone| {
+            self.plan_in_zone(
+                job,
+                &Needs {
+                    zone,
+                    ..needs.clone()
+                },
+                fields,
+                used,
+            )
+        });
         let plan = plans.min_by(|a, b| a.lost.total_cmp(&b.lost))?;
         for (at, field) in plan.fields {
             fields[at] = field;
@@ -159,23 +205,44 @@
     }
 
     /// What would have to be stopped in one zone for a whole gang; none if it can't be had there.
-    fn plan_in_zone(&self, job: &Job, needs: &Needs, fields: &[Field], used: &BTreeMap<String, Room>) -> Option<Plan> {
+    fn plan_in_zone(
+        &self,
+        job: &Job,
+        needs: &Needs,
+        fields: &[Field],
+        used: &BTreeMap<String, Room>,
+    ) -> Option<Plan> {
         let allowed = |f: &Field| tier(needs, &f.kind, &f.zone, f.spot).is_some();
-        let (positions, mut fields): (Vec<usize>, Vec<Field>) =
-            fields.iter().enumerate().filter(|(_, f)| allowed(f)).map(|(at, f)| (at, f.clone())).unzip();
+        let (positions, mut fields): (Vec<usize>, Vec<Field>) = fields
+            .iter()
+            .enumerate()
+            .filter(|(_, f)| allowed(f))
+            .map(|(at, f)| (at, f.clone()))
+            .unzip();
         let mut used = used.clone();
         let mut stops = Vec::new();
         for _ in 0..job.spec.tasks {
             let (at, victims) = self.make_room(job, needs, &mut fields, &mut used)?;
             stops.push((positions[at], victims));
         }
-        let lost = stops.iter().flat_map(|(_, victims)| victims).map(|v| v.lost_s * v.room.cpus).sum();
-        Some(Plan { lost, stops, used, fields: positions.into_iter().zip(fields).collect() })
+        let lost = stops
+            .iter()
+            .flat_map(|(_, victims)| victims)
+            .map(|v| v.lost_s * v.room.cpus)
+            .sum();
+        Some(Plan {
+            lost,
+            stops,
+            used,
+            fields: positions.into_iter().zip(fields).collect(),
+        })
     }
 
     /// Whether work of a lower priority than this runs.
     fn lower(&self, priority: Priority) -> bool {
-        self.jobs.values().any(|j| j.spec.priority > priority && !j.active.is_empty())
+        self.jobs
+            .values()
+            .any(|j| j.spec.priority > priority && !j.active.is_empty())
     }
 
     /// What each team uses once the tasks that were told to stop are gone.
@@ -193,13 +260,21 @@
     fn fields(&self, now: Secs) -> Vec<Field> {
         let mut out = Vec::new();
         for (name, m) in self.machines.iter().filter(|(_, m)| m.open()) {
-            let Some(mut free) = self.cap(&m.kind).map(|c| m.free(c)) else { continue };
+            let Some(mut free) = self.cap(&m.kind).map(|c| m.free(c)) else {
+                continue;
+            };
             let mut victims = Vec::new();
             for (id, i) in m.tasks.keys() {
-                let Some((job, a)) = self.jobs.get(id).and_then(|j| Some((j, j.active.get(i)?))) else { continue };
+                let Some((job, a)) = self.jobs.get(id).and_then(|j| Some((j, j.active.get(i)?)))
+                else {
+                    continue;
+                };
                 if a.stop_sent {
                     free.add(job.room());
-                } else if !job.over && matches!(a.place, Place::On(_)) && (!job.is_gang() || job.spec.tasks == 1) {
+                } else if !job.over
+                    && matches!(a.place, Place::On(_))
+                    && (!job.is_gang() || job.spec.tasks == 1)
+                {
                     let lost_s = if a.running { now - a.since } else { 0.0 };
                     victims.push(Victim {
                         job: id.clone(),
@@ -209,22 +284,40 @@
                         team: job.spec.team.clone(),
                         priority: job.spec.priority,
                         within: job.within,
-                        costly: job.spec.checkpoint_s <= 0.0 && lost_s > self.run_s(job) * MOST_LOST,
+                        costly: job.spec.checkpoint_s <= 0.0
+                            && lost_s > self.run_s(job) * MOST_LOST,
                     });
                 }
             }
             victims.sort_by(|a, b| a.lost_s.total_cmp(&b.lost_s));
-            out.push(Field { name: name.clone(), kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot, free, victims });
+            out.push(Field {
+                name: name.clone(),
+                kind: m.kind.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                free,
+                victims,
+            });
         }
         out
     }
 
     /// Finds room for one task where that costs least: the machine and what is to be stopped
     /// there (nothing if earlier stops will free enough). None if it can't be had.
-    fn make_room(&self, job: &Job, needs: &Needs, fields: &mut [Field], used: &mut BTreeMap<String, Room>) -> Option<Stops> {
+    fn make_room(
+        &self,
+        job: &Job,
+        needs: &Needs,
+        fields: &mut [Field],
+        used: &mut BTreeMap<String, Room>,
+    ) -> Option<Stops> {
         let room = job.room();
         let allowed = |f: &Field| tier(needs, &f.kind, &f.zone, f.spot).is_some();
-        if let Some((at, f)) = fields.iter_mut().enumerate().find(|(_, f)| f.free.holds(room) && allowed(f)) {
+        if let Some((at, f)) = fields
+            .iter_mut()
+            .enumerate()
+            .find(|(_, f)| f.free.holds(room) && allowed(f))
+        {
             f.free.sub(room);
             return Some((at, Vec::new()));
         }
@@ -233,7 +326,11 @@
             lower || job.within && !v.within && v.team != job.spec.team && !v.costly
         };
         let mut best: Option<(f64, usize, Vec<usize>)> = None;
-        for (at, f) in fields.iter().enumerate().filter(|(_, f)| !f.victims.is_empty() && allowed(f)) {
+        for (at, f) in fields
+            .iter()
+            .enumerate()
+            .filter(|(_, f)| !f.victims.is_empty() && allowed(f))
+        {
             let (mut have, mut lost, mut chosen) = (f.free, 0.0, Vec::new());
             for (i, v) in f.victims.iter().enumerate().filter(|(_, v)| may(v)) {
                 have.add(v.room);
@@ -264,13 +361,20 @@
     }
 
     /// Whether stopping these leaves every team what its guarantee gives it.
-    fn within_borrowed<'a>(&self, job: &Job, victims: impl Iterator<Item = &'a Victim>, used: &BTreeMap<String, Room>) -> bool {
+    fn within_borrowed<'a>(
+        &self,
+        job: &Job,
+        victims: impl Iterator<Item = &'a Victim>,
+        used: &BTreeMap<String, Room>,
+    ) -> bool {
         let mut taken: BTreeMap<&str, Room> = BTreeMap::new();
         for v in victims.filter(|v| v.priority <= job.spec.priority) {
             taken.entry(&v.team).or_default().add(v.room);
         }
         taken.into_iter().all(|(name, room)| {
-            let Some(team) = self.setup.teams.get(name) else { return false };
+            let Some(team) = self.setup.teams.get(name) else {
+                return false;
+            };
             let mut u = used.get(name).copied().unwrap_or_default();
             u.sub(room);
             u.cpus >= team.cpus - SLACK && u.gpus >= team.gpus.min(u.gpus) - SLACK
--- a/crates/sched/src/ranges.rs
+++ b/crates/sched/src/ranges.rs
@@ -127,8 +127,12 @@
             assert_eq!(fast.len() as usize, plain.len());
         }
         let mut back = Ranges::default();
-        let bytes: Vec<u8> =
-            fast.hex(0, 50).as_bytes().chunks(2).map(|c| u8::from_str_radix(std::str::from_utf8(c).unwrap(), 16).unwrap()).collect();
+        let bytes: Vec<u8> = fast
+            .hex(0, 50)
+            .as_bytes()
+            .chunks(2)
+            .map(|c| u8::from_str_radix(std::str::from_utf8(c).unwrap(), 16).unwrap())
+            .collect();
         back.add_bits(0, &bytes, 50);
         assert_eq!(back, fast);
         assert_eq!(runs([1, 2, 3, 7, 9, 10]), [(1, 3), (7, 1), (9, 2)]);
--- a/crates/sched/src/regime.rs
+++ b/crates/sched/src/regime.rs
@@ -12,7 +12,11 @@
 impl Leader {
     /// A controller has connected, or was heard.
     pub fn owner_heard(&mut self, member: &str, now: Secs) {
-        let link = self.links.entry(member.into()).or_insert(OwnerLink { since: now, heard: now, granted_until: f64::MIN });
+        let link = self.links.entry(member.into()).or_insert(OwnerLink {
+            since: now,
+            heard: now,
+            granted_until: f64::MIN,
+        });
         link.heard = now;
     }
 
@@ -59,8 +63,12 @@
     }
 
     pub(crate) fn review_regime(&mut self, now: Secs, known: usize) {
-        let silent: Vec<String> =
-            self.links.iter().filter(|(_, l)| now - l.heard > self.setup.owner_silence_s()).map(|(m, _)| m.clone()).collect();
+        let silent: Vec<String> = self
+            .links
+            .iter()
+            .filter(|(_, l)| now - l.heard > self.setup.owner_silence_s())
+            .map(|(m, _)| m.clone())
+            .collect();
         for m in silent {
             log::info!("event=owner_silent member={m}");
             self.owner_lost(&m);
@@ -70,11 +78,19 @@
             return;
         }
         let mut settle = self.setup.owner_silence_s() / 8.0;
-        if self.others_start && !self.regime_set && now - self.born < self.setup.owner_silence_s() * 2.0 {
+        if self.others_start
+            && !self.regime_set
+            && now - self.born < self.setup.owner_silence_s() * 2.0
+        {
             settle = self.setup.owner_silence_s();
         }
-        let lost = self.regime_broken || self.regime_set && self.members.iter().any(|m| !wanted.contains(m));
-        let newest = self.links.values().map(|l| l.since).fold(self.born, f64::max);
+        let lost = self.regime_broken
+            || self.regime_set && self.members.iter().any(|m| !wanted.contains(m));
+        let newest = self
+            .links
+            .values()
+            .map(|l| l.since)
+            .fold(self.born, f64::max);
         if !lost && self.links.len() < known && now - newest < settle {
             return;
         }
@@ -105,9 +121,17 @@
         self.regime_broken = false;
         let broken = std::mem::take(&mut self.broken);
         // Any earlier owner may have prolonged leases until its authority ends for certain.
-        let granted = self.links.values().map(|l| l.granted_until).fold(self.lost_until, f64::max);
+        let granted = self
+            .links
+            .values()
+            .map(|l| l.granted_until)
+            .fold(self.lost_until, f64::max);
         let extra_ms = ((granted - now).max(0.0) * 1000.0).ceil() as u64;
-        log::info!("event=regime token={} owners={} extra_ms={extra_ms}", self.token, self.members.join(","));
+        log::info!(
+            "event=regime token={} owners={} extra_ms={extra_ms}",
+            self.token,
+            self.members.join(",")
+        );
         let holding: Vec<String> = self
             .jobs
             .iter()
@@ -123,7 +147,10 @@
                 .jobs
                 .iter()
                 .flat_map(|(id, j)| {
-                    j.active.iter().filter(|(_, a)| matches!(&a.place, Place::Given(o, _) if o == old)).map(|(i, _)| (id.clone(), *i))
+                    j.active
+                        .iter()
+                        .filter(|(_, a)| matches!(&a.place, Place::Given(o, _) if o == old))
+                        .map(|(i, _)| (id.clone(), *i))
                 })
                 .collect();
             if tasks.is_empty() {
@@ -137,13 +164,20 @@
                     self.set_active(id, *i, a);
                 }
             }
-            let machines = self.machines.iter().filter(|(_, m)| m.owner == *old).map(|(n, _)| n.clone()).collect();
+            let machines = self
+                .machines
+                .iter()
+                .filter(|(_, m)| m.owner == *old)
+                .map(|(n, _)| n.clone())
+                .collect();
             self.groups.insert(group, LimboGroup { machines, tasks });
         }
         let token = self.token;
         self.stale.extend(self.machines.keys().cloned());
         for (name, m) in self.machines.iter_mut() {
-            let owner = part::owner(name, &self.members).unwrap_or(&self.me).to_string();
+            let owner = part::owner(name, &self.members)
+                .unwrap_or(&self.me)
+                .to_string();
             if owner != m.owner || broken.contains(&owner) {
                 m.owner = owner;
                 m.since = token;
@@ -161,27 +195,59 @@
         let cards: Vec<MachineCard> = self
             .machines
             .iter()
-            .map(|(n, m)| MachineCard { name: n.clone(), kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot, usable: m.usable_told })
+            .map(|(n, m)| MachineCard {
+                name: n.clone(),
+                kind: m.kind.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                usable: m.usable_told,
+            })
             .collect();
-        let catalog = ToOwner::Catalog { types: self.types.values().cloned().collect() };
+        let catalog = ToOwner::Catalog {
+            types: self.types.values().cloned().collect(),
+        };
         let over: Vec<String> = self.lately_over.keys().cloned().collect();
         for member in self.members.clone() {
             let continues = old_members.contains(&member) && !broken.contains(&member);
-            let mine = |c: &&MachineCard| self.machines.get(&c.name).is_some_and(|m| m.owner == member);
+            let mine = |c: &&MachineCard| {
+                self.machines
+                    .get(&c.name)
+                    .is_some_and(|m| m.owner == member)
+            };
             let machines = cards.iter().filter(mine).cloned().collect();
             self.send(
                 &member,
-                ToOwner::Regime { token, prev: if continues { prev } else { 0 }, members: self.members.clone(), extra_ms, machines },
+                ToOwner::Regime {
+                    token,
+                    prev: if continues { prev } else { 0 },
+                    members: self.members.clone(),
+                    extra_ms,
+                    machines,
+                },
             );
             self.send(&member, catalog.clone());
             for jobs in over.chunks(OVER_AT_ONCE) {
-                self.send(&member, ToOwner::Over { jobs: jobs.to_vec() });
+                self.send(
+                    &member,
+                    ToOwner::Over {
+                        jobs: jobs.to_vec(),
+                    },
+                );
             }
         }
         // Controllers that are no owners learn it too, so that they can redirect workers.
         let me = self.me.clone();
         if !self.members.contains(&me) {
-            self.send(&me, ToOwner::Regime { token, prev: 0, members: self.members.clone(), extra_ms, machines: Vec::new() });
+            self.send(
+                &me,
+                ToOwner::Regime {
+                    token,
+                    prev: 0,
+                    members: self.members.clone(),
+                    extra_ms,
+                    machines: Vec::new(),
+                },
+            );
         }
         self.settle();
         self.wake = true;
--- a/crates/sched/src/views.rs
+++ b/crates/sched/src/views.rs
@@ -22,10 +22,16 @@
                 }
                 self.settle();
             }
-            ToLeader::HandBack { job, attempt, tasks } => {
+            ToLeader::HandBack {
+                job,
+                attempt,
+                tasks,
+            } => {
                 for i in tasks.iter().flat_map(|(a, n)| *a..a.saturating_add(*n)) {
                     let given = self.jobs.get(&job).and_then(|j| j.active.get(&i));
-                    if given.is_some_and(|a| a.attempt == attempt && matches!(&a.place, Place::Given(o, _) if o == from)) {
+                    if given.is_some_and(|a| {
+                        a.attempt == attempt && matches!(&a.place, Place::Given(o, _) if o == from)
+                    }) {
                         self.gone(&job, i);
                     }
                 }
@@ -49,7 +55,13 @@
                 // Known by a late copy of a report only, or seen under an earlier regime; its owner will show it again under this one.
                 return;
             }
-            log::info!("event=machine_up machine={} kind={} zone={} spot={}", v.name, v.kind, v.zone, v.spot);
+            log::info!(
+                "event=machine_up machine={} kind={} zone={} spot={}",
+                v.name,
+                v.kind,
+                v.zone,
+                v.spot
+            );
             let mut m = self.new_machine(&v.kind, &v.zone, v.spot, now);
             m.owner = from.to_string();
             self.machines.insert(v.name.clone(), m);
@@ -64,13 +76,21 @@
         }
         m.seen_at = now;
         if v.lapsed != m.lapsed_at.is_some() {
-            log::info!("event=machine_{} machine={}", if v.lapsed { "lost" } else { "back" }, v.name);
+            log::info!(
+                "event=machine_{} machine={}",
+                if v.lapsed { "lost" } else { "back" },
+                v.name
+            );
         }
         m.lapsed_at = v.lapsed.then(|| m.lapsed_at.unwrap_or(now));
         m.notice_until = v.notice_s.map(|s| m.notice_until.unwrap_or(now + s));
         m.closed = !v.usable;
         if v.deaf != m.deaf {
-            log::info!("event=machine_{} machine={}", if v.deaf { "deaf" } else { "hears" }, v.name);
+            log::info!(
+                "event=machine_{} machine={}",
+                if v.deaf { "deaf" } else { "hears" },
+                v.name
+            );
             m.deaf = v.deaf;
         }
         m.quiet = v.pending.is_empty() && v.tasks.iter().all(|t| t.state == TaskState::Exited);
@@ -84,9 +104,20 @@
         }
         self.stale.insert(v.name.clone());
         self.roster(&v.name);
-        if let Some(usable) = self.machines.get(&v.name).map(|m| m.usable_told).filter(|u| *u != v.usable && v.token == token) {
+        if let Some(usable) = self
+            .machines
+            .get(&v.name)
+            .map(|m| m.usable_told)
+            .filter(|u| *u != v.usable && v.token == token)
+        {
             // The owner began anew after it was told.
-            self.send(from, ToOwner::Use { machine: v.name.clone(), usable });
+            self.send(
+                from,
+                ToOwner::Use {
+                    machine: v.name.clone(),
+                    usable,
+                },
+            );
         }
         self.apply_tasks(&v, now);
         self.wake = true;
@@ -94,10 +125,16 @@
 
     /// Has a machine that is up rostered, if it is not yet.
     pub(crate) fn roster(&mut self, name: &str) {
-        let Some(m) = self.machines.get_mut(name) else { return };
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
         if m.rostered == Rostered::No && m.lapsed_at.is_none() && !m.releasing {
             m.rostered = Rostered::Writing;
-            let record = RosterRecord { kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot };
+            let record = RosterRecord {
+                kind: m.kind.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+            };
             self.deeds.push(Deed::Roster(name.into(), Some(record)));
         }
     }
@@ -106,16 +143,31 @@
     /// tasks there before it knew; they are nowhere.
     pub(crate) fn view_of_returned(&mut self, from: &str, v: &MachineView) {
         if v.usable {
-            self.send(from, ToOwner::Use { machine: v.name.clone(), usable: false });
+            self.send(
+                from,
+                ToOwner::Use {
+                    machine: v.name.clone(),
+                    usable: false,
+                },
+            );
         }
-        let live = v.tasks.iter().filter(|t| t.state != TaskState::Exited).map(|t| &t.task);
+        let live = v
+            .tasks
+            .iter()
+            .filter(|t| t.state != TaskState::Exited)
+            .map(|t| &t.task);
         for t in live.chain(&v.pending) {
             let here = |a: &Active| match &a.place {
                 Place::Given(o, _) => o == from,
                 Place::On(m) => *m == v.name,
                 Place::Limbo(_) => false,
             };
-            if self.jobs.get(&t.job).and_then(|j| j.active.get(&t.index)).is_some_and(|a| a.attempt == t.attempt && here(a)) {
+            if self
+                .jobs
+                .get(&t.job)
+                .and_then(|j| j.active.get(&t.index))
+                .is_some_and(|a| a.attempt == t.attempt && here(a))
+            {
                 self.gone(&t.job, t.index);
             }
         }
@@ -140,9 +192,18 @@
             return;
         };
         m.foreign = foreign;
-        let old: Vec<(String, u32)> = m.tasks.keys().filter(|k| !listed.contains(*k)).cloned().collect();
+        let old: Vec<(String, u32)> = m
+            .tasks
+            .keys()
+            .filter(|k| !listed.contains(*k))
+            .cloned()
+            .collect();
         for (id, i) in old {
-            let on = self.jobs.get(&id).and_then(|j| j.active.get(&i)).is_some_and(|a| matches!(&a.place, Place::On(_)));
+            let on = self
+                .jobs
+                .get(&id)
+                .and_then(|j| j.active.get(&i))
+                .is_some_and(|a| matches!(&a.place, Place::On(_)));
             if on {
                 self.gone(&id, i);
             }
@@ -155,10 +216,23 @@
     }
 
     /// A task is, or is about to be, on a machine. False if its job is not known here.
-    pub(crate) fn note_live(&mut self, machine: &str, task: &TaskRef, state: TaskState, now: Secs) -> bool {
+    pub(crate) fn note_live(
+        &mut self,
+        machine: &str,
+        task: &TaskRef,
+        state: TaskState,
+        now: Secs,
+    ) -> bool {
         let stop = |l: &mut Leader| {
             if let Some(owner) = l.machines.get(machine).map(|m| m.owner.clone()) {
-                l.send(&owner, ToOwner::Stop { machine: machine.into(), task: task.clone(), grace_s: 0.0 });
+                l.send(
+                    &owner,
+                    ToOwner::Stop {
+                        machine: machine.into(),
+                        task: task.clone(),
+                        grace_s: 0.0,
+                    },
+                );
             }
         };
         let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -193,12 +267,22 @@
                 return true;
             }
             None => {
-                let active = Active { attempt: task.attempt, place: Place::On(machine.into()), running, stop_sent: false, since: now };
+                let active = Active {
+                    attempt: task.attempt,
+                    place: Place::On(machine.into()),
+                    running,
+                    stop_sent: false,
+                    since: now,
+                };
                 self.set_active(&task.job, task.index, active);
             }
         }
         if unwanted {
-            if let Some(a) = self.jobs.get_mut(&task.job).and_then(|j| j.active.get_mut(&task.index)) {
+            if let Some(a) = self
+                .jobs
+                .get_mut(&task.job)
+                .and_then(|j| j.active.get_mut(&task.index))
+            {
                 if !std::mem::replace(&mut a.stop_sent, true) {
                     stop(self);
                 }
@@ -224,7 +308,11 @@
             if !durable && !job.clears.contains(&entry) {
                 job.clears.push(entry);
             }
-            let new = !job.done.contains(task.index) || job.active.get(&task.index).is_some_and(|a| a.attempt == task.attempt);
+            let new = !job.done.contains(task.index)
+                || job
+                    .active
+                    .get(&task.index)
+                    .is_some_and(|a| a.attempt == task.attempt);
             if new {
                 self.task_done(task, now);
             }
@@ -233,15 +321,25 @@
             }
             return;
         }
-        if job.active.get(&task.index).is_some_and(|a| a.attempt == task.attempt) {
-            log::info!("event=task_exit task={}/{} machine={machine} why={why:?} saved={}", task.job, task.index, t.saved);
+        if job
+            .active
+            .get(&task.index)
+            .is_some_and(|a| a.attempt == task.attempt)
+        {
+            log::info!(
+                "event=task_exit task={}/{} machine={machine} why={why:?} saved={}",
+                task.job,
+                task.index,
+                t.saved
+            );
             let base = self.setup.report_s;
             match why {
                 Why::Error | Why::NoSuch => {
                     // The many tasks of an array that fail together are one failure.
                     if now >= job.backoff_until {
                         job.failures += 1;
-                        let wait = (base * f64::from(1u32 << job.failures.min(6))).min(LONGEST_BACKOFF_S);
+                        let wait =
+                            (base * f64::from(1u32 << job.failures.min(6))).min(LONGEST_BACKOFF_S);
                         job.backoff_until = now + wait * (0.75 + 0.5 * self.rng.f64());
                     }
                     if why == Why::Error {
@@ -260,7 +358,9 @@
     /// fault is its own: then it counts against none of them. Machines of earlier failures are not blamed
     /// again: they may have completed other work since.
     fn blame(&mut self, machine: &str, id: &str) {
-        let Some(job) = self.jobs.get_mut(id).filter(|job| !job.is_broken()) else { return };
+        let Some(job) = self.jobs.get_mut(id).filter(|job| !job.is_broken()) else {
+            return;
+        };
         job.failed_on.insert(machine.into());
         if !job.is_broken() {
             if let Some(m) = self.machines.get_mut(machine) {
@@ -281,7 +381,8 @@
         let mut ready = Vec::new();
         let machines = &self.machines;
         self.groups.retain(|id, g| {
-            g.machines.retain(|m| machines.get(m).is_some_and(|m| !m.accounted));
+            g.machines
+                .retain(|m| machines.get(m).is_some_and(|m| !m.accounted));
             if g.machines.is_empty() {
                 ready.push((*id, std::mem::take(&mut g.tasks)));
             }
@@ -289,7 +390,11 @@
         });
         for (group, tasks) in ready {
             for (id, i) in tasks {
-                let still = self.jobs.get(&id).and_then(|j| j.active.get(&i)).is_some_and(|a| a.place == Place::Limbo(group));
+                let still = self
+                    .jobs
+                    .get(&id)
+                    .and_then(|j| j.active.get(&i))
+                    .is_some_and(|a| a.place == Place::Limbo(group));
                 if still {
                     self.gone(&id, i);
                 }
@@ -304,7 +409,12 @@
             Some(machines) => machines.iter().all(|m| !unknown.contains(m)),
             None => all,
         };
-        let ids: Vec<String> = self.jobs.iter().filter(|(_, j)| j.uncertain && known(j)).map(|(id, _)| id.clone()).collect();
+        let ids: Vec<String> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.uncertain && known(j))
+            .map(|(id, _)| id.clone())
+            .collect();
         if all {
             self.start_open = false;
             log::info!("event=accounted machines={}", self.machines.len());
@@ -328,7 +438,10 @@
         let first = job.active.values().next().map(|a| a.attempt);
         match first {
             None => job.phase = Phase::Idle,
-            Some(attempt) if job.active.len() == job.spec.tasks as usize && job.active.values().all(|a| a.attempt == attempt) => {
+            Some(attempt)
+                if job.active.len() == job.spec.tasks as usize
+                    && job.active.values().all(|a| a.attempt == attempt) =>
+            {
                 job.phase = Phase::Running { attempt };
             }
             Some(_) => {
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -64,7 +64,13 @@
     fn new(rate_of_all: f64, share: Share) -> Bucket {
         let rate = rate_of_all * share.part;
         let capacity = rate * share.burst_s;
-        Bucket { rate, capacity, reserve: share.reserve, level: capacity, filled_at: 0.0 }
+        Bucket {
+            rate,
+            capacity,
+            reserve: share.reserve,
+            level: capacity,
+            filled_at: 0.0,
+        }
     }
 
     fn fill(&mut self, now: f64) {
@@ -103,20 +109,30 @@
     pub fn new(rates: Rates, shares: Shares) -> Budget {
         let requests = Bucket::new(rates.requests_per_s, shares.requests);
         let writes = Bucket::new(rates.writes_per_s, shares.writes);
-        Budget { rates, requests, writes }
+        Budget {
+            rates,
+            requests,
+            writes,
+        }
     }
 
     /// Changes the shares, e.g. when this controller becomes the leader.
     pub fn set_shares(&mut self, shares: Shares, now: f64) {
-        self.requests.change(self.rates.requests_per_s, shares.requests, now);
-        self.writes.change(self.rates.writes_per_s, shares.writes, now);
+        self.requests
+            .change(self.rates.requests_per_s, shares.requests, now);
+        self.writes
+            .change(self.rates.writes_per_s, shares.writes, now);
     }
 
     /// Takes one request with `writes` writes, or says how long to wait.
     pub fn take(&mut self, now: f64, writes: usize, rank: Rank) -> Result<(), f64> {
         self.requests.fill(now);
         self.writes.fill(now);
-        let wait_for_writes = if writes > 0 { self.writes.wait(writes as f64, rank) } else { 0.0 };
+        let wait_for_writes = if writes > 0 {
+            self.writes.wait(writes as f64, rank)
+        } else {
+            0.0
+        };
         let wait = self.requests.wait(1.0, rank).max(wait_for_writes);
         if wait > 0.0 {
             return Err(wait);
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -59,7 +59,10 @@
 
     fn take(&self, writes: usize, rank: Rank) -> Result<(), StoreError> {
         let now = self.start.elapsed().as_secs_f64();
-        self.budget.borrow_mut().take(now, writes, rank).map_err(StoreError::Budget)
+        self.budget
+            .borrow_mut()
+            .take(now, writes, rank)
+            .map_err(StoreError::Budget)
     }
 
     /// Waits for the budget, as far as `limit` allows.
@@ -67,7 +70,9 @@
         let began = Instant::now();
         loop {
             match self.take(writes, rank) {
-                Err(StoreError::Budget(s)) if began.elapsed().as_secs_f64() + s < limit.as_secs_f64() => {
+                Err(StoreError::Budget(s))
+                    if began.elapsed().as_secs_f64() + s < limit.as_secs_f64() =>
+                {
                     smol::Timer::after(Duration::from_secs_f64(s + 0.002)).await;
                 }
                 other => return other,
@@ -75,7 +80,12 @@
         }
     }
 
-    async fn ask(&self, method: &str, path: &str, body: &[u8]) -> Result<(u16, Vec<u8>), StoreError> {
+    async fn ask(
+        &self,
+        method: &str,
+        path: &str,
+        body: &[u8],
+    ) -> Result<(u16, Vec<u8>), StoreError> {
         match self.quick.ask(method, path, body, self.limit).await {
             Ok(a) if a.status == 429 || a.status >= 500 => Err(StoreError::Refused(a.status)),
             Ok(a) => Ok((a.status, a.body)),
@@ -99,10 +109,22 @@
     }
 
     /// A page of the keys with a prefix.
-    pub async fn range(&self, prefix: &str, since: Option<&str>, rank: Rank) -> Result<Page, StoreError> {
+    pub async fn range(
+        &self,
+        prefix: &str,
+        since: Option<&str>,
+        rank: Rank,
+    ) -> Result<Page, StoreError> {
         self.wait(0, rank, self.limit).await?;
         let since = since.map(|s| format!("&since={s}")).unwrap_or_default();
-        match self.ask("GET", &format!("/store?prefix={prefix}{since}&most=250"), &[]).await? {
+        match self
+            .ask(
+                "GET",
+                &format!("/store?prefix={prefix}{since}&most=250"),
+                &[],
+            )
+            .await?
+        {
             (200, body) => Self::read(&body),
             (s, _) => Err(StoreError::Refused(s)),
         }
@@ -119,7 +141,9 @@
             (200, body) => Ok(Decided::Applied(Self::read::<Revision>(&body)?.revision)),
             (409, body) => Ok(Decided::Conflict(Self::read::<Conflict>(&body)?.failed)),
             (400, body) => {
-                let text = cbor::decode::<Value>(&body).map(|v| format!("{v:?}")).unwrap_or_default();
+                let text = cbor::decode::<Value>(&body)
+                    .map(|v| format!("{v:?}"))
+                    .unwrap_or_default();
                 if text.contains("no such lease") {
                     Err(StoreError::NoLease)
                 } else {
@@ -133,7 +157,16 @@
 
     pub async fn grant(&self, ttl: Duration) -> Result<u64, StoreError> {
         self.wait(0, Rank::Renewal, self.limit).await?;
-        match self.ask("POST", "/grants", &cbor::encode(&LeaseAsk { ttl_ms: ttl.as_millis() as u64 })).await? {
+        match self
+            .ask(
+                "POST",
+                "/grants",
+                &cbor::encode(&LeaseAsk {
+                    ttl_ms: ttl.as_millis() as u64,
+                }),
+            )
+            .await?
+        {
             (200, body) => Ok(Self::read::<LeaseId>(&body)?.lease),
             (s, _) => Err(StoreError::Refused(s)),
         }
@@ -141,7 +174,10 @@
 
     pub async fn touch(&self, lease: u64) -> Result<(), StoreError> {
         self.wait(0, Rank::Renewal, self.limit).await?;
-        match self.ask("POST", &format!("/grants/{lease}/touch"), &[]).await? {
+        match self
+            .ask("POST", &format!("/grants/{lease}/touch"), &[])
+            .await?
+        {
             (200, _) => Ok(()),
             (404, _) => Err(StoreError::NoLease),
             (s, _) => Err(StoreError::Refused(s)),
@@ -150,14 +186,29 @@
 
     pub async fn revoke(&self, lease: u64) -> Result<(), StoreError> {
         self.wait(0, Rank::Renewal, self.limit).await?;
-        self.ask("DELETE", &format!("/grants/{lease}"), &[]).await.map(|_| ())
+        self.ask("DELETE", &format!("/grants/{lease}"), &[])
+            .await
+            .map(|_| ())
     }
 
     /// Changes after a revision; with a wait of zero it answers at once.
-    pub async fn follow(&self, prefix: &str, since: u64, wait: Duration, rank: Rank) -> Result<Changes, StoreError> {
+    pub async fn follow(
+        &self,
+        prefix: &str,
+        since: u64,
+        wait: Duration,
+        rank: Rank,
+    ) -> Result<Changes, StoreError> {
         self.wait(0, rank, self.limit).await?;
-        let path = format!("/follow?prefix={prefix}&since={since}&wait_ms={}", wait.as_millis());
-        let client = if wait.is_zero() { &self.quick } else { &self.watch };
+        let path = format!(
+            "/follow?prefix={prefix}&since={since}&wait_ms={}",
+            wait.as_millis()
+        );
+        let client = if wait.is_zero() {
+            &self.quick
+        } else {
+            &self.watch
+        };
         match client.ask("GET", &path, &[], self.limit + wait).await {
             Ok(a) if a.status == 200 => Self::read(&a.body),
             Ok(a) if a.status == 410 => Err(StoreError::TooOld),
--- a/crates/store/src/leadership.rs
+++ b/crates/store/src/leadership.rs
@@ -57,7 +57,10 @@
 
 /// The condition under which a leader writes.
 pub fn still_leader(version: u64) -> Condition {
-    Condition { key: keys::LEADER.into(), version }
+    Condition {
+        key: keys::LEADER.into(),
+        version,
+    }
 }
 
 /// Tries once to take the leadership; none if someone else holds it or the outcome shows
@@ -67,18 +70,41 @@
         return Ok(None);
     }
     let (term, term_version) = match store.get(keys::TERM).await? {
-        Some(item) => (from_value::<TermRecord>(&item.value).map_or(0, |t| t.term), item.version),
+        Some(item) => (
+            from_value::<TermRecord>(&item.value).map_or(0, |t| t.term),
+            item.version,
+        ),
         None => (0, 0),
     };
     let sent = Instant::now();
     let lease = store.grant(ttl).await?;
     let token = term + 1;
-    let record = LeaderRecord { member: me.into(), token };
+    let record = LeaderRecord {
+        member: me.into(),
+        token,
+    };
     let txn = Txn {
-        conditions: vec![Condition { key: keys::LEADER.into(), version: 0 }, Condition { key: keys::TERM.into(), version: term_version }],
+        conditions: vec![
+            Condition {
+                key: keys::LEADER.into(),
+                version: 0,
+            },
+            Condition {
+                key: keys::TERM.into(),
+                version: term_version,
+            },
+        ],
         writes: vec![
-            Write::Put { key: keys::LEADER.into(), value: to_value(&record), lease: Some(lease) },
-            Write::Put { key: keys::TERM.into(), value: to_value(&TermRecord { term: token }), lease: None },
+            Write::Put {
+                key: keys::LEADER.into(),
+                value: to_value(&record),
+                lease: Some(lease),
+            },
+            Write::Put {
+                key: keys::TERM.into(),
+                value: to_value(&TermRecord { term: token }),
+                lease: None,
+            },
         ],
     };
     let version = match store.txn(&txn).await {
@@ -94,19 +120,39 @@
             return Err(e);
         }
     };
-    Ok(Some(Won { token, lease, version, until: sent + usable(ttl) }))
+    Ok(Some(Won {
+        token,
+        lease,
+        version,
+        until: sent + usable(ttl),
+    }))
 }
 
 /// Moves the term and the leader key on to the next token. The new version is the condition
 /// for later writes. After an unknown outcome the key is read back.
-pub async fn next_token(store: &impl Keeper, me: &str, won: &Won) -> Result<Option<(u64, u64)>, StoreError> {
+pub async fn next_token(
+    store: &impl Keeper,
+    me: &str,
+    won: &Won,
+) -> Result<Option<(u64, u64)>, StoreError> {
     let token = won.token + 1;
-    let record = LeaderRecord { member: me.into(), token };
+    let record = LeaderRecord {
+        member: me.into(),
+        token,
+    };
     let txn = Txn {
         conditions: vec![still_leader(won.version)],
         writes: vec![
-            Write::Put { key: keys::LEADER.into(), value: to_value(&record), lease: Some(won.lease) },
-            Write::Put { key: keys::TERM.into(), value: to_value(&TermRecord { term: token }), lease: None },
+            Write::Put {
+                key: keys::LEADER.into(),
+                value: to_value(&record),
+                lease: Some(won.lease),
+            },
+            Write::Put {
+                key: keys::TERM.into(),
+                value: to_value(&TermRecord { term: token }),
+                lease: None,
+            },
         ],
     };
     match store.txn(&txn).await {
@@ -116,8 +162,12 @@
         Err(StoreError::Budget(s)) => Err(StoreError::Budget(s)),
         // A conflict can stem from an earlier try of our own whose answer was lost.
         Ok(Decided::Conflict(_)) | Err(_) => match store.get(keys::LEADER).await? {
-            Some(item) if from_value::<LeaderRecord>(&item.value).as_ref() == Some(&record) => Ok(Some((token, item.version))),
-            Some(item) if item.version == won.version => Err(StoreError::Unknown("not applied yet".into())),
+            Some(item) if from_value::<LeaderRecord>(&item.value).as_ref() == Some(&record) => {
+                Ok(Some((token, item.version)))
+            }
+            Some(item) if item.version == won.version => {
+                Err(StoreError::Unknown("not applied yet".into()))
+            }
             _ => Ok(None),
         },
     }
--- a/crates/store/src/pages.rs
+++ b/crates/store/src/pages.rs
@@ -15,18 +15,28 @@
 impl<K: Ord + Clone, V> Pages<K, V> {
     /// No page's entries take more than `limit` bytes together, as far as their sizes are told.
     pub fn new(limit: usize) -> Pages<K, V> {
-        Pages { limit, pages: BTreeMap::new(), at: BTreeMap::new(), dirty: BTreeSet::new() }
+        Pages {
+            limit,
+            pages: BTreeMap::new(),
+            at: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+        }
     }
 
     /// Takes an entry as the store holds it.
     pub fn load(&mut self, page: u32, key: K, size: usize, value: V) {
         self.at.insert(key.clone(), page);
-        self.pages.entry(page).or_default().insert(key, (size, value));
+        self.pages
+            .entry(page)
+            .or_default()
+            .insert(key, (size, value));
     }
 
     /// Puts an entry where it was, or else on the first page with room; says where.
     pub fn put(&mut self, key: K, size: usize, value: V) -> u32 {
-        let fits = |p: &BTreeMap<K, (usize, V)>| p.values().map(|(s, _)| s).sum::<usize>() + size <= self.limit;
+        let fits = |p: &BTreeMap<K, (usize, V)>| {
+            p.values().map(|(s, _)| s).sum::<usize>() + size <= self.limit
+        };
         let page = match self.at.get(&key) {
             Some(page) => *page,
             None => match self.pages.iter().find(|(_, p)| fits(p)) {
@@ -42,7 +52,9 @@
     /// Takes an entry out. Unless it is `urgent`, the store learns of it when the page is
     /// written for another reason.
     pub fn remove(&mut self, key: &K, urgent: bool) {
-        let Some(page) = self.at.remove(key) else { return };
+        let Some(page) = self.at.remove(key) else {
+            return;
+        };
         if let Some(p) = self.pages.get_mut(&page) {
             p.remove(key);
         }
@@ -102,7 +114,10 @@
             }
             let mut stored = BTreeMap::new();
             for page in 0..60 {
-                let entries: Vec<_> = book.page(page).map(|p| p.map(|(k, v)| (*k, *v)).collect()).unwrap_or_default();
+                let entries: Vec<_> = book
+                    .page(page)
+                    .map(|p| p.map(|(k, v)| (*k, *v)).collect())
+                    .unwrap_or_default();
                 assert!(entries.len() <= 5, "a page is too large");
                 stored.extend(entries);
             }
--- a/crates/store/src/replica.rs
+++ b/crates/store/src/replica.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use wire::store::{
-    from_value, BegunRecord, BindingRecord, Changes, JobRecord, LeaderRecord, Page, ProgressPage, Recorded, RosterPage, RosterRecord,
-    TermRecord, Value,
+    from_value, BegunRecord, BindingRecord, Changes, JobRecord, LeaderRecord, Page, ProgressPage,
+    Recorded, RosterPage, RosterRecord, TermRecord, Value,
 };
 use wire::users::Job;
 
@@ -32,7 +32,12 @@
     pub fn done_tasks(&self) -> u32 {
         match self.state {
             Recorded::Done => self.tasks,
-            _ => self.progress.values().flatten().map(|b| b.count_ones()).sum(),
+            _ => self
+                .progress
+                .values()
+                .flatten()
+                .map(|b| b.count_ones())
+                .sum(),
         }
     }
 }
@@ -67,7 +72,14 @@
 
 /// The bytes of a bitmap in hexadecimal.
 pub fn bits(text: &str) -> Vec<u8> {
-    text.as_bytes().chunks(2).filter_map(|c| std::str::from_utf8(c).ok().and_then(|t| u8::from_str_radix(t, 16).ok())).collect()
+    text.as_bytes()
+        .chunks(2)
+        .filter_map(|c| {
+            std::str::from_utf8(c)
+                .ok()
+                .and_then(|t| u8::from_str_radix(t, 16).ok())
+        })
+        .collect()
 }
 
 fn page_number(key: &str, prefix: &str) -> Option<u32> {
@@ -78,7 +90,10 @@
     /// Takes a page of the first load; `revision` becomes that of the first page.
     pub fn load(&mut self, page: &Page, first: bool) {
         if first {
-            *self = Replica { revision: page.revision, ..Replica::default() };
+            *self = Replica {
+                revision: page.revision,
+                ..Replica::default()
+            };
         }
         for item in &page.items {
             self.put(&item.key, &item.value, item.version);
@@ -125,13 +140,20 @@
             if let Some(page) = from_value::<RosterPage>(value) {
                 self.drop_roster(n);
                 for (record, machines) in &page.groups {
-                    self.roster.extend(machines.iter().map(|m| (m.clone(), record.clone())));
+                    self.roster
+                        .extend(machines.iter().map(|m| (m.clone(), record.clone())));
                 }
                 self.roster_pages.insert(n, page);
             }
-        } else if let Some((id, chunk)) = key.strip_prefix(keys::BINDING).and_then(|k| k.rsplit_once('/')) {
+        } else if let Some((id, chunk)) = key
+            .strip_prefix(keys::BINDING)
+            .and_then(|k| k.rsplit_once('/'))
+        {
             if let (Ok(chunk), Some(b)) = (chunk.parse(), from_value(value)) {
-                self.bindings.entry(id.to_string()).or_default().insert(chunk, b);
+                self.bindings
+                    .entry(id.to_string())
+                    .or_default()
+                    .insert(chunk, b);
             }
         } else if key == keys::BEGUN {
             if let Some(b) = from_value::<BegunRecord>(value) {
@@ -153,21 +175,37 @@
             match self.jobs.get_mut(id) {
                 Some(e) if e.state == Recorded::Open => e.progress.insert(*chunk, bits(text)),
                 Some(_) => None,
-                None => self.early.entry(id.clone()).or_default().insert(*chunk, bits(text)),
+                None => self
+                    .early
+                    .entry(id.clone())
+                    .or_default()
+                    .insert(*chunk, bits(text)),
             };
         }
     }
 
     fn drop_roster(&mut self, page: u32) {
-        for m in self.roster_pages.remove(&page).into_iter().flat_map(|p| p.groups).flat_map(|(_, machines)| machines) {
+        for m in self
+            .roster_pages
+            .remove(&page)
+            .into_iter()
+            .flat_map(|p| p.groups)
+            .flat_map(|(_, machines)| machines)
+        {
             self.roster.remove(&m);
         }
     }
 
     /// Ids, teams and rooms of the jobs of which it became known within `span` that they are cancelled.
     pub fn lately_cancelled(&self, span: Duration) -> Vec<(String, String, (f64, f64))> {
-        let lately = |e: &JobEntry| e.state == Recorded::Cancelled && e.over_since.is_some_and(|t| t.elapsed() < span);
-        self.jobs.iter().filter(|(_, e)| lately(e)).map(|(id, e)| (id.clone(), e.team.clone(), e.room)).collect()
+        let lately = |e: &JobEntry| {
+            e.state == Recorded::Cancelled && e.over_since.is_some_and(|t| t.elapsed() < span)
+        };
+        self.jobs
+            .iter()
+            .filter(|(_, e)| lately(e))
+            .map(|(id, e)| (id.clone(), e.team.clone(), e.room))
+            .collect()
     }
 
     /// Machines on which a gang may have been started: those of the records with the newest
@@ -175,7 +213,13 @@
     pub fn bound_machines(&self, id: &str) -> Option<BTreeSet<String>> {
         let records = self.bindings.get(id)?;
         let newest = records.values().map(|b| b.attempt).max()?;
-        Some(records.values().filter(|b| b.attempt == newest).flat_map(|b| b.places.iter().map(|(m, _, _)| m.clone())).collect())
+        Some(
+            records
+                .values()
+                .filter(|b| b.attempt == newest)
+                .flat_map(|b| b.places.iter().map(|(m, _, _)| m.clone()))
+                .collect(),
+        )
     }
 
     /// Takes a job's record, also one that was read directly and is not yet in the replica.
@@ -184,14 +228,21 @@
             return;
         }
         let open = r.state == Recorded::Open;
-        let progress = if open { self.early.remove(id).unwrap_or_default() } else { BTreeMap::new() };
+        let progress = if open {
+            self.early.remove(id).unwrap_or_default()
+        } else {
+            BTreeMap::new()
+        };
         let entry = JobEntry {
             state: r.state,
             version,
             created_ms: r.created_ms,
             tasks: r.job.tasks,
             team: r.job.team.clone(),
-            room: (r.job.cpus * f64::from(r.job.tasks), r.job.gpus * f64::from(r.job.tasks)),
+            room: (
+                r.job.cpus * f64::from(r.job.tasks),
+                r.job.gpus * f64::from(r.job.tasks),
+            ),
             over_since: (!open).then(Instant::now),
             job: open.then(|| Rc::new(r.job)),
             progress,
@@ -207,7 +258,10 @@
         } else if key == keys::LEADER {
             self.leader = None;
             return Changed::Leader;
-        } else if let Some((id, chunk)) = key.strip_prefix(keys::BINDING).and_then(|k| k.rsplit_once('/')) {
+        } else if let Some((id, chunk)) = key
+            .strip_prefix(keys::BINDING)
+            .and_then(|k| k.rsplit_once('/'))
+        {
             if let (Some(b), Ok(chunk)) = (self.bindings.get_mut(id), chunk.parse::<u32>()) {
                 b.remove(&chunk);
                 if b.is_empty() {
--- a/crates/store/src/versions.rs
+++ b/crates/store/src/versions.rs
@@ -45,8 +45,15 @@
 
     /// That the key is as it is known here.
     pub fn condition(&self, key: &str) -> Condition {
-        let version = self.at.get(key).filter(|(_, exists)| *exists).map_or(0, |(revision, _)| *revision);
-        Condition { key: key.to_string(), version }
+        let version = self
+            .at
+            .get(key)
+            .filter(|(_, exists)| *exists)
+            .map_or(0, |(revision, _)| *revision);
+        Condition {
+            key: key.to_string(),
+            version,
+        }
     }
 }
 
@@ -64,10 +71,16 @@
         for seed in 0..200 {
             let mut rng = fastrand::Rng::with_seed(seed);
             let mut store: BTreeMap<String, (u64, u64)> = BTreeMap::new();
-            let (mut revision, mut sent, mut done) = (0u64, Vec::<(Vec<Condition>, Vec<String>, u64)>::new(), 0);
+            let (mut revision, mut sent, mut done) =
+                (0u64, Vec::<(Vec<Condition>, Vec<String>, u64)>::new(), 0);
             let mut known = Versions::default();
-            let apply = |store: &mut BTreeMap<String, (u64, u64)>, revision: &mut u64, t: &(Vec<Condition>, Vec<String>, u64)| {
-                if t.0.iter().any(|c| store.get(&c.key).map_or(0, |(v, _)| *v) != c.version) {
+            let apply = |store: &mut BTreeMap<String, (u64, u64)>,
+                         revision: &mut u64,
+                         t: &(Vec<Condition>, Vec<String>, u64)| {
+                if t.0
+                    .iter()
+                    .any(|c| store.get(&c.key).map_or(0, |(v, _)| *v) != c.version)
+                {
                     return false;
                 }
                 *revision += 1;
@@ -75,20 +88,38 @@
                 true
             };
             for content in 1..=60u64 {
-                let keys: BTreeSet<String> = (0..1 + rng.usize(0..2)).map(|_| format!("lr/roster/{}", rng.u32(0..3))).collect();
+                let keys: BTreeSet<String> = (0..1 + rng.usize(0..2))
+                    .map(|_| format!("lr/roster/{}", rng.u32(0..3)))
+                    .collect();
                 let keys: Vec<String> = keys.into_iter().collect();
-                let txn = (keys.iter().map(|k| known.condition(k)).collect(), keys.clone(), content);
+                let txn = (
+                    keys.iter().map(|k| known.condition(k)).collect(),
+                    keys.clone(),
+                    content,
+                );
                 sent.push(txn.clone());
                 let late = rng.u32(0..4) == 0;
                 let ok = !late && apply(&mut store, &mut revision, &txn);
                 if ok && rng.u32(0..4) > 0 {
-                    let value = to_value(&BegunRecord { upto: content, waiting: Vec::new() });
-                    let writes: Vec<Write> = keys.into_iter().map(|key| Write::Put { key, value: value.clone(), lease: None }).collect();
+                    let value = to_value(&BegunRecord {
+                        upto: content,
+                        waiting: Vec::new(),
+                    });
+                    let writes: Vec<Write> = keys
+                        .into_iter()
+                        .map(|key| Write::Put {
+                            key,
+                            value: value.clone(),
+                            lease: None,
+                        })
+                        .collect();
                     known.applied(&writes, revision);
                     done += 1;
                 } else if !ok || rng.bool() {
                     // An unknown outcome or a conflict: a look at the store brings what it holds.
-                    store.iter().for_each(|(k, (v, _))| known.changed(k, *v, true));
+                    store
+                        .iter()
+                        .for_each(|(k, (v, _))| known.changed(k, *v, true));
                 }
                 // Any earlier request may be carried out now, also once more.
                 let before = store.clone();
@@ -96,7 +127,10 @@
                 apply(&mut store, &mut revision, &again);
                 for (key, (_, content)) in &store {
                     let newest = before.get(key).map_or(0, |(_, c)| *c);
-                    assert!(*content >= newest, "seed {seed}: {key} went back from {newest} to {content}");
+                    assert!(
+                        *content >= newest,
+                        "seed {seed}: {key} went back from {newest} to {content}"
+                    );
                 }
             }
             assert!(done > 5, "seed {seed}: too little was written");
--- a/crates/store/tests/budget.rs
+++ b/crates/store/tests/budget.rs
@@ -3,16 +3,38 @@
 use store::budget::{Budget, Rank, Rates, Reserve, Share, Shares};
 
 fn budget(requests_per_s: f64, writes_per_s: f64, write_burst_s: f64) -> Budget {
-    let share = Share { part: 1.0, burst_s: 1.0, reserve: Reserve { decision: 0.15, submission: 0.35 } };
-    let writes = Share { burst_s: write_burst_s, ..share };
-    Budget::new(Rates { requests_per_s, writes_per_s }, Shares { requests: share, writes })
+    let share = Share {
+        part: 1.0,
+        burst_s: 1.0,
+        reserve: Reserve {
+            decision: 0.15,
+            submission: 0.35,
+        },
+    };
+    let writes = Share {
+        burst_s: write_burst_s,
+        ..share
+    };
+    Budget::new(
+        Rates {
+            requests_per_s,
+            writes_per_s,
+        },
+        Shares {
+            requests: share,
+            writes,
+        },
+    )
 }
 
 #[test]
 fn ranks_leave_room_for_the_ranks_before_them() {
     let mut b = budget(20.0, 10.0, 1.0);
     let mut taken = [0; 3];
-    for (i, rank) in [Rank::Submission, Rank::Decision, Rank::Renewal].into_iter().enumerate() {
+    for (i, rank) in [Rank::Submission, Rank::Decision, Rank::Renewal]
+        .into_iter()
+        .enumerate()
+    {
         while b.take(0.0, 0, rank).is_ok() {
             taken[i] += 1;
         }
@@ -47,8 +69,21 @@
 fn a_changed_share_keeps_what_was_left() {
     let mut b = budget(100.0, 10.0, 1.0);
     while b.take(0.0, 1, Rank::Renewal).is_ok() {}
-    let share = Share { part: 1.0, burst_s: 3.0, reserve: Reserve { decision: 0.0, submission: 0.0 } };
-    b.set_shares(Shares { requests: share, writes: share }, 0.0);
+    let share = Share {
+        part: 1.0,
+        burst_s: 3.0,
+        reserve: Reserve {
+            decision: 0.0,
+            submission: 0.0,
+        },
+    };
+    b.set_shares(
+        Shares {
+            requests: share,
+            writes: share,
+        },
+        0.0,
+    );
     assert!(b.take(0.0, 1, Rank::Renewal).is_err());
     assert!(b.take(0.11, 1, Rank::Renewal).is_ok());
 }
--- a/crates/store/tests/leadership.rs
+++ b/crates/store/tests/leadership.rs
@@ -44,7 +44,9 @@
 
     fn end(&self, lease: u64) {
         self.leases.borrow_mut().remove(&lease);
-        self.keys.borrow_mut().retain(|_, (_, _, l)| *l != Some(lease));
+        self.keys
+            .borrow_mut()
+            .retain(|_, (_, _, l)| *l != Some(lease));
     }
 
     fn apply(&self, txn: &Txn) -> Result<Decided, StoreError> {
@@ -53,10 +55,20 @@
             Write::Put { lease, .. } => *lease,
             Write::Drop { .. } => None,
         };
-        if txn.writes.iter().filter_map(lease_of).any(|l| !self.leases.borrow().contains(&l)) {
+        if txn
+            .writes
+            .iter()
+            .filter_map(lease_of)
+            .any(|l| !self.leases.borrow().contains(&l))
+        {
             return Err(StoreError::NoLease);
         }
-        let failed: Vec<String> = txn.conditions.iter().filter(|c| version(&c.key) != c.version).map(|c| c.key.clone()).collect();
+        let failed: Vec<String> = txn
+            .conditions
+            .iter()
+            .filter(|c| version(&c.key) != c.version)
+            .map(|c| c.key.clone())
+            .collect();
         if !failed.is_empty() {
             return Ok(Decided::Conflict(failed));
         }
@@ -64,7 +76,10 @@
         let revision = *self.revision.borrow();
         for w in &txn.writes {
             match w {
-                Write::Put { key, value, lease } => self.keys.borrow_mut().insert(key.clone(), (value.clone(), revision, *lease)),
+                Write::Put { key, value, lease } => self
+                    .keys
+                    .borrow_mut()
+                    .insert(key.clone(), (value.clone(), revision, *lease)),
                 Write::Drop { key } => self.keys.borrow_mut().remove(key),
             };
         }
@@ -72,7 +87,10 @@
     }
 
     fn held_by(&self) -> Option<LeaderRecord> {
-        self.keys.borrow().get(keys::LEADER).and_then(|(v, _, _)| from_value(v))
+        self.keys
+            .borrow()
+            .get(keys::LEADER)
+            .and_then(|(v, _, _)| from_value(v))
     }
 }
 
@@ -81,7 +99,11 @@
         if self.unlucky() {
             return Self::lost();
         }
-        Ok(self.keys.borrow().get(key).map(|(value, version, _)| Item { key: key.into(), value: value.clone(), version: *version }))
+        Ok(self.keys.borrow().get(key).map(|(value, version, _)| Item {
+            key: key.into(),
+            value: value.clone(),
+            version: *version,
+        }))
     }
     async fn grant(&self, _: Duration) -> Result<u64, StoreError> {
         *self.revision.borrow_mut() += 1;
@@ -142,8 +164,15 @@
                 },
                 None => match smol::block_on(take(&s, &me, Duration::from_secs(2))) {
                     Ok(Some(w)) => {
-                        assert!(tokens.insert(w.token), "seed {seed}: token {} twice", w.token);
-                        assert!(tokens.last() == Some(&w.token), "seed {seed}: an older token");
+                        assert!(
+                            tokens.insert(w.token),
+                            "seed {seed}: token {} twice",
+                            w.token
+                        );
+                        assert!(
+                            tokens.last() == Some(&w.token),
+                            "seed {seed}: an older token"
+                        );
                         leaders.insert(me, w);
                         won += 1;
                     }
@@ -151,10 +180,20 @@
                     Err(_) => unknown += 1,
                 },
             }
-            let believe: Vec<_> = leaders.iter().filter(|(_, w)| s.leases.borrow().contains(&w.lease)).collect();
-            assert!(believe.len() <= 1, "seed {seed}: two leaders with running leases: {believe:?}");
+            let believe: Vec<_> = leaders
+                .iter()
+                .filter(|(_, w)| s.leases.borrow().contains(&w.lease))
+                .collect();
+            assert!(
+                believe.len() <= 1,
+                "seed {seed}: two leaders with running leases: {believe:?}"
+            );
             if let Some((name, _)) = believe.first() {
-                assert_eq!(s.held_by().map(|l| l.member), Some(name.to_string()), "seed {seed}");
+                assert_eq!(
+                    s.held_by().map(|l| l.member),
+                    Some(name.to_string()),
+                    "seed {seed}"
+                );
             }
             // Now and then a late write arrives, and a lease runs out.
             if rng.u32(0..4) == 0 {
@@ -169,5 +208,8 @@
             }
         }
     }
-    assert!(won > 500 && moved > 500 && unknown > 500, "too little happened: {won} {moved} {unknown}");
+    assert!(
+        won > 500 && moved > 500 && unknown > 500,
+        "too little happened: {won} {moved} {unknown}"
+    );
 }
--- a/crates/store/tests/replica.rs
+++ b/crates/store/tests/replica.rs
@@ -3,28 +3,59 @@
 use std::collections::BTreeSet;
 use store::replica::Replica;
 use wire::store::{to_value, Change, Item};
-use wire::store::{BindingRecord, Changes, JobRecord, Page, ProgressPage, Recorded, RosterPage, RosterRecord, Value};
+use wire::store::{
+    BindingRecord, Changes, JobRecord, Page, ProgressPage, Recorded, RosterPage, RosterRecord,
+    Value,
+};
 
 fn put(key: &str, value: Value, version: u64) -> Change {
-    Change { put: Some(key.into()), dropped: None, value: Some(value), version }
+    Change {
+        put: Some(key.into()),
+        dropped: None,
+        value: Some(value),
+        version,
+    }
 }
 
 fn dropped(key: &str, version: u64) -> Change {
-    Change { put: None, dropped: Some(key.into()), value: None, version }
+    Change {
+        put: None,
+        dropped: Some(key.into()),
+        value: None,
+        version,
+    }
 }
 
 fn binding(attempt: u64, machine: &str) -> Value {
-    to_value(&BindingRecord { attempt, places: vec![(machine.into(), 0, 1)] })
+    to_value(&BindingRecord {
+        attempt,
+        places: vec![(machine.into(), 0, 1)],
+    })
 }
 
 /// Two requests can bring the same changes; the older answer must not undo the newer one.
 #[test]
 fn an_older_answer_does_not_undo_a_newer_one() {
     let mut r = Replica::default();
-    let record = RosterRecord { kind: "small".into(), zone: "a".into(), spot: false };
-    let page = to_value(&RosterPage { groups: vec![(record, vec!["host-1".into(), "host-2".into()])] });
-    let newer = Changes { revision: 5, changes: vec![put("lr/roster/0", page.clone(), 3), dropped("lr/roster/0", 5)] };
-    let older = Changes { revision: 3, changes: vec![put("lr/roster/0", page, 3)] };
+    let record = RosterRecord {
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: false,
+    };
+    let page = to_value(&RosterPage {
+        groups: vec![(record, vec!["host-1".into(), "host-2".into()])],
+    });
+    let newer = Changes {
+        revision: 5,
+        changes: vec![
+            put("lr/roster/0", page.clone(), 3),
+            dropped("lr/roster/0", 5),
+        ],
+    };
+    let older = Changes {
+        revision: 3,
+        changes: vec![put("lr/roster/0", page, 3)],
+    };
     r.apply(&newer);
     r.apply(&older);
     assert!(r.roster.is_empty());
@@ -37,11 +68,20 @@
     let mut r = Replica::default();
     r.apply(&Changes {
         revision: 2,
-        changes: vec![put("lr/binding/wk-1/0", binding(7, "host-1"), 1), put("lr/binding/wk-1/1", binding(7, "host-2"), 2)],
+        changes: vec![
+            put("lr/binding/wk-1/0", binding(7, "host-1"), 1),
+            put("lr/binding/wk-1/1", binding(7, "host-2"), 2),
+        ],
     });
     assert_eq!(r.bound_machines("wk-1").map(|m| m.len()), Some(2));
-    r.apply(&Changes { revision: 3, changes: vec![put("lr/binding/wk-1/0", binding(9, "host-3"), 3)] });
-    assert_eq!(r.bound_machines("wk-1"), Some(BTreeSet::from(["host-3".to_string()])));
+    r.apply(&Changes {
+        revision: 3,
+        changes: vec![put("lr/binding/wk-1/0", binding(9, "host-3"), 3)],
+    });
+    assert_eq!(
+        r.bound_machines("wk-1"),
+        Some(BTreeSet::from(["host-3".to_string()]))
+    );
     assert_eq!(r.bound_machines("wk-2"), None);
 }
 
@@ -70,11 +110,39 @@
         save_s: 0.0,
         deadline_s: None,
     };
-    let page = ProgressPage { chunks: vec![("wk-1".into(), 0, "0501".into())] };
-    let progress = Item { key: "lr/progress/0".into(), value: to_value(&page), version: 4 };
-    let record = JobRecord { state: Recorded::Open, created_ms: 0, job };
-    let record = Item { key: "lr/job/wk-1".into(), value: to_value(&record), version: 2 };
+    let page = ProgressPage {
+        chunks: vec![("wk-1".into(), 0, "0501".into())],
+    };
+    let progress = Item {
+        key: "lr/progress/0".into(),
+        value: to_value(&page),
+        version: 4,
+    };
+    let record = JobRecord {
+        state: Recorded::Open,
+        created_ms: 0,
+        job,
+    };
+    let record = Item {
+        key: "lr/job/wk-1".into(),
+        value: to_value(&record),
+        version: 2,
+    };
     let mut r = Replica::default();
-    r.load(&Page { items: vec![progress, record], more: false, revision: 6 }, true);
-    assert_eq!((r.jobs["wk-1"].done_tasks(), r.jobs["wk-1"].state, r.revision), (3, Recorded::Open, 6));
+    r.load(
+        &Page {
+            items: vec![progress, record],
+            more: false,
+            revision: 6,
+        },
+        true,
+    );
+    assert_eq!(
+        (
+            r.jobs["wk-1"].done_tasks(),
+            r.jobs["wk-1"].state,
+            r.revision
+        ),
+        (3, Recorded::Open, 6)
+    );
 }
--- a/crates/wire/src/cbor.rs
+++ b/crates/wire/src/cbor.rs
@@ -70,5 +70,6 @@
             amount(d).map(Some)
         }
     }
-    d.deserialize_option(Opt).map_err(|e| D::Error::custom(e.to_string()))
+    d.deserialize_option(Opt)
+        .map_err(|e| D::Error::custom(e.to_string()))
 }
--- a/crates/wire/src/users.rs
+++ b/crates/wire/src/users.rs
@@ -3,7 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 /// How a job's tasks belong together.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, bitcode::Encode, bitcode::Decode)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, bitcode::Encode, bitcode::Decode,
+)]
 pub enum Shape {
     /// Independent tasks.
     #[serde(rename = "array")]
@@ -64,7 +66,11 @@
     pub checkpoint_s: f64,
     #[serde(rename = "stash_s", deserialize_with = "crate::cbor::amount")]
     pub save_s: f64,
-    #[serde(rename = "due_s", default, deserialize_with = "crate::cbor::amount_opt")]
+    #[serde(
+        rename = "due_s",
+        default,
+        deserialize_with = "crate::cbor::amount_opt"
+    )]
     pub deadline_s: Option<f64>,
 }
 
@@ -75,13 +81,18 @@
     /// Checks what can be checked without knowing teams and machine types; names the field.
     pub fn check(&self) -> Result<(), String> {
         let text = |name: &str, v: &str, most: usize| {
-            if v.is_empty() || v.len() > most || v.chars().any(|c| c.is_control() || c.is_whitespace()) {
+            if v.is_empty()
+                || v.len() > most
+                || v.chars().any(|c| c.is_control() || c.is_whitespace())
+            {
                 Err(format!("{name}: must be 1 to {most} bytes without spaces"))
             } else {
                 Ok(())
             }
         };
-        valid_id(&self.id).then_some(()).ok_or("name_id: not a job id")?;
+        valid_id(&self.id)
+            .then_some(())
+            .ok_or("name_id: not a job id")?;
         text("docket", &self.class, 200)?;
         text("crew", &self.team, 200)?;
         text("kit", &self.image, 200)?;
@@ -119,7 +130,11 @@
 
 /// Whether a text can be a job id: safe as a part of a store key and of a path.
 pub fn valid_id(id: &str) -> bool {
-    !id.is_empty() && id.len() <= 100 && id.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.'))
+    !id.is_empty()
+        && id.len() <= 100
+        && id
+            .bytes()
+            .all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.'))
 }
 
 /// What a user is told of a job.
--- a/crates/wire/src/workers.rs
+++ b/crates/wire/src/workers.rs
@@ -3,7 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 /// State of a task on its machine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, bitcode::Encode, bitcode::Decode)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, bitcode::Encode, bitcode::Decode,
+)]
 #[serde(rename_all = "snake_case")]
 pub enum TaskState {
     Fetching,
@@ -16,7 +18,9 @@
 }
 
 /// Why a task exited. What is not known is taken as an error.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, bitcode::Encode, bitcode::Decode)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, bitcode::Encode, bitcode::Decode,
+)]
 #[serde(rename_all = "snake_case")]
 pub enum Why {
     Done,
@@ -64,7 +68,11 @@
     pub seq: u64,
     #[serde(rename = "baton")]
     pub token: u64,
-    #[serde(rename = "recall_s", default, deserialize_with = "crate::cbor::amount_opt")]
+    #[serde(
+        rename = "recall_s",
+        default,
+        deserialize_with = "crate::cbor::amount_opt"
+    )]
     pub notice_s: Option<f64>,
     #[serde(rename = "tickets")]
     pub tasks: Vec<TaskReport>,
--- a/crates/wire/tests/examples.rs
+++ b/crates/wire/tests/examples.rs
@@ -19,7 +19,9 @@
 }
 
 fn change(v: &Value, key: &str, to: Option<Value>) -> Vec<u8> {
-    let Value::Map(mut m) = v.clone() else { panic!() };
+    let Value::Map(mut m) = v.clone() else {
+        panic!()
+    };
     m.retain(|(k, _)| k.as_text() != Some(key));
     if let Some(to) = to {
         m.push((Value::Text(key.into()), to));
@@ -30,7 +32,10 @@
 #[test]
 fn a_job_as_in_the_protocol() {
     let job: Job = decode(&bytes(&example_job())).unwrap();
-    assert_eq!((job.shape, job.priority, job.tasks, job.cpus), (Shape::Gang, Priority::High, 16, 8.0));
+    assert_eq!(
+        (job.shape, job.priority, job.tasks, job.cpus),
+        (Shape::Gang, Priority::High, 16, 8.0)
+    );
     assert_eq!(job.types, Some(vec!["g8".to_string()]));
     assert_eq!((job.zone.as_deref(), job.deadline_s), (None, Some(900.0)));
     job.check().unwrap();
@@ -44,21 +49,48 @@
 #[test]
 fn malformed_jobs_are_refused() {
     let job = example_job();
-    for key in ["name_id", "docket", "crew", "shape", "urgency", "tickets", "vcpus", "kit", "one_zone", "expected_s"] {
-        assert!(decode::<Job>(&change(&job, key, None)).is_err(), "without {key}");
+    for key in [
+        "name_id",
+        "docket",
+        "crew",
+        "shape",
+        "urgency",
+        "tickets",
+        "vcpus",
+        "kit",
+        "one_zone",
+        "expected_s",
+    ] {
+        assert!(
+            decode::<Job>(&change(&job, key, None)).is_err(),
+            "without {key}"
+        );
     }
     assert!(decode::<Job>(&change(&job, "vcpus", Some("8".into()))).is_err());
     assert!(decode::<Job>(&change(&job, "tickets", Some(1.5.into()))).is_err());
     assert!(decode::<Job>(&change(&job, "vcpus", Some(f64::NAN.into()))).is_err());
     assert!(decode::<Job>(b"not cbor at all").is_err());
     assert!(decode::<Job>(&bytes(&cbor!([1, 2]).unwrap())).is_err());
-    for (key, v) in [("tickets", Value::from(0)), ("tickets", 100_001.into()), ("vcpus", (-1.0).into()), ("name_id", "a/b".into())] {
-        assert!(decode::<Job>(&change(&job, key, Some(v))).unwrap().check().is_err(), "{key}");
+    for (key, v) in [
+        ("tickets", Value::from(0)),
+        ("tickets", 100_001.into()),
+        ("vcpus", (-1.0).into()),
+        ("name_id", "a/b".into()),
+    ] {
+        assert!(
+            decode::<Job>(&change(&job, key, Some(v)))
+                .unwrap()
+                .check()
+                .is_err(),
+            "{key}"
+        );
     }
     // Deep nesting costs little and ends in an error.
     let deep = [vec![0x81u8; 60_000], vec![0]].concat();
     assert!(decode::<Job>(&deep).is_err());
-    assert!(!valid_id("") && !valid_id("../x") && !valid_id(&"x".repeat(101)) && valid_id("wk-000412"));
+    assert!(
+        !valid_id("") && !valid_id("../x") && !valid_id(&"x".repeat(101)) && valid_id("wk-000412")
+    );
 }
 
 #[test]
@@ -72,14 +104,30 @@
     .unwrap();
     let r: Report = decode(&bytes(&report)).unwrap();
     assert_eq!((r.session, r.seq, r.token, r.notice_s), (1, 88, 41, None));
-    assert_eq!((r.tasks[0].state, r.tasks[1].why), (TaskState::Running, Some(Why::Done)));
-    assert_eq!((r.tasks[2].saved, r.tasks[3].why), (Some(true), Some(Why::Error)));
+    assert_eq!(
+        (r.tasks[0].state, r.tasks[1].why),
+        (TaskState::Running, Some(Why::Done))
+    );
+    assert_eq!(
+        (r.tasks[2].saved, r.tasks[3].why),
+        (Some(true), Some(Why::Error))
+    );
     let orders = Orders {
         token: 41,
         orders: vec![
-            Order::Start { task: "wk-000412/4".into(), attempt: 2 },
-            Order::Stop { task: "wk-000377/1".into(), attempt: 1, grace_s: 10.0 },
-            Order::Clear { task: "wk-000398/0".into(), attempt: 1 },
+            Order::Start {
+                task: "wk-000412/4".into(),
+                attempt: 2,
+            },
+            Order::Stop {
+                task: "wk-000377/1".into(),
+                attempt: 1,
+                grace_s: 10.0,
+            },
+            Order::Clear {
+                task: "wk-000398/0".into(),
+                attempt: 1,
+            },
         ],
     };
     let want = cbor!({"baton" => 41, "orders" => [
@@ -94,9 +142,16 @@
 fn store_messages_as_in_the_protocol() {
     use wire::store::{Changes, Condition, Page, Txn, Write};
     let txn = Txn {
-        conditions: vec![Condition { key: "a/b".into(), version: 0 }],
+        conditions: vec![Condition {
+            key: "a/b".into(),
+            version: 0,
+        }],
         writes: vec![
-            Write::Put { key: "a/b".into(), value: cbor!({"x" => 1}).unwrap(), lease: Some(7) },
+            Write::Put {
+                key: "a/b".into(),
+                value: cbor!({"x" => 1}).unwrap(),
+                lease: Some(7),
+            },
             Write::Drop { key: "c/d".into() },
         ],
     };
@@ -108,7 +163,14 @@
         cbor!({"ledger_rev" => 433, "news" => [{"write" => "c/9", "v" => {"x" => 1}, "stamp" => 433}, {"drop" => "c/d", "stamp" => 432}]})
             .unwrap();
     let c: Changes = decode(&bytes(&news)).unwrap();
-    assert_eq!((c.revision, c.changes[0].put.as_deref(), c.changes[1].dropped.as_deref()), (433, Some("c/9"), Some("c/d")));
+    assert_eq!(
+        (
+            c.revision,
+            c.changes[0].put.as_deref(),
+            c.changes[1].dropped.as_deref()
+        ),
+        (433, Some("c/9"), Some("c/d"))
+    );
     let page = cbor!({"items" => [{"k" => "c/9", "v" => {"x" => 1}, "stamp" => 5}], "more" => true, "ledger_rev" => 431}).unwrap();
     let p: Page = decode(&bytes(&page)).unwrap();
     assert!(p.more && p.items[0].version == 5);
@@ -116,9 +178,16 @@
 
 #[test]
 fn frames_between_controllers_tolerate_garbage() {
-    let m = ToLeader::HandBack { job: "wk-1".into(), attempt: 9, tasks: vec![(0, 3), (7, 1)] };
+    let m = ToLeader::HandBack {
+        job: "wk-1".into(),
+        attempt: 9,
+        tasks: vec![(0, 3), (7, 1)],
+    };
     let f = frame(&m);
-    assert_eq!(u32::from_be_bytes([f[0], f[1], f[2], f[3]]) as usize, f.len() - 4);
+    assert_eq!(
+        u32::from_be_bytes([f[0], f[1], f[2], f[3]]) as usize,
+        f.len() - 4
+    );
     assert_eq!(unframe::<ToLeader>(&f[4..]), Some(m));
     assert_eq!(unframe::<ToOwner>(&[]), None);
     let mut other = f[4..].to_vec();
