Split the writer of decisions into modules, one function for each kind of record

writer::batch (what goes into a transaction), writer::pages (records that share keys), writer::outcome (what the leader makes of the store's answer); urgency, groups and outcomes are enums; keys are told apart in one place (store::keys::Kind). No change of behaviour meant.

--- a/crates/ladderroute/src/lead.rs
+++ b/crates/ladderroute/src/lead.rs
@@ -1,7 +1,7 @@
 //! Leading: campaign, renewal, the leader's clock, and the writer of its decisions.
 
 use crate::node::{open_job, Lead, Node};
-use crate::writer::{writer, Books};
+use crate::writer::{writer, RecordPages};
 use sched::leader::{Earlier, Leader};
 use sched::owner::Owner;
 use sched::place::Room;
@@ -213,11 +213,11 @@
     state.owner = Owner::new(&node.settings.member, node.setup.clone());
     state.owner.authority.set(node.at(won.until));
     state.owner.authority.learn(state.shared.looked);
-    let books = Books::load(replica, value_kb);
+    let records = RecordPages::load(replica, value_kb);
     state.shared.lead = Some(Lead {
         leader,
         won: won.clone(),
-        books,
+        records,
         writes: Default::default(),
         cloud: Default::default(),
         links: HashMap::new(),
--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -29,7 +29,7 @@
 pub struct Lead {
     pub leader: Leader,
     pub won: Won,
-    pub books: crate::writer::Books,
+    pub records: crate::writer::RecordPages,
     /// Decisions that have to be written, and requests to the cloud.
     pub writes: VecDeque<Deed>,
     pub cloud: VecDeque<Deed>,
@@ -224,7 +224,7 @@
                 ));
             }
             None => {
-                lead.books.job_over(id);
+                lead.records.job_over(id);
                 lead.leader.job_over(id);
             }
         }
--- /dev/null
+++ b/crates/ladderroute/src/writer/batch.rs
@@ -0,0 +1,308 @@
+//! What goes into the leader's next transaction: as much as one holds, the most urgent first.
+
+use super::pages::RecordPages;
+use sched::leader::{Deed, Leader};
+use std::collections::VecDeque;
+use store::keys::{self, Kind};
+use store::replica::Replica;
+use wire::store::{
+    to_value, BegunRecord, BindingRecord, Condition, JobRecord, Recorded, RosterRecord, Write,
+};
+
+/// Least bytes of a value for each place of a binding.
+const PLACE_BYTES: f64 = 64.0;
+
+/// How soon a decision has to be durable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// Nobody has authority until it is.
+    Token,
+    /// A gang holds resources until it is.
+    Binding,
+    /// Tasks wait for it.
+    Admission,
+    /// A user waits to hear it.
+    Finish,
+    /// Workers' reports hold it until it is.
+    Progress,
+}
+
+impl Urgency {
+    /// The urgency of a decision.
+    pub fn of(deed: &Deed) -> Urgency {
+        match deed {
+            Deed::NewToken => Urgency::Token,
+            Deed::Bind { .. } => Urgency::Binding,
+            Deed::Roster(_, Some(_)) | Deed::Begin(_) => Urgency::Admission,
+            Deed::Finish { .. } => Urgency::Finish,
+            _ => Urgency::Progress,
+        }
+    }
+
+    /// Whether something can start only once the decision is durable.
+    pub fn holds_up_starts(self) -> bool {
+        self < Urgency::Finish
+    }
+}
+
+/// Decisions that may share a transaction. A new token goes alone, and ends of jobs among
+/// themselves, since those have conditions that may fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Group {
+    Token,
+    Finish,
+    Records,
+}
+
+impl Group {
+    fn of(deed: &Deed) -> Group {
+        match deed {
+            Deed::NewToken => Group::Token,
+            Deed::Finish { .. } => Group::Finish,
+            _ => Group::Records,
+        }
+    }
+}
+
+/// Decisions that are written together.
+#[derive(Default)]
+pub struct Batch {
+    /// The decisions themselves.
+    pub deeds: Vec<Deed>,
+    /// Conditions beside that of the leadership.
+    pub conditions: Vec<Condition>,
+    /// What is written.
+    pub writes: Vec<Write>,
+    /// Pages of the roster among the writes.
+    pub roster: Vec<u32>,
+    /// Pages of progress among the writes.
+    pub progress: Vec<u32>,
+}
+
+impl Batch {
+    /// Whether there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        self.deeds.is_empty() && self.writes.is_empty()
+    }
+
+    /// Whether it is the new token, which is not written like the rest.
+    pub fn is_token(&self) -> bool {
+        matches!(self.deeds.first(), Some(Deed::NewToken))
+    }
+}
+
+/// The limits of one transaction.
+#[derive(Clone, Copy, Debug)]
+pub struct TxnLimits {
+    /// Most writes.
+    pub operations: usize,
+    /// Most KiB of a value.
+    pub value_kb: f64,
+}
+
+/// What became of a decision that was to join a batch.
+enum Joined {
+    /// It is part of the batch.
+    Yes,
+    /// It has to wait for a later one, and so has all that is less urgent.
+    Later,
+    /// There is nothing to write for it now.
+    Nothing,
+}
+
+/// A batch while it is put together.
+struct Builder<'a> {
+    records: &'a mut RecordPages,
+    replica: &'a Replica,
+    leader: &'a mut Leader,
+    limits: TxnLimits,
+    batch: Batch,
+}
+
+/// Takes the next batch out of the decisions that wait.
+pub fn next_batch(
+    waiting: &mut VecDeque<Deed>,
+    records: &mut RecordPages,
+    replica: &Replica,
+    leader: &mut Leader,
+    limits: TxnLimits,
+) -> Batch {
+    let mut deeds: Vec<Deed> = waiting.drain(..).collect();
+    deeds.sort_by_key(Urgency::of);
+    let first = deeds.first().map(Group::of);
+    let batch = Batch::default();
+    let mut builder = Builder {
+        records,
+        replica,
+        leader,
+        limits,
+        batch,
+    };
+    let mut full = false;
+    for deed in deeds {
+        let alone = first == Some(Group::Token) && !builder.batch.deeds.is_empty();
+        if full || alone || Some(Group::of(&deed)) != first {
+            waiting.push_back(deed);
+            continue;
+        }
+        match builder.join(&deed) {
+            Joined::Yes => builder.batch.deeds.push(deed),
+            Joined::Nothing => {}
+            Joined::Later => {
+                full = true;
+                waiting.push_back(deed);
+            }
+        }
+    }
+    builder.finish(first.unwrap_or(Group::Records))
+}
+
+impl Builder<'_> {
+    /// How many more writes the transaction may hold.
+    fn room(&self) -> usize {
+        let batch = &self.batch;
+        let used = batch.writes.len() + batch.roster.len() + batch.progress.len();
+        self.limits.operations.saturating_sub(used)
+    }
+
+    fn join(&mut self, deed: &Deed) -> Joined {
+        match deed {
+            Deed::NewToken => Joined::Yes,
+            Deed::Bind {
+                job,
+                attempt,
+                places,
+            } => self.join_binding(job, *attempt, places),
+            Deed::Finish { job } => self.join_finish(job),
+            Deed::Roster(name, None) => {
+                self.records.drop_machine(name);
+                Joined::Nothing
+            }
+            _ if self.room() == 0 => Joined::Later,
+            Deed::Roster(name, Some(record)) => self.join_machine(name, record),
+            Deed::Progress { job, chunk, bits } => self.join_progress(job, *chunk, bits),
+            Deed::Begin(record) => self.join_begun(record),
+            Deed::Send(..) | Deed::Hire(_) | Deed::Release(_) => Joined::Nothing,
+        }
+    }
+
+    fn join_machine(&mut self, name: &str, record: &RosterRecord) -> Joined {
+        let page = self.records.put_machine(name, record);
+        if !self.batch.roster.contains(&page) {
+            self.batch.roster.push(page);
+        }
+        Joined::Yes
+    }
+
+    fn join_progress(&mut self, job: &str, chunk: u32, bits: &str) -> Joined {
+        let page = self.records.put_progress(job, chunk, bits);
+        if !self.batch.progress.contains(&page) {
+            self.batch.progress.push(page);
+        }
+        Joined::Yes
+    }
+
+    fn join_begun(&mut self, record: &BegunRecord) -> Joined {
+        self.put(keys::BEGUN.into(), to_value(record));
+        Joined::Yes
+    }
+
+    /// Long bindings take several records, each below the value limit.
+    fn join_binding(&mut self, job: &str, attempt: u64, places: &[(String, u32, u32)]) -> Joined {
+        let each = ((self.limits.value_kb * 1024.0 / PLACE_BYTES) as usize).max(1);
+        let records = places.chunks(each).take(self.limits.operations);
+        if records.len() > self.room() {
+            return Joined::Later;
+        }
+        for (chunk, places) in records.enumerate() {
+            let record = BindingRecord {
+                attempt,
+                places: places.to_vec(),
+            };
+            self.put(keys::binding(job, chunk as u32), to_value(&record));
+        }
+        Joined::Yes
+    }
+
+    /// The end of a job: what a later leader would need to run it is not needed any more.
+    fn join_finish(&mut self, job: &str) -> Joined {
+        let entry = self.replica.jobs.get(job);
+        let Some((entry, spec)) = entry.and_then(|e| Some((e, e.job.clone()?))) else {
+            self.leader.finish_result(job, false);
+            return Joined::Nothing;
+        };
+        let bound = self.replica.bindings.get(job);
+        let bound: Vec<u32> = bound
+            .map(|b| b.keys().copied().collect())
+            .unwrap_or_default();
+        if 1 + bound.len() > self.room() && !self.batch.writes.is_empty() {
+            return Joined::Later;
+        }
+        let key = keys::job(job);
+        let condition = Condition {
+            key: key.clone(),
+            version: entry.version,
+        };
+        self.batch.conditions.push(condition);
+        let (state, created_ms) = (Recorded::Done, entry.created_ms);
+        self.put(
+            key,
+            to_value(&JobRecord {
+                state,
+                created_ms,
+                job: (*spec).clone(),
+            }),
+        );
+        let drops = bound.into_iter().map(|chunk| keys::binding(job, chunk));
+        let drops = drops.map(|key| Write::Drop { key });
+        self.batch
+            .writes
+            .extend(drops.take(self.limits.operations - 1));
+        Joined::Yes
+    }
+
+    fn put(&mut self, key: String, value: wire::store::Value) {
+        self.batch.writes.push(Write::Put {
+            key,
+            value,
+            lease: None,
+        });
+    }
+
+    /// Adds the pages, old ones as far as there is room, and their conditions.
+    fn finish(mut self, group: Group) -> Batch {
+        if group == Group::Records {
+            while self.room() > 0 {
+                let page = self.records.next_roster_page(&self.batch.roster);
+                let Some(page) = page else { break };
+                self.batch.roster.push(page);
+            }
+        }
+        let roster = self
+            .batch
+            .roster
+            .iter()
+            .map(|page| self.records.roster_write(*page));
+        let progress = self.batch.progress.iter();
+        let progress = progress.map(|page| self.records.progress_write(*page));
+        self.batch.writes.extend(roster.chain(progress));
+        let conditions = self
+            .batch
+            .writes
+            .iter()
+            .filter_map(|write| self.condition(write));
+        self.batch.conditions.extend(conditions.collect::<Vec<_>>());
+        self.batch
+    }
+
+    /// A write that comes late, or once more, must not undo a newer one of this same leader. (The
+    /// records of jobs have their own conditions; what is dropped with a job is written no more.)
+    fn condition(&self, write: &Write) -> Option<Condition> {
+        let key = match write {
+            Write::Put { key, .. } if Kind::of(key) != Kind::Job => key,
+            Write::Drop { key } if Kind::of(key) != Kind::Binding => key,
+            _ => return None,
+        };
+        Some(self.replica.versions.condition(key))
+    }
+}
--- /dev/null
+++ b/crates/ladderroute/src/writer/outcome.rs
@@ -0,0 +1,147 @@
+//! The outcome of a transaction, and what the leader makes of it.
+
+use super::batch::Batch;
+use crate::node::{Lead, Node, State};
+use sched::leader::Deed;
+use sched::ranges::Ranges;
+use std::rc::Rc;
+use store::budget::Rank;
+use store::client::{Decided, StoreError};
+use store::keys::{self, Kind};
+use store::leadership::{next_token, still_leader, Won};
+use wire::store::{LeaderRecord, Txn};
+
+/// What the store decided.
+pub enum Outcome {
+    /// Written, at this revision.
+    Written(u64),
+    /// The conditions on these keys did not hold.
+    Conflict(Vec<String>),
+    /// A new token, and the version of the leader's key that holds it.
+    Token {
+        /// The token.
+        token: u64,
+        /// The version.
+        version: u64,
+    },
+    /// This controller does not lead any more.
+    Lost,
+}
+
+impl Outcome {
+    /// Whether an earlier write of this leader was carried out late, so that the store does not
+    /// hold what this leader takes it to hold.
+    pub fn is_overtaken(&self) -> bool {
+        let other = |key: &String| !matches!(Kind::of(key), Kind::Job | Kind::Leader);
+        matches!(self, Outcome::Conflict(failed) if failed.iter().any(other))
+    }
+}
+
+/// Writes a batch on the condition that this is still the leader.
+pub async fn write(node: &Rc<Node>, batch: &Batch, won: &Won) -> Result<Outcome, StoreError> {
+    if batch.is_token() {
+        let token = next_token(&node.store, &node.settings.member, won).await?;
+        return Ok(match token {
+            Some((token, version)) => Outcome::Token { token, version },
+            None => Outcome::Lost,
+        });
+    }
+    let leads = std::iter::once(still_leader(won.version));
+    let txn = Txn {
+        conditions: leads.chain(batch.conditions.iter().cloned()).collect(),
+        writes: batch.writes.clone(),
+    };
+    match node.store.txn(&txn, Rank::Decision).await? {
+        Decided::Applied(revision) => Ok(Outcome::Written(revision)),
+        Decided::Conflict(failed) if failed.iter().any(|key| Kind::of(key) == Kind::Leader) => {
+            Ok(Outcome::Lost)
+        }
+        Decided::Conflict(failed) => Ok(Outcome::Conflict(failed)),
+    }
+}
+
+/// Tells the leader what became of its decisions.
+pub async fn apply(node: &Rc<Node>, batch: Batch, result: Result<Outcome, StoreError>) {
+    if let Err(e) = &result {
+        log::debug!("event=write_failed error=\"{e}\"");
+    }
+    if matches!(result, Ok(Outcome::Lost)) {
+        give_up_leadership(node).await;
+        return;
+    }
+    let mut guard = node.lock();
+    let state = &mut *guard;
+    let State { shared, .. } = state;
+    let Some(lead) = &mut shared.lead else { return };
+    if let Ok(Outcome::Written(revision)) = result {
+        shared.replica.versions.applied(&batch.writes, revision);
+        lead.records.written(&batch.roster, &batch.progress);
+    }
+    if let Ok(Outcome::Token { token, version }) = result {
+        lead.won.token = token;
+        lead.won.version = version;
+        let member = node.settings.member.clone();
+        shared.replica.leader = Some((LeaderRecord { member, token }, version));
+    }
+    for deed in batch.deeds {
+        apply_one(node, lead, deed, &result);
+    }
+    if lead.records.dirty() {
+        let _ = node.to_write.0.try_send(());
+    }
+    node.pump(state);
+}
+
+/// Ends the lease, so that the renewal finds it gone and the next leader can come.
+async fn give_up_leadership(node: &Rc<Node>) {
+    log::info!("event=leadership_lost");
+    let lease = node.lock().shared.lead.as_ref().map(|l| l.won.lease);
+    if let Some(lease) = lease {
+        let _ = node.store.revoke(lease).await;
+    }
+}
+
+fn apply_one(node: &Node, lead: &mut Lead, deed: Deed, result: &Result<Outcome, StoreError>) {
+    let written = matches!(result, Ok(Outcome::Written(_)));
+    match deed {
+        Deed::NewToken => {
+            let token = match result {
+                Ok(Outcome::Token { token, .. }) => Some(*token),
+                _ => None,
+            };
+            lead.leader.token_result(token, node.now());
+        }
+        Deed::Bind { job, attempt, .. } => {
+            lead.leader.bind_result(&job, attempt, written, node.now());
+        }
+        Deed::Finish { job } => apply_finish(node, lead, job, result),
+        Deed::Begin(record) => lead.leader.begin_result(&record, written),
+        Deed::Roster(name, _) => lead.leader.roster_result(&name, true, written),
+        Deed::Progress { job, chunk, bits } => {
+            let mut done = Ranges::default();
+            let first = chunk * lead.leader.chunk_bits();
+            done.add_bits(first, &store::replica::bits(&bits), u32::MAX);
+            lead.leader
+                .progress_result(&job, chunk, written.then_some(&done));
+        }
+        Deed::Send(..) | Deed::Hire(_) | Deed::Release(_) => {}
+    }
+}
+
+/// Of several ends of jobs, only those whose own condition failed have changed meanwhile: the
+/// others are written again.
+fn apply_finish(node: &Node, lead: &mut Lead, job: String, result: &Result<Outcome, StoreError>) {
+    match result {
+        Ok(Outcome::Written(_)) => {
+            log::info!("event=done job={job}");
+            lead.leader.finish_result(&job, true);
+        }
+        Ok(Outcome::Conflict(failed)) if failed.contains(&keys::job(&job)) => {
+            lead.leader.finish_result(&job, false);
+        }
+        _ => {
+            lead.writes.push_back(Deed::Finish { job });
+            let _ = node.to_write.0.try_send(());
+        }
+    }
+}
--- a/crates/store/src/keys.rs
+++ b/crates/store/src/keys.rs
@@ -28,3 +28,45 @@
 pub fn binding(id: &str, chunk: u32) -> String {
     format!("{BINDING}{id}/{chunk}")
 }
+
+/// What a key holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The leader and its token.
+    Leader,
+    /// The highest token.
+    Term,
+    /// The record of a job.
+    Job,
+    /// A page of progress.
+    Progress,
+    /// A page of the roster.
+    Roster,
+    /// A part of a gang's binding.
+    Binding,
+    /// Which arrays may have begun.
+    Begun,
+    /// Nothing of this version.
+    Other,
+}
+
+impl Kind {
+    /// What a key holds, by its name.
+    pub fn of(key: &str) -> Kind {
+        let prefixes = [
+            (JOBS, Kind::Job),
+            (PROGRESS, Kind::Progress),
+            (ROSTER, Kind::Roster),
+            (BINDING, Kind::Binding),
+        ];
+        match key {
+            LEADER => Kind::Leader,
+            TERM => Kind::Term,
+            BEGUN => Kind::Begun,
+            _ => {
+                let found = prefixes.iter().find(|(prefix, _)| key.starts_with(prefix));
+                found.map_or(Kind::Other, |(_, kind)| *kind)
+            }
+        }
+    }
+}
