Model: controllers that stand still, alone and all, also with an answer just decided

The operators' controllers froze for seconds while their clocks ran on; the simulated world had no such trouble. A controller now decides, sends and reads nothing meanwhile, what reaches it waits there, and an answer that it had decided goes out when it moves again. Two deliberate defects are noticed by the new meetings. The list of troubles that must all happen grows from 15 to 17.

--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -13,6 +13,7 @@
 use wire::users::{Job, Priority, Shape};
 use wire::workers::{Order, Orders, Report, TaskReport, TaskState, Why};
 
+mod freeze;
 mod rules;
 mod script;
 mod store;
@@ -115,6 +116,10 @@
     knows: VecDeque<(f64, f64)>,
     /// The store answers this controller with refusals until then, and no other.
     refused_until: f64,
+    /// It stands still until then.
+    frozen_until: f64,
+    /// It stands still for so long once it has decided its next answer to a worker.
+    freezes_for: Option<f64>,
     /// When the last look at the store that was answered was sent.
     seen: f64,
     /// A look that is under way: when it was sent and when its answer comes.
@@ -392,7 +397,8 @@
     /// Whether the store answers this controller now.
     fn reaches_store(&self, i: usize) -> bool {
         let up = self.now >= self.controllers[i].down_until
-            && self.now >= self.controllers[i].refused_until;
+            && self.now >= self.controllers[i].refused_until
+            && !self.is_frozen(i);
         up && self.now >= self.store_down_until && !self.is_alone(i)
     }
 
@@ -444,6 +450,8 @@
             98..=117 => "cancel at the end",
             // No leader is there about one step in ten.
             118..=168 if self.leader.is_none() => "crash amid an election",
+            169..=174 => "controller stands still",
+            175..=178 => "leader stands still with an answer",
             _ => return,
         };
         *self.troubles.entry(kind).or_default() += 1;
@@ -465,6 +473,10 @@
                     [5.0, 9.0, 30.0][self.rng.usize(0..3)],
                 ));
             }
+            ("controller stands still", _) => self.freeze(i, long * 12.0),
+            ("leader stands still with an answer", _) => {
+                self.freeze_with_an_answer(leads.unwrap_or(i), long * 12.0);
+            }
             ("all end", _) => (0..3).for_each(|c| self.crash(c)),
             ("cancel at the end", _) => {
                 if let Some(id) = self.at_its_end() {
@@ -817,25 +829,7 @@
         due.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, m) in due {
             match m {
-                Message::Report { to, mut report } => {
-                    if now < self.controllers[to].down_until {
-                        continue;
-                    }
-                    if self.defect == Defect::TrustAnyReport {
-                        report.token = u64::MAX;
-                    }
-                    let book = Book(&self.jobs, self.known_to(to));
-                    let answer = self.controllers[to].owner.on_report(&report, now, &book);
-                    if let Some(d) = self.delay() {
-                        let m = Message::Answer {
-                            worker: report.machine.clone(),
-                            session: report.session,
-                            seq: report.seq,
-                            answer,
-                        };
-                        self.messages.push((now + d, m));
-                    }
-                }
+                Message::Report { to, report } => self.answer_report(to, report),
                 Message::Answer {
                     worker,
                     session,
@@ -852,7 +846,7 @@
         let trusting = self.defect == Defect::TrustOldPicture;
         let ignorant = matches!(self.defect, Defect::IgnoreCancel | Defect::ForgetCancelled);
         for i in 0..self.controllers.len() {
-            if now < self.controllers[i].down_until {
+            if now < self.controllers[i].down_until || self.is_frozen(i) {
                 continue;
             }
             let wait = 0.02 + self.rng.f64() * 0.15;
@@ -928,6 +922,10 @@
             self.end_leader();
             return;
         }
+        if self.is_frozen(me) {
+            self.leader = Some((me, leader, id));
+            return;
+        }
         let (answers_until, known) = {
             let a = &self.controllers[me].owner.authority;
             (a.answers_until(), a.known())
@@ -1163,6 +1161,8 @@
         regime: false,
         knows: VecDeque::new(),
         refused_until: 0.0,
+        frozen_until: 0.0,
+        freezes_for: None,
         seen: f64::MIN,
         look: None,
     }
--- a/crates/model/src/world/store.rs
+++ b/crates/model/src/world/store.rs
@@ -93,6 +93,13 @@
             let Some((me, mut leader, id)) = self.leader.take() else {
                 continue;
             };
+            if self.is_frozen(me) {
+                // Its answer is read when the leader moves again.
+                let at = self.controllers[me].frozen_until;
+                self.writes.push(Pending { at, ..write });
+                self.leader = Some((me, leader, id));
+                continue;
+            }
             // A write of an earlier leader fails on its condition.
             if id == write.by {
                 if write.late {
--- a/crates/model/src/world/tests.rs
+++ b/crates/model/src/world/tests.rs
@@ -171,7 +171,7 @@
             .into_iter()
             .for_each(|(k, n)| *seen.entry(k).or_default() += n);
     }
-    assert_eq!(seen.len(), 15, "{seen:?}");
+    assert_eq!(seen.len(), 17, "{seen:?}");
 }
 
 #[test]
--- a/crates/model/tests/meetings.rs
+++ b/crates/model/tests/meetings.rs
@@ -436,6 +436,54 @@
     );
 }
 
+/// The leader stands still while its clock runs on, once with an answer that it has just decided, and
+/// jobs are cancelled through the others; then it goes on.
+fn standstills(w: &mut World) {
+    w.hints = false;
+    let lease = setup().lease_s;
+    for for_s in [0.4, 1.5, 0.4 * lease, 0.8 * lease, 1.2 * lease] {
+        let l = leader(w);
+        w.freeze_with_an_answer(l, for_s);
+        w.pass(0.5);
+        w.cancel_running(1);
+        w.pass(for_s);
+        let other = (leader(w) + 1) % 3;
+        w.freeze(other, for_s);
+        w.pass(for_s / 2.0);
+        w.cancel_running(1);
+        w.pass(for_s);
+    }
+}
+
+#[test]
+fn controllers_stand_still_while_jobs_are_cancelled() {
+    meeting(12, standstills);
+    for (rule, defect) in [
+        ("ran_twice", Defect::ForgetRoster),
+        ("ran_cancelled", Defect::IgnoreCancel),
+    ] {
+        assert!(
+            breaks(rule, defect, setup(), standstills),
+            "{rule}: the check can't fail"
+        );
+    }
+}
+
+/// All stand still for longer than a lease, and longer than a cancellation may take.
+#[test]
+fn all_controllers_stand_still_and_go_on() {
+    let (lease, cancel) = (setup().lease_s, setup().cancel_s);
+    for for_s in [0.5 * lease, 1.2 * lease, 1.2 * cancel] {
+        meeting(4, |w| {
+            w.cancel_running(2);
+            (0..3).for_each(|i| w.freeze(i, for_s));
+            w.pass(for_s + 0.2);
+            w.cancel_running(1);
+            w.pass(5.0);
+        });
+    }
+}
+
 #[test]
 fn machines_reach_no_controller_or_hear_none_while_the_leader_changes() {
     meeting(6, |w| {
