--- a/crates/ladderroute/src/lead.rs
+++ b/crates/ladderroute/src/lead.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 use store::budget::{Reserve, Share, Shares};
 use store::client::StoreError;
-use store::leadership::{take, usable, Won};
+use store::leadership::{take, usable, LeadershipLease};
 use wire::users::Shape;
 
 /// Parts of the store's request and write rates that the leader takes. Of the requests the others
@@ -80,9 +80,9 @@
         }
         smol::Timer::after(ttl.mul_f64(0.03 * fastrand::f64())).await;
         match take(&node.store, &node.settings.member, ttl).await {
-            Ok(Some(won)) => {
+            Ok(Some(leadership)) => {
                 node.store.set_shares(store_shares(true, others));
-                lead(&node, won, ttl).await;
+                lead(&node, leadership, ttl).await;
                 node.store.set_shares(store_shares(false, others));
             }
             Ok(None) => {
@@ -97,28 +97,29 @@
 }
 
 /// Leads until the lease is lost.
-async fn lead(node: &Rc<Node>, won: Won, ttl: Duration) {
+async fn lead(node: &Rc<Node>, leadership: LeadershipLease, ttl: Duration) {
     log::info!(
         "event=leader member={} token={}",
         node.settings.member,
-        won.token
+        leadership.token
     );
     // The picture must hold all that was accepted and recorded before this leadership, and be fresh:
     // nothing is started on the strength of an old one.
     let behind = |node: &Node| {
         let (s, now) = (node.lock(), node.now());
-        s.shared.replica.revision < won.version || now - s.shared.looked > ttl.as_secs_f64() / 2.0
+        s.shared.replica.revision < leadership.version
+            || now - s.shared.looked > ttl.as_secs_f64() / 2.0
     };
     while behind(node) {
-        if Instant::now() > won.until {
-            let _ = node.store.revoke(won.lease).await;
+        if Instant::now() > leadership.until {
+            let _ = node.store.revoke(leadership.lease).await;
             return;
         }
         if !crate::fresh::once(node).await {
             smol::Timer::after(ttl / 40).await;
         }
     }
-    begin(node, &won);
+    begin(node, &leadership);
     let tasks = [
         node.ex.spawn(clock(node.clone())),
         node.ex.spawn(writer(node.clone())),
@@ -148,7 +149,7 @@
     }
 }
 
-fn begin(node: &Rc<Node>, won: &Won) {
+fn begin(node: &Rc<Node>, leadership: &LeadershipLease) {
     let mut guard = node.lock();
     let state = &mut *guard;
     let replica = &state.shared.replica;
@@ -179,7 +180,7 @@
         me,
         setup,
         seed,
-        won.token,
+        leadership.token,
         value_kb,
         jobs,
         &replica.roster,
@@ -209,14 +210,14 @@
         // ran on would lead.
         leader.expect_others();
     }
-    // The book of earlier regimes must not answer on this leadership's authority.
+    // The book of earlier epochs must not answer on this leadership's authority.
     state.owner = Owner::new(&node.settings.member, node.setup.clone());
-    state.owner.authority.set(node.at(won.until));
+    state.owner.authority.set(node.at(leadership.until));
     state.owner.authority.learn(state.shared.looked);
     let records = RecordPages::load(replica, value_kb);
     state.shared.lead = Some(Lead {
         leader,
-        won: won.clone(),
+        leadership: leadership.clone(),
         records,
         writes: Default::default(),
         cloud: Default::default(),
@@ -229,7 +230,7 @@
     let mut paused = false;
     loop {
         let lease = match &node.lock().shared.lead {
-            Some(l) => l.won.lease,
+            Some(l) => l.leadership.lease,
             None => return,
         };
         let sent = Instant::now();
--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -3,7 +3,7 @@
 use crate::operator::Tuning;
 use crate::outbox::Outbox;
 use crate::settings::Settings;
-use sched::leader::{Deed, Earlier, Leader};
+use sched::leader::{Action, Earlier, Leader};
 use sched::owner::{Jobs, Owner};
 use sched::place::Room;
 use sched::setup::Setup;
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 use store::budget::Rates;
 use store::client::Store;
-use store::leadership::Won;
+use store::leadership::LeadershipLease;
 use store::replica::{Changed, Replica};
 use wire::cloud::MachineType;
 use wire::peers::{frame, ToOwner};
@@ -28,11 +28,11 @@
 /// A leadership of this controller.
 pub struct Lead {
     pub leader: Leader,
-    pub won: Won,
+    pub leadership: LeadershipLease,
     pub records: crate::writer::RecordPages,
     /// Decisions that have to be written, and requests to the cloud.
-    pub writes: VecDeque<Deed>,
-    pub cloud: VecDeque<Deed>,
+    pub writes: VecDeque<Action>,
+    pub cloud: VecDeque<Action>,
     pub links: HashMap<String, Link>,
 }
 
@@ -162,27 +162,27 @@
                 idle = false;
             }
             let Some(lead) = &mut shared.lead else { return };
-            for deed in lead.leader.drain() {
+            for action in lead.leader.drain() {
                 idle = false;
-                match deed {
-                    Deed::Send(to, message) if to == self.settings.member => {
+                match action {
+                    Action::Send(to, message) if to == self.settings.member => {
                         if let ToOwner::Display { running } = message {
                             shared.running = running.into_iter().collect();
                         } else {
                             owner.on_leader(message, now, &JobRooms(&shared.replica));
                         }
                     }
-                    Deed::Send(to, message) => {
+                    Action::Send(to, message) => {
                         if let Some(link) = lead.links.get(&to) {
                             link.frames.send(frame(&message));
                         }
                     }
-                    deed @ (Deed::Hire(_) | Deed::Release(_)) => {
-                        lead.cloud.push_back(deed);
+                    action @ (Action::Hire(_) | Action::Release(_)) => {
+                        lead.cloud.push_back(action);
                         let _ = self.to_rent.0.try_send(());
                     }
-                    deed => {
-                        lead.writes.push_back(deed);
+                    action => {
+                        lead.writes.push_back(action);
                         let _ = self.to_write.0.try_send(());
                     }
                 }
--- a/crates/ladderroute/src/peers.rs
+++ b/crates/ladderroute/src/peers.rs
@@ -321,7 +321,7 @@
             }
             ToOwner::Display { running } => state.shared.running = running.into_iter().collect(),
             message => {
-                if matches!(message, ToOwner::Regime { .. }) {
+                if matches!(message, ToOwner::Epoch { .. }) {
                     if !joined {
                         // Authority from an earlier leader is not authority under this one.
                         joined = true;
--- a/crates/ladderroute/src/renting.rs
+++ b/crates/ladderroute/src/renting.rs
@@ -1,7 +1,7 @@
 //! Talking to the cloud: catalog, list, hire, release, all within its request rate.
 
 use crate::node::Node;
-use sched::leader::Deed;
+use sched::leader::Action;
 use std::rc::Rc;
 use std::time::Duration;
 use wire::cbor;
@@ -93,18 +93,18 @@
 /// Carries out hires and releases, one at a time.
 pub async fn rent(node: Rc<Node>) {
     loop {
-        let deed = node
+        let action = node
             .lock()
             .shared
             .lead
             .as_mut()
             .and_then(|l| l.cloud.pop_front());
-        let Some(deed) = deed else {
+        let Some(action) = action else {
             let _ = node.to_rent.1.recv().await;
             continue;
         };
-        match deed {
-            Deed::Hire(hire) => {
+        match action {
+            Action::Hire(hire) => {
                 let got = hire_machines(&node, &hire).await;
                 if let Some(names) = &got {
                     log::info!(
@@ -115,7 +115,7 @@
                 }
                 with_leader(&node, |l, now| l.hired(&hire.name, got, now));
             }
-            Deed::Release(names) => {
+            Action::Release(names) => {
                 let body = cbor::encode(&Names {
                     machines: names.clone(),
                 });
--- a/crates/ladderroute/src/writer/batch.rs
+++ b/crates/ladderroute/src/writer/batch.rs
@@ -1,7 +1,7 @@
 //! What goes into the leader's next transaction: as much as one holds, the most urgent first.
 
 use super::pages::RecordPages;
-use sched::leader::{Deed, Leader};
+use sched::leader::{Action, Leader};
 use std::collections::VecDeque;
 use store::keys::{self, Kind};
 use store::replica::Replica;
@@ -29,12 +29,12 @@
 
 impl Urgency {
     /// The urgency of a decision.
-    pub fn of(deed: &Deed) -> Urgency {
-        match deed {
-            Deed::NewToken => Urgency::Token,
-            Deed::Bind { .. } => Urgency::Binding,
-            Deed::Roster(_, Some(_)) | Deed::Begin(_) => Urgency::Admission,
-            Deed::Finish { .. } => Urgency::Finish,
+    pub fn of(action: &Action) -> Urgency {
+        match action {
+            Action::NewToken => Urgency::Token,
+            Action::Bind { .. } => Urgency::Binding,
+            Action::Roster(_, Some(_)) | Action::Begin(_) => Urgency::Admission,
+            Action::Finish { .. } => Urgency::Finish,
             _ => Urgency::Progress,
         }
     }
@@ -55,10 +55,10 @@
 }
 
 impl Group {
-    fn of(deed: &Deed) -> Group {
-        match deed {
-            Deed::NewToken => Group::Token,
-            Deed::Finish { .. } => Group::Finish,
+    fn of(action: &Action) -> Group {
+        match action {
+            Action::NewToken => Group::Token,
+            Action::Finish { .. } => Group::Finish,
             _ => Group::Records,
         }
     }
@@ -68,7 +68,7 @@
 #[derive(Default)]
 pub struct Batch {
     /// The decisions themselves.
-    pub deeds: Vec<Deed>,
+    pub actions: Vec<Action>,
     /// Conditions beside that of the leadership.
     pub conditions: Vec<Condition>,
     /// What is written.
@@ -82,12 +82,12 @@
 impl Batch {
     /// Whether there is nothing to write.
     pub fn is_empty(&self) -> bool {
-        self.deeds.is_empty() && self.writes.is_empty()
+        self.actions.is_empty() && self.writes.is_empty()
     }
 
     /// Whether it is the new token, which is not written like the rest.
     pub fn is_token(&self) -> bool {
-        matches!(self.deeds.first(), Some(Deed::NewToken))
+        matches!(self.actions.first(), Some(Action::NewToken))
     }
 }
 
@@ -121,15 +121,15 @@
 
 /// Takes the next batch out of the decisions that wait.
 pub fn next_batch(
-    waiting: &mut VecDeque<Deed>,
+    waiting: &mut VecDeque<Action>,
     records: &mut RecordPages,
     replica: &Replica,
     leader: &mut Leader,
     limits: TxnLimits,
 ) -> Batch {
-    let mut deeds: Vec<Deed> = waiting.drain(..).collect();
-    deeds.sort_by_key(Urgency::of);
-    let first = deeds.first().map(Group::of);
+    let mut actions: Vec<Action> = waiting.drain(..).collect();
+    actions.sort_by_key(Urgency::of);
+    let first = actions.first().map(Group::of);
     let batch = Batch::default();
     let mut builder = Builder {
         records,
@@ -139,18 +139,18 @@
         batch,
     };
     let mut full = false;
-    for deed in deeds {
-        let alone = first == Some(Group::Token) && !builder.batch.deeds.is_empty();
-        if full || alone || Some(Group::of(&deed)) != first {
-            waiting.push_back(deed);
+    for action in actions {
+        let alone = first == Some(Group::Token) && !builder.batch.actions.is_empty();
+        if full || alone || Some(Group::of(&action)) != first {
+            waiting.push_back(action);
             continue;
         }
-        match builder.join(&deed) {
-            Joined::Yes => builder.batch.deeds.push(deed),
+        match builder.join(&action) {
+            Joined::Yes => builder.batch.actions.push(action),
             Joined::Nothing => {}
             Joined::Later => {
                 full = true;
-                waiting.push_back(deed);
+                waiting.push_back(action);
             }
         }
     }
@@ -165,24 +165,24 @@
         self.limits.operations.saturating_sub(used)
     }
 
-    fn join(&mut self, deed: &Deed) -> Joined {
-        match deed {
-            Deed::NewToken => Joined::Yes,
-            Deed::Bind {
+    fn join(&mut self, action: &Action) -> Joined {
+        match action {
+            Action::NewToken => Joined::Yes,
+            Action::Bind {
                 job,
                 attempt,
                 places,
             } => self.join_binding(job, *attempt, places),
-            Deed::Finish { job } => self.join_finish(job),
-            Deed::Roster(name, None) => {
+            Action::Finish { job } => self.join_finish(job),
+            Action::Roster(name, None) => {
                 self.records.drop_machine(name);
                 Joined::Nothing
             }
             _ if self.room() == 0 => Joined::Later,
-            Deed::Roster(name, Some(record)) => self.join_machine(name, record),
-            Deed::Progress { job, chunk, bits } => self.join_progress(job, *chunk, bits),
-            Deed::Begin(record) => self.join_begun(record),
-            Deed::Send(..) | Deed::Hire(_) | Deed::Release(_) => Joined::Nothing,
+            Action::Roster(name, Some(record)) => self.join_machine(name, record),
+            Action::Progress { job, chunk, bits } => self.join_progress(job, *chunk, bits),
+            Action::Begin(record) => self.join_begun(record),
+            Action::Send(..) | Action::Hire(_) | Action::Release(_) => Joined::Nothing,
         }
     }
 
--- a/crates/ladderroute/src/writer/mod.rs
+++ b/crates/ladderroute/src/writer/mod.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use store::client::StoreError;
-use store::leadership::Won;
+use store::leadership::LeadershipLease;
 
 /// Users expect the end of a job within this time (a figure of the protocol).
 const DONE_TOLD_S: f64 = 3.0;
@@ -33,12 +33,12 @@
             let _ = within(collect - since, node.to_write.1.recv()).await;
             continue;
         }
-        let Some((batch, won)) = next_batch(&node) else {
+        let Some((batch, leadership)) = next_batch(&node) else {
             let _ = node.to_write.1.recv().await;
             continue;
         };
         last = Some(Instant::now());
-        let result = outcome::write(&node, &batch, &won).await;
+        let result = outcome::write(&node, &batch, &leadership).await;
         let retry = matches!(result, Err(StoreError::Budget(_) | StoreError::Refused(_)));
         let overtaken = result.as_ref().is_ok_and(Outcome::is_overtaken);
         outcome::apply(&node, batch, result).await;
@@ -61,11 +61,11 @@
     };
     lead.writes
         .iter()
-        .any(|deed| Urgency::of(deed).holds_up_starts())
+        .any(|action| Urgency::of(action).holds_up_starts())
 }
 
 /// What is to be written next, and under which leadership.
-fn next_batch(node: &Node) -> Option<(Batch, Won)> {
+fn next_batch(node: &Node) -> Option<(Batch, LeadershipLease)> {
     let state_settings = &node.settings.settings.state;
     let limits = TxnLimits {
         operations: state_settings.txn_ops.max(1),
@@ -81,5 +81,5 @@
         &mut lead.leader,
         limits,
     );
-    (!batch.is_empty()).then(|| (batch, lead.won.clone()))
+    (!batch.is_empty()).then(|| (batch, lead.leadership.clone()))
 }
--- a/crates/ladderroute/src/writer/outcome.rs
+++ b/crates/ladderroute/src/writer/outcome.rs
@@ -2,13 +2,13 @@
 
 use super::batch::Batch;
 use crate::node::{Lead, Node, State};
-use sched::leader::Deed;
+use sched::leader::Action;
 use sched::ranges::Ranges;
 use std::rc::Rc;
 use store::budget::Rank;
 use store::client::{Decided, StoreError};
 use store::keys::{self, Kind};
-use store::leadership::{next_token, still_leader, Won};
+use store::leadership::{next_token, still_leader, LeadershipLease};
 use wire::store::{LeaderRecord, Txn};
 
 /// What the store decided.
@@ -38,15 +38,19 @@
 }
 
 /// Writes a batch on the condition that this is still the leader.
-pub async fn write(node: &Rc<Node>, batch: &Batch, won: &Won) -> Result<Outcome, StoreError> {
+pub async fn write(
+    node: &Rc<Node>,
+    batch: &Batch,
+    leadership: &LeadershipLease,
+) -> Result<Outcome, StoreError> {
     if batch.is_token() {
-        let token = next_token(&node.store, &node.settings.member, won).await?;
+        let token = next_token(&node.store, &node.settings.member, leadership).await?;
         return Ok(match token {
             Some((token, version)) => Outcome::Token { token, version },
             None => Outcome::Lost,
         });
     }
-    let leads = std::iter::once(still_leader(won.version));
+    let leads = std::iter::once(still_leader(leadership.version));
     let txn = Txn {
         conditions: leads.chain(batch.conditions.iter().cloned()).collect(),
         writes: batch.writes.clone(),
@@ -78,13 +82,13 @@
         lead.records.written(&batch.roster, &batch.progress);
     }
     if let Ok(Outcome::Token { token, version }) = result {
-        lead.won.token = token;
-        lead.won.version = version;
+        lead.leadership.token = token;
+        lead.leadership.version = version;
         let member = node.settings.member.clone();
         shared.replica.leader = Some((LeaderRecord { member, token }, version));
     }
-    for deed in batch.deeds {
-        apply_one(node, lead, deed, &result);
+    for action in batch.actions {
+        apply_one(node, lead, action, &result);
     }
     if lead.records.dirty() {
         let _ = node.to_write.0.try_send(());
@@ -95,36 +99,36 @@
 /// Ends the lease, so that the renewal finds it gone and the next leader can come.
 async fn give_up_leadership(node: &Rc<Node>) {
     log::info!("event=leadership_lost");
-    let lease = node.lock().shared.lead.as_ref().map(|l| l.won.lease);
+    let lease = node.lock().shared.lead.as_ref().map(|l| l.leadership.lease);
     if let Some(lease) = lease {
         let _ = node.store.revoke(lease).await;
     }
 }
 
-fn apply_one(node: &Node, lead: &mut Lead, deed: Deed, result: &Result<Outcome, StoreError>) {
+fn apply_one(node: &Node, lead: &mut Lead, action: Action, result: &Result<Outcome, StoreError>) {
     let written = matches!(result, Ok(Outcome::Written(_)));
-    match deed {
-        Deed::NewToken => {
+    match action {
+        Action::NewToken => {
             let token = match result {
                 Ok(Outcome::Token { token, .. }) => Some(*token),
                 _ => None,
             };
             lead.leader.token_result(token, node.now());
         }
-        Deed::Bind { job, attempt, .. } => {
+        Action::Bind { job, attempt, .. } => {
             lead.leader.bind_result(&job, attempt, written, node.now());
         }
-        Deed::Finish { job } => apply_finish(node, lead, job, result),
-        Deed::Begin(record) => lead.leader.begin_result(&record, written),
-        Deed::Roster(name, _) => lead.leader.roster_result(&name, true, written),
-        Deed::Progress { job, chunk, bits } => {
+        Action::Finish { job } => apply_finish(node, lead, job, result),
+        Action::Begin(record) => lead.leader.begin_result(&record, written),
+        Action::Roster(name, _) => lead.leader.roster_result(&name, true, written),
+        Action::Progress { job, chunk, bits } => {
             let mut done = Ranges::default();
             let first = chunk * lead.leader.chunk_bits();
             done.add_bits(first, &store::replica::bits(&bits), u32::MAX);
             lead.leader
                 .progress_result(&job, chunk, written.then_some(&done));
         }
-        Deed::Send(..) | Deed::Hire(_) | Deed::Release(_) => {}
+        Action::Send(..) | Action::Hire(_) | Action::Release(_) => {}
     }
 }
 
@@ -140,7 +144,7 @@
             lead.leader.finish_result(&job, false);
         }
         _ => {
-            lead.writes.push_back(Deed::Finish { job });
+            lead.writes.push_back(Action::Finish { job });
             let _ = node.to_write.0.try_send(());
         }
     }
--- a/crates/ladderroute/tests/batches.rs
+++ b/crates/ladderroute/tests/batches.rs
@@ -2,7 +2,7 @@
 
 use ladderroute::writer::batch::{next_batch, Batch, TxnLimits};
 use ladderroute::writer::RecordPages;
-use sched::leader::{Deed, Leader};
+use sched::leader::{Action, Leader};
 use sched::setup::Setup;
 use std::collections::{BTreeMap, VecDeque};
 use store::replica::Replica;
@@ -15,14 +15,14 @@
 };
 
 struct Scene {
-    waiting: VecDeque<Deed>,
+    waiting: VecDeque<Action>,
     records: RecordPages,
     replica: Replica,
     leader: Leader,
 }
 
 impl Scene {
-    fn new(waiting: impl IntoIterator<Item = Deed>) -> Scene {
+    fn new(waiting: impl IntoIterator<Item = Action>) -> Scene {
         let setup = Setup {
             teams: BTreeMap::new(),
             report_s: 1.0,
@@ -99,42 +99,42 @@
     }
 }
 
-fn machine(name: &str) -> Deed {
+fn machine(name: &str) -> Action {
     let (kind, zone) = ("small".to_string(), "a".to_string());
     let record = RosterRecord {
         kind,
         zone,
         spot: false,
     };
-    Deed::Roster(name.into(), Some(record))
+    Action::Roster(name.into(), Some(record))
 }
 
-fn progress(job: &str) -> Deed {
+fn progress(job: &str) -> Action {
     let (job, bits) = (job.to_string(), "80".to_string());
-    Deed::Progress {
+    Action::Progress {
         job,
         chunk: 0,
         bits,
     }
 }
 
-fn binding(job: &str, machines: usize) -> Deed {
+fn binding(job: &str, machines: usize) -> Action {
     let places = (0..machines)
         .map(|i| (format!("host-{i}"), i as u32, 1))
         .collect();
-    Deed::Bind {
+    Action::Bind {
         job: job.into(),
         attempt: 7,
         places,
     }
 }
 
-fn finish(job: &str) -> Deed {
-    Deed::Finish { job: job.into() }
+fn finish(job: &str) -> Action {
+    Action::Finish { job: job.into() }
 }
 
-fn begun() -> Deed {
-    Deed::Begin(BegunRecord {
+fn begun() -> Action {
+    Action::Begin(BegunRecord {
         upto: 3,
         waiting: vec![],
     })
@@ -143,10 +143,10 @@
 /// A new token is durable before anything that is decided under it.
 #[test]
 fn a_new_token_goes_alone_and_before_all_else() {
-    let mut scene = Scene::new([machine("host-1"), Deed::NewToken, binding("wk-000001", 1)]);
+    let mut scene = Scene::new([machine("host-1"), Action::NewToken, binding("wk-000001", 1)]);
     let batch = scene.next();
     assert!(batch.is_token());
-    assert_eq!((batch.deeds.len(), batch.writes.len()), (1, 0));
+    assert_eq!((batch.actions.len(), batch.writes.len()), (1, 0));
     assert_eq!(scene.waiting.len(), 2);
 }
 
@@ -161,8 +161,8 @@
         binding("wk-000001", 1),
     ]);
     let batch = scene.next();
-    assert_eq!(batch.deeds[0], binding("wk-000001", 1));
-    assert_eq!(batch.deeds.last(), Some(&progress("wk-000002")));
+    assert_eq!(batch.actions[0], binding("wk-000001", 1));
+    assert_eq!(batch.actions.last(), Some(&progress("wk-000002")));
     // The binding, what has begun, one page of machines and one of progress, each on a condition.
     assert_eq!((batch.writes.len(), batch.conditions.len()), (4, 4));
     assert!(scene.waiting.is_empty());
@@ -185,7 +185,7 @@
         begun(),
     ]);
     let batch = scene.next();
-    assert_eq!(batch.deeds, [binding("wk-000001", long)]);
+    assert_eq!(batch.actions, [binding("wk-000001", long)]);
     assert_eq!(batch.writes.len(), 3, "three records of 64 places each");
     assert_eq!(scene.waiting, [binding("wk-000002", long), begun()]);
 }
@@ -203,8 +203,8 @@
     scene.accept("wk-000002");
     let batch = scene.next();
     // The job that is not known any more has nothing to write.
-    assert_eq!(batch.deeds, [finish("wk-000001"), finish("wk-000002")]);
+    assert_eq!(batch.actions, [finish("wk-000001"), finish("wk-000002")]);
     assert!(batch.conditions.iter().all(|c| c.version == 5));
     assert_eq!(scene.waiting, [progress("wk-000003")]);
-    assert_eq!(scene.next().deeds, [progress("wk-000003")]);
+    assert_eq!(scene.next().actions, [progress("wk-000003")]);
 }
--- a/crates/model/src/plain.rs
+++ b/crates/model/src/plain.rs
@@ -57,7 +57,7 @@
 mod tests {
     use super::*;
     use crate::world::{job, machine_type, machine_view, setup};
-    use sched::leader::{Deed, Earlier, Leader, OpenJob};
+    use sched::leader::{Action, Earlier, Leader, OpenJob};
     use sched::ranges::Ranges;
     use std::rc::Rc;
     use wire::peers::{MachineView, ToLeader, ToOwner};
@@ -96,15 +96,15 @@
         l
     }
 
-    fn placed(deeds: &[Deed]) -> BTreeMap<String, u32> {
+    fn placed(actions: &[Action]) -> BTreeMap<String, u32> {
         let mut out: BTreeMap<String, u32> = BTreeMap::new();
-        for d in deeds {
+        for d in actions {
             match d {
-                Deed::Send(_, ToOwner::Give { job, tasks, .. }) => {
+                Action::Send(_, ToOwner::Give { job, tasks, .. }) => {
                     *out.entry(job.clone()).or_default() +=
                         tasks.iter().map(|(_, n)| n).sum::<u32>()
                 }
-                Deed::Send(_, ToOwner::Hold { job, places, .. }) => {
+                Action::Send(_, ToOwner::Hold { job, places, .. }) => {
                     *out.entry(job.clone()).or_default() +=
                         places.iter().map(|(_, _, n)| n).sum::<u32>()
                 }
@@ -254,7 +254,7 @@
         l.catalog(vec![machine_type("small", 4.0, 16.0, 0.3)]);
         l.tick(5.0, 0);
         let usable = l.drain().into_iter().any(
-            |d| matches!(d, Deed::Send(_, ToOwner::Regime { machines, .. }) if machines.iter().any(|c| c.name == "host-1" && c.usable)),
+            |d| matches!(d, Action::Send(_, ToOwner::Epoch { machines, .. }) if machines.iter().any(|c| c.name == "host-1" && c.usable)),
         );
         assert!(usable, "the owner was not told that it may use the machine");
     }
@@ -284,7 +284,7 @@
         add(&mut l, 1, "blue", 4, 1.0);
         l.tick(6.0, 0);
         let given = l.drain().into_iter().find_map(|d| match d {
-            Deed::Send(_, ToOwner::Give { attempt, .. }) => Some(attempt),
+            Action::Send(_, ToOwner::Give { attempt, .. }) => Some(attempt),
             _ => None,
         });
         let running = (0..4).map(|index| wire::peers::TaskView {
@@ -301,7 +301,7 @@
         add(&mut l, 2, "red", 1, 2.0);
         l.tick(7.0, 0);
         l.tick(9.0, 0);
-        l.drain().iter().filter(|d| matches!(d, Deed::Send(_, ToOwner::Stop { task, .. }) if task.job == "wk-000001")).count()
+        l.drain().iter().filter(|d| matches!(d, Action::Send(_, ToOwner::Stop { task, .. }) if task.job == "wk-000001")).count()
     }
 
     #[test]
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -1,6 +1,6 @@
 //! A simulated world around the real decisions of `sched`.
 
-use sched::leader::{chunk_bits, Deed, Earlier, Leader, OpenJob};
+use sched::leader::{chunk_bits, Action, Earlier, Leader, OpenJob};
 use sched::owner::{Answer, Jobs, Owner};
 use sched::place::Room;
 use sched::ranges::Ranges;
@@ -26,7 +26,7 @@
     None,
     /// Every report counts, also those held up from before a change of owners.
     TrustAnyReport,
-    /// A new leader does not wait until the rostered machines are accounted for.
+    /// A new leader does not wait until the rostered machines are reconciled.
     ForgetRoster,
     /// The leader believes in twice the teams' limits.
     DoubleLimit,
@@ -76,7 +76,7 @@
     gone: bool,
     hung_until: f64,
     /// Until then its reports arrive, but no answer reaches it.
-    deaf_until: f64,
+    unreachable_until: f64,
     /// Until then none of its reports arrives anywhere.
     mute_until: f64,
     session: u64,
@@ -111,7 +111,7 @@
     to_owner: VecDeque<(f64, ToOwner)>,
     to_leader: VecDeque<(f64, ToLeader)>,
     pings: VecDeque<(f64, f64)>,
-    regime: bool,
+    epoch: bool,
     /// What the leader knew when it answered pings, behind its messages: when that arrives, and its age.
     knows: VecDeque<(f64, f64)>,
     /// The store answers this controller with refusals until then, and no other.
@@ -489,7 +489,7 @@
                 self.cut_link(i, 1.0 + long * 12.0);
             }
             ("hang", Some(w)) => w.hung_until = now + long * 14.0,
-            ("answers lost", Some(w)) => w.deaf_until = now + long * 20.0,
+            ("answers lost", Some(w)) => w.unreachable_until = now + long * 20.0,
             ("machine gone", Some(w)) => {
                 w.gone = true;
                 w.tasks.clear();
@@ -722,7 +722,7 @@
             return;
         }
         if w.gone
-            || now < w.deaf_until
+            || now < w.unreachable_until
             || w.flight
                 .as_ref()
                 .is_none_or(|f| f.seq != seq || f.session != session)
@@ -860,7 +860,7 @@
             }
             if !c.joined {
                 c.joined = true;
-                c.regime = false;
+                c.epoch = false;
             }
             if c.pings.back().is_none_or(|(_, sent)| now - sent > 0.35) {
                 c.pings.push_back((now + wait, now));
@@ -869,8 +869,8 @@
                 let Some((_, message)) = c.to_owner.pop_front() else {
                     break;
                 };
-                if matches!(message, ToOwner::Regime { .. }) && !c.regime {
-                    c.regime = true;
+                if matches!(message, ToOwner::Epoch { .. }) && !c.epoch {
+                    c.epoch = true;
                     c.owner.authority.set(f64::MIN);
                 }
                 let seen = if ignorant { f64::MIN } else { c.seen };
@@ -942,7 +942,7 @@
                 leader.owner_heard(&name(i), now);
                 let until = answers_until.min(now + self.setup.owner_silence_s() * 1.25);
                 if let Some(valid) = leader.grant(&name(i), now, until) {
-                    if c.regime && c.owner.token() == leader.token() {
+                    if c.epoch && c.owner.token() == leader.token() {
                         c.owner.authority.set(sent + valid);
                         // Behind all that was sent before it.
                         let at = c.to_owner.back().map_or(0.0, |(at, _)| *at).max(now + 0.02);
@@ -969,10 +969,10 @@
                 idle = false;
                 leader.on_owner(&name(me), m, now);
             }
-            for deed in leader.drain() {
+            for action in leader.drain() {
                 idle = false;
-                match deed {
-                    Deed::Send(to, message) => {
+                match action {
+                    Action::Send(to, message) => {
                         let i = (0..3).find(|i| name(*i) == to).unwrap_or(0);
                         if i == me {
                             let seen = self.known_to(me);
@@ -994,7 +994,7 @@
                         self.writes.push(Pending {
                             at,
                             by: id,
-                            deed: other,
+                            action: other,
                             expected,
                             late: false,
                         });
@@ -1105,12 +1105,12 @@
         };
         let owners = self.controllers.iter().enumerate().map(|(i, c)| {
             format!(
-                "{} token={} authority={} joined={} regime={}\n{}",
+                "{} token={} authority={} joined={} epoch={}\n{}",
                 name(i),
                 c.owner.token(),
                 c.owner.has_authority(self.now),
                 c.joined,
-                c.regime,
+                c.epoch,
                 c.owner.explain()
             )
         });
@@ -1158,7 +1158,7 @@
         to_owner: VecDeque::new(),
         to_leader: VecDeque::new(),
         pings: VecDeque::new(),
-        regime: false,
+        epoch: false,
         knows: VecDeque::new(),
         refused_until: 0.0,
         frozen_until: 0.0,
@@ -1232,7 +1232,7 @@
         tasks,
         pending: Vec::new(),
         usable: true,
-        deaf: false,
+        unreachable: false,
     }
 }
 
--- a/crates/model/src/world/script.rs
+++ b/crates/model/src/world/script.rs
@@ -58,9 +58,9 @@
     }
 
     /// Reports arrive, answers are lost.
-    pub fn deafen(&mut self, names: &[String], for_s: f64) {
+    pub fn make_unreachable(&mut self, names: &[String], for_s: f64) {
         let until = self.now + for_s;
-        self.on_machines(names, |w| w.deaf_until = until);
+        self.on_machines(names, |w| w.unreachable_until = until);
     }
 
     /// No report arrives.
--- a/crates/model/src/world/store.rs
+++ b/crates/model/src/world/store.rs
@@ -6,19 +6,19 @@
 pub(super) struct Pending {
     pub(super) at: f64,
     pub(super) by: u64,
-    pub(super) deed: Deed,
+    pub(super) action: Action,
     /// The version that its key must have.
     pub(super) expected: u64,
     pub(super) late: bool,
 }
 
-/// The key that a deed replaces; none for what has a condition of its own or is no write.
-pub(super) fn key(deed: &Deed) -> Option<String> {
-    match deed {
-        Deed::Roster(machine, _) => Some(format!("roster/{machine}")),
-        Deed::Bind { job, .. } => Some(format!("binding/{job}")),
-        Deed::Begin(_) => Some("begun".into()),
-        Deed::Progress { job, chunk, .. } => Some(format!("progress/{job}/{chunk}")),
+/// The key that an action replaces; none for what has a condition of its own or is no write.
+pub(super) fn key(action: &Action) -> Option<String> {
+    match action {
+        Action::Roster(machine, _) => Some(format!("roster/{machine}")),
+        Action::Bind { job, .. } => Some(format!("binding/{job}")),
+        Action::Begin(_) => Some("begun".into()),
+        Action::Progress { job, chunk, .. } => Some(format!("progress/{job}/{chunk}")),
         _ => None,
     }
 }
@@ -75,8 +75,8 @@
     }
 
     /// The version that the leader believes the key of a write to have.
-    pub(super) fn expected(&self, deed: &Deed) -> u64 {
-        key(deed)
+    pub(super) fn expected(&self, action: &Action) -> u64 {
+        key(action)
             .and_then(|k| self.known_versions.get(&k).copied())
             .unwrap_or(0)
     }
@@ -115,32 +115,32 @@
     pub(super) fn carry_out_now(&mut self, me: usize, leader: &mut Leader, write: Pending) {
         let reached = self.reaches_store(me);
         // No answer, and it is carried out later: after newer ones.
-        if reached && key(&write.deed).is_some() && self.rng.u32(0..100) < self.late_writes {
+        if reached && key(&write.action).is_some() && self.rng.u32(0..100) < self.late_writes {
             let at = self.now + 2.0 + self.rng.f64() * 10.0;
             *self.troubles.entry("late write").or_default() += 1;
             self.writes.push(Pending {
                 at,
                 late: true,
-                deed: write.deed.clone(),
+                action: write.action.clone(),
                 ..write
             });
-            self.carry_out(leader, write.deed, false, false);
+            self.carry_out(leader, write.action, false, false);
             return;
         }
         let ok = reached && self.rng.u32(0..100) >= 3 && self.admits(&write);
         // Now and then it is carried out, but the answer is lost.
         let told = ok && self.rng.u32(0..100) >= 2;
         if ok {
-            self.moved(&write.deed);
+            self.moved(&write.action);
         }
         if told || reached && !ok {
             // It was carried out, or refused and then looked at.
-            if let Some(k) = key(&write.deed) {
+            if let Some(k) = key(&write.action) {
                 let version = self.versions.get(&k).copied().unwrap_or(0);
                 self.known_versions.insert(k, version);
             }
         }
-        self.carry_out(leader, write.deed, ok, told);
+        self.carry_out(leader, write.action, ok, told);
     }
 
     /// The leader has taken it for not done long ago; only the store changes.
@@ -148,7 +148,7 @@
         if self.now < self.store_down_until || !self.admits(&write) {
             return;
         }
-        self.moved(&write.deed);
+        self.moved(&write.action);
         let mut nobody = Leader::new(
             "nobody",
             self.setup.clone(),
@@ -160,35 +160,35 @@
             0,
             self.now,
         );
-        self.carry_out(&mut nobody, write.deed, true, false);
+        self.carry_out(&mut nobody, write.action, true, false);
     }
 
     /// Whether a write's key is still as its writer knew it.
     pub(super) fn admits(&self, write: &Pending) -> bool {
-        let Some(k) = key(&write.deed) else {
+        let Some(k) = key(&write.action) else {
             return true;
         };
         self.defect == Defect::NoVersions
             || self.versions.get(&k).copied().unwrap_or(0) == write.expected
     }
 
-    pub(super) fn moved(&mut self, deed: &Deed) {
-        if let Some(k) = key(deed) {
+    pub(super) fn moved(&mut self, action: &Action) {
+        if let Some(k) = key(action) {
             *self.versions.entry(k).or_default() += 1;
         }
     }
 
-    /// Carries a deed out if `ok`, and tells the leader its outcome, or that it is not known.
-    pub(super) fn carry_out(&mut self, leader: &mut Leader, deed: Deed, ok: bool, told: bool) {
+    /// Carries an action out if `ok`, and tells the leader its outcome, or that it is not known.
+    pub(super) fn carry_out(&mut self, leader: &mut Leader, action: Action, ok: bool, told: bool) {
         let now = self.now;
-        match deed {
-            Deed::NewToken => {
+        match action {
+            Action::NewToken => {
                 if ok {
                     self.term += 1;
                 }
                 leader.token_result(told.then_some(self.term), now);
             }
-            Deed::Roster(machine, record) => {
+            Action::Roster(machine, record) => {
                 let put = record.is_some();
                 if let (true, Some(r)) = (ok, record) {
                     self.roster.insert(machine.clone(), r);
@@ -197,7 +197,7 @@
                 }
                 leader.roster_result(&machine, put, told);
             }
-            Deed::Progress {
+            Action::Progress {
                 job, chunk, bits, ..
             } => {
                 let mut written = Ranges::default();
@@ -214,14 +214,14 @@
                 }
                 leader.progress_result(&job, chunk, told.then_some(&written));
             }
-            Deed::Finish { job } => {
+            Action::Finish { job } => {
                 let open = self.jobs.get(&job).is_some_and(|j| j.over.is_none());
                 if ok && open {
                     self.finish(&job);
                 }
                 leader.finish_result(&job, ok && open);
             }
-            Deed::Begin(record) => {
+            Action::Begin(record) => {
                 for j in self
                     .jobs
                     .values_mut()
@@ -238,7 +238,7 @@
                 }
                 leader.begin_result(&record, told);
             }
-            Deed::Bind {
+            Action::Bind {
                 job,
                 attempt,
                 places,
@@ -248,11 +248,11 @@
                 }
                 leader.bind_result(&job, attempt, told, now);
             }
-            Deed::Hire(hire) => {
+            Action::Hire(hire) => {
                 let names = ok.then(|| self.hire(&hire));
                 leader.hired(&hire.name, names.filter(|_| told), now);
             }
-            Deed::Release(names) => {
+            Action::Release(names) => {
                 if ok {
                     for n in &names {
                         self.workers.remove(n);
@@ -260,7 +260,7 @@
                 }
                 leader.released(&names, told);
             }
-            Deed::Send(..) => {}
+            Action::Send(..) => {}
         }
         if self.defect == Defect::HalfDone {
             let half: Vec<String> = self
@@ -311,7 +311,7 @@
                 up_at,
                 gone: false,
                 hung_until: 0.0,
-                deaf_until: 0.0,
+                unreachable_until: 0.0,
                 mute_until: 0.0,
                 session: 1,
                 seq: 0,
--- a/crates/model/src/world/tests.rs
+++ b/crates/model/src/world/tests.rs
@@ -78,9 +78,10 @@
         while w.starts < 3 {
             w.step();
         }
-        let deaf: Vec<String> = w.workers.keys().take(2).cloned().collect();
-        deaf.iter()
-            .for_each(|n| w.workers.get_mut(n).unwrap().deaf_until = 1e9);
+        let unreachable: Vec<String> = w.workers.keys().take(2).cloned().collect();
+        unreachable
+            .iter()
+            .for_each(|n| w.workers.get_mut(n).unwrap().unreachable_until = 1e9);
         (9..17).for_each(|i| {
             w.submit(job(
                 i,
--- a/crates/model/tests/knowledge.rs
+++ b/crates/model/tests/knowledge.rs
@@ -2,7 +2,7 @@
 
 use model::world::setup;
 use sched::authority::Authority;
-use sched::leader::{Deed, Earlier, Leader, OpenJob};
+use sched::leader::{Action, Earlier, Leader, OpenJob};
 use sched::owner::{Answer, Jobs, Owner};
 use sched::place::Room;
 use sched::ranges::Ranges;
@@ -48,14 +48,14 @@
         spot: false,
         usable: true,
     };
-    let regime = ToOwner::Regime {
+    let epoch = ToOwner::Epoch {
         token: 5,
         prev: 0,
         members: vec!["rung-1".into()],
         extra_ms: 0,
         machines: vec![card],
     };
-    owner.on_leader(regime, 10.0, &OPEN);
+    owner.on_leader(epoch, 10.0, &OPEN);
     owner.on_leader(
         ToOwner::Catalog {
             types: vec![model::world::machine_type("small", 4.0, 16.0, 0.3)],
@@ -170,10 +170,10 @@
             vec![stop()]
         );
     }
-    // A new regime under which the records go on, and one under which they begin anew.
+    // A new epoch under which the records go on, and one under which they begin anew.
     for (token, prev) in [(6, 5), (7, 0)] {
         o.on_leader(
-            ToOwner::Regime {
+            ToOwner::Epoch {
                 token,
                 prev,
                 members: vec!["rung-1".into()],
@@ -304,9 +304,9 @@
 }
 
 /// The leader hears of a cancellation from who confirmed it, later from the store, and tells the
-/// owners at once and at each new regime.
+/// owners at once and at each new epoch.
 #[test]
-fn a_cancellation_reaches_the_owners_once_and_with_each_new_regime() {
+fn a_cancellation_reaches_the_owners_once_and_with_each_new_epoch() {
     let setup = Setup {
         teams: BTreeMap::new(),
         ..setup()
@@ -333,7 +333,7 @@
     leader.tick(1.0, 1);
     let told = |leader: &mut Leader| -> Vec<Vec<String>> {
         let over = |d| match d {
-            Deed::Send(to, ToOwner::Over { jobs }) if to == "rung-1" => Some(jobs),
+            Action::Send(to, ToOwner::Over { jobs }) if to == "rung-1" => Some(jobs),
             _ => None,
         };
         leader.drain().into_iter().filter_map(over).collect()
--- a/crates/model/tests/leader_and_owner.rs
+++ b/crates/model/tests/leader_and_owner.rs
@@ -1,7 +1,7 @@
 //! Cases of the leader and of owners, one by one.
 
 use model::world::{job, machine_type};
-use sched::leader::{Deed, Earlier, Leader, OpenJob};
+use sched::leader::{Action, Earlier, Leader, OpenJob};
 use sched::owner::{Answer, Jobs, Owner};
 use sched::place::Room;
 use sched::ranges::Ranges;
@@ -67,14 +67,14 @@
         spot: false,
         usable: true,
     };
-    let regime = ToOwner::Regime {
+    let epoch = ToOwner::Epoch {
         token: 5,
         prev: 0,
         members: vec!["rung-1".into()],
         extra_ms: 0,
         machines: vec![card],
     };
-    owner.on_leader(regime, 10.0, &NoJobs);
+    owner.on_leader(epoch, 10.0, &NoJobs);
     owner.authority.set(1e9);
     owner.authority.learn(1e9);
     owner
@@ -185,7 +185,7 @@
     );
     assert_eq!(leader.used_by("red").cpus, 4.0);
     assert!(leader.done_of("wk-1").contains(0));
-    let stop = |d: &Deed| matches!(d, Deed::Send(_, ToOwner::Stop { machine, task, .. }) if machine == "host-1" && task.attempt == 9);
+    let stop = |d: &Action| matches!(d, Action::Send(_, ToOwner::Stop { machine, task, .. }) if machine == "host-1" && task.attempt == 9);
     assert!(leader.drain().iter().any(stop));
 }
 
@@ -225,19 +225,19 @@
     );
     leader.drain();
     leader.tick(2.0, 0);
-    let given = |d: Deed| match d {
-        Deed::Send(_, ToOwner::Give { tasks, .. }) => tasks.iter().map(|(_, n)| n).sum::<u32>(),
+    let given = |d: Action| match d {
+        Action::Send(_, ToOwner::Give { tasks, .. }) => tasks.iter().map(|(_, n)| n).sum::<u32>(),
         _ => 0,
     };
     let given: u32 = leader.drain().into_iter().map(given).sum();
     assert_eq!(given, 2, "of 16 CPUs two tasks of 4 may still run");
 }
 
-/// All controllers start together and join the new leader within two seconds: one regime, not four
+/// All controllers start together and join the new leader within two seconds: one epoch, not four
 /// that each move machines on.
 #[test]
 fn a_leader_that_has_just_started_waits_for_the_others_that_start() {
-    let regimes = |starting: bool| {
+    let epochs = |starting: bool| {
         let mut leader = Leader::new(
             "rung-0",
             setup(),
@@ -263,8 +263,8 @@
             leader.tick(now, 3);
             for d in leader.drain() {
                 match d {
-                    Deed::NewToken => leader.token_result(Some(leader.token() + 1), now),
-                    Deed::Send(to, ToOwner::Regime { members, .. }) if to == "rung-0" => {
+                    Action::NewToken => leader.token_result(Some(leader.token() + 1), now),
+                    Action::Send(to, ToOwner::Epoch { members, .. }) if to == "rung-0" => {
                         seen.push(members.len())
                     }
                     _ => {}
@@ -273,8 +273,8 @@
         }
         seen
     };
-    assert_eq!(regimes(true), [3]);
-    assert_eq!(regimes(false).len(), 4);
+    assert_eq!(epochs(true), [3]);
+    assert_eq!(epochs(false).len(), 4);
 }
 
 /// Six dead machines of 1,779 kept all arrays that had begun waiting for 21 s after an end of all
@@ -322,7 +322,7 @@
             leader
                 .drain()
                 .iter()
-                .any(|d| matches!(d, Deed::Release(names) if names.len() == silent))
+                .any(|d| matches!(d, Action::Release(names) if names.len() == silent))
         })
     };
     assert!(
@@ -364,7 +364,7 @@
     }
     leader.tick(1.0, 0);
     let record = leader.drain().into_iter().find_map(|d| match d {
-        Deed::Begin(record) => Some(record),
+        Action::Begin(record) => Some(record),
         _ => None,
     });
     let record = record.expect("the first in the queue begins");
@@ -382,7 +382,7 @@
     assert!(leader
         .drain()
         .iter()
-        .any(|d| matches!(d, Deed::Begin(again) if *again == record)));
+        .any(|d| matches!(d, Action::Begin(again) if *again == record)));
 }
 
 struct OneJob;
--- a/crates/model/tests/meetings.rs
+++ b/crates/model/tests/meetings.rs
@@ -181,7 +181,7 @@
         w.end(l, 4.0);
         w.pass(6.0);
         // Now they report, and don't hear the next leader's answer.
-        w.deafen(&names, 12.0);
+        w.make_unreachable(&names, 12.0);
         let l = leader(w);
         w.end(l, 0.1);
         w.pass(0.3);
@@ -489,7 +489,7 @@
     meeting(6, |w| {
         let names = w.busy_machines(6);
         w.mute(&names[..names.len() / 2], 20.0);
-        w.deafen(&names[names.len() / 2..], 20.0);
+        w.make_unreachable(&names[names.len() / 2..], 20.0);
         w.pass(2.0);
         w.cancel_running(3);
         let l = leader(w);
--- a/crates/model/tests/reclaim.rs
+++ b/crates/model/tests/reclaim.rs
@@ -1,7 +1,7 @@
 //! Resources taken back for gangs of several tasks: for the whole gang or not at all.
 
 use model::world::{job, machine_type, machine_view, setup};
-use sched::leader::{Deed, Earlier, Leader, OpenJob};
+use sched::leader::{Action, Earlier, Leader, OpenJob};
 use sched::ranges::Ranges;
 use sched::setup::Setup;
 use std::collections::{BTreeMap, BTreeSet};
@@ -99,14 +99,16 @@
         while self.now < end {
             self.now += 0.25;
             self.leader.tick(self.now, 0);
-            for deed in self.leader.drain() {
-                match deed {
-                    Deed::Send(_, ToOwner::Stop { task, .. }) => {
+            for action in self.leader.drain() {
+                match action {
+                    Action::Send(_, ToOwner::Stop { task, .. }) => {
                         self.stopped.insert(task);
                     }
-                    Deed::Send(_, ToOwner::Hold { .. }) => held = true,
-                    Deed::Send(_, ToOwner::Give { .. } | ToOwner::Ahead { .. }) => self.given += 1,
-                    Deed::Hire(hire) => self.rented += hire.count,
+                    Action::Send(_, ToOwner::Hold { .. }) => held = true,
+                    Action::Send(_, ToOwner::Give { .. } | ToOwner::Ahead { .. }) => {
+                        self.given += 1
+                    }
+                    Action::Hire(hire) => self.rented += hire.count,
                     _ => {}
                 }
             }
--- a/crates/model/tests/waits.rs
+++ b/crates/model/tests/waits.rs
@@ -1,7 +1,7 @@
 //! Work that waits: for how long at most, and what is never placed.
 
 use model::world::{job, machine_view, setup, Defect, World};
-use sched::leader::{Deed, Earlier, Leader, OpenJob};
+use sched::leader::{Action, Earlier, Leader, OpenJob};
 use sched::ranges::Ranges;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -43,8 +43,8 @@
         now += 0.5;
         leader.tick(now, 0);
         let mut exits = Vec::new();
-        for deed in leader.drain() {
-            if let Deed::Send(_, ToOwner::Give { job, attempt, .. }) = deed {
+        for action in leader.drain() {
+            if let Action::Send(_, ToOwner::Give { job, attempt, .. }) = action {
                 tries.push(now);
                 let task = TaskRef {
                     job,
@@ -108,7 +108,7 @@
     let host = |owner: &str| {
         (0..99)
             .map(|i| format!("host-{i}"))
-            .find(|h| sched::part::owner(h, &members) == Some(owner))
+            .find(|h| sched::shard::owner(h, &members) == Some(owner))
             .unwrap()
     };
     let hosts = ["rung-1", "rung-2"].map(host);
@@ -142,7 +142,7 @@
             members.iter().for_each(|m| leader.owner_heard(m, now));
             leader.tick(now, 2);
             let held = leader.drain().into_iter().find_map(|d| match d {
-                Deed::Send(_, ToOwner::Hold { attempt, .. }) => Some(attempt),
+                Action::Send(_, ToOwner::Hold { attempt, .. }) => Some(attempt),
                 _ => None,
             });
             if let Some(attempt) = held {
@@ -219,9 +219,9 @@
         now += 0.5;
         leader.tick(now, 0);
         let mut turn = 0;
-        for deed in leader.drain() {
-            match deed {
-                Deed::Send(
+        for action in leader.drain() {
+            match action {
+                Action::Send(
                     _,
                     ToOwner::Give {
                         job,
@@ -251,8 +251,8 @@
                         turn += 1;
                     }
                 }
-                Deed::Hire(_) if now > 2.0 => bad.push(format!("{now}: rented")),
-                Deed::Send(
+                Action::Hire(_) if now > 2.0 => bad.push(format!("{now}: rented")),
+                Action::Send(
                     _,
                     ToOwner::Use {
                         machine,
@@ -291,42 +291,41 @@
     let roster: BTreeMap<_, _> = (0..4)
         .map(|i| (format!("host-{i}"), record.clone()))
         .collect();
-    let first_drained = |every_s: f64| {
-        let mut leader = Leader::new("rung-0", s.clone(), 1, 1, 4.0, vec![], &roster, 1, 0.0);
-        leader.catalog(vec![model::world::machine_type("small", 4.0, 16.0, 0.3)]);
-        let (mut now, mut jobs) = (0.0, 0);
-        loop {
-            now += 0.5;
-            leader.tick(now, 0);
-            if leader
-                .drain()
-                .iter()
-                .any(|deed| matches!(deed, Deed::Send(_, ToOwner::Use { usable: false, .. })))
-            {
-                return now;
-            }
-            let views = roster
-                .keys()
-                .map(|host| machine_view(host, "small", vec![]))
-                .collect();
-            leader.on_owner("rung-0", ToLeader::Machines(views), now);
-            if now >= f64::from(jobs + 1) * every_s {
-                // A job of another type: it comes, and leaves these machines idle.
-                jobs += 1;
-                let elsewhere = Job {
-                    types: Some(vec!["large".into()]),
-                    ..job(jobs, "red", Shape::Array, 2, 4.0)
-                };
-                let open = OpenJob {
-                    spec: Rc::new(elsewhere),
-                    revision: u64::from(jobs),
-                    done: Ranges::default(),
-                    earlier: Earlier::Untouched,
-                };
-                leader.add_job(open);
+    let first_drained =
+        |every_s: f64| {
+            let mut leader = Leader::new("rung-0", s.clone(), 1, 1, 4.0, vec![], &roster, 1, 0.0);
+            leader.catalog(vec![model::world::machine_type("small", 4.0, 16.0, 0.3)]);
+            let (mut now, mut jobs) = (0.0, 0);
+            loop {
+                now += 0.5;
+                leader.tick(now, 0);
+                if leader.drain().iter().any(|action| {
+                    matches!(action, Action::Send(_, ToOwner::Use { usable: false, .. }))
+                }) {
+                    return now;
+                }
+                let views = roster
+                    .keys()
+                    .map(|host| machine_view(host, "small", vec![]))
+                    .collect();
+                leader.on_owner("rung-0", ToLeader::Machines(views), now);
+                if now >= f64::from(jobs + 1) * every_s {
+                    // A job of another type: it comes, and leaves these machines idle.
+                    jobs += 1;
+                    let elsewhere = Job {
+                        types: Some(vec!["large".into()]),
+                        ..job(jobs, "red", Shape::Array, 2, 4.0)
+                    };
+                    let open = OpenJob {
+                        spec: Rc::new(elsewhere),
+                        revision: u64::from(jobs),
+                        done: Ranges::default(),
+                        earlier: Earlier::Untouched,
+                    };
+                    leader.add_job(open);
+                }
             }
-        }
-    };
+        };
     let (busy, quiet) = (first_drained(5.0), first_drained(1e9));
     assert!((55.0..70.0).contains(&busy), "{busy}: 20 boot times of 3 s");
     assert!((14.0..20.0).contains(&quiet), "{quiet}: a quarter of that");
@@ -399,7 +398,7 @@
         leader
             .drain()
             .iter()
-            .any(|deed| matches!(deed, Deed::Send(_, ToOwner::Use { usable: false, .. })))
+            .any(|action| matches!(action, Action::Send(_, ToOwner::Use { usable: false, .. })))
     };
     // Job 1 fails on the first machine, which then completes a task of job 3.
     drained(
--- a/crates/sched/src/regime.rs
+++ b/crates/sched/src/epoch.rs
@@ -1,8 +1,8 @@
 //! The leader and its owners: who is heard, what authority they get, and the change of owners
 //! under a new token.
 
-use crate::leader::{Deed, Leader, LimboGroup, OwnerLink, Phase, Place, Rostered};
-use crate::part;
+use crate::leader::{Action, Leader, OwnerLink, Phase, Place, Rostered, UnresolvedGroup};
+use crate::shard;
 use crate::Secs;
 use wire::peers::{MachineCard, ToOwner};
 
@@ -23,7 +23,7 @@
     /// How long this owner may be granted authority that ends before `until`; none if it is
     /// no owner under the present token.
     pub fn grant(&mut self, member: &str, now: Secs, until: Secs) -> Option<Secs> {
-        if !self.regime_set || !self.members.iter().any(|m| m == member) {
+        if !self.epoch_set || !self.members.iter().any(|m| m == member) {
             return None;
         }
         let valid = until - now;
@@ -35,9 +35,9 @@
         Some(valid)
     }
 
-    /// The other controllers are probably starting as well: the first regime waits for them a
-    /// little. Each regime that moves a machine to another owner costs two of its reports before
-    /// it is accounted for, and a worker makes haste for a new token only once in half a lease.
+    /// The other controllers are probably starting as well: the first epoch waits for them a
+    /// little. Each epoch that moves a machine to another owner costs two of its reports before
+    /// it is reconciled, and a worker makes haste for a new token only once in half a lease.
     pub fn expect_others(&mut self) {
         self.others_start = true;
     }
@@ -47,7 +47,7 @@
         if let Some(link) = self.links.remove(member) {
             self.lost_until = self.lost_until.max(link.granted_until);
             if self.members.iter().any(|m| m == member) {
-                self.regime_broken = true;
+                self.epoch_broken = true;
                 self.broken.insert(member.into());
             }
         }
@@ -62,7 +62,7 @@
         v
     }
 
-    pub(crate) fn review_regime(&mut self, now: Secs, known: usize) {
+    pub(crate) fn review_epoch(&mut self, now: Secs, known: usize) {
         let silent: Vec<String> = self
             .links
             .iter()
@@ -74,31 +74,31 @@
             self.owner_lost(&m);
         }
         let wanted = self.wanted_members();
-        if self.token_asked || (self.regime_set && !self.regime_broken && wanted == self.members) {
+        if self.token_asked || (self.epoch_set && !self.epoch_broken && wanted == self.members) {
             return;
         }
         let mut settle = self.setup.owner_silence_s() / 8.0;
         if self.others_start
-            && !self.regime_set
-            && now - self.born < self.setup.owner_silence_s() * 2.0
+            && !self.epoch_set
+            && now - self.started_at < self.setup.owner_silence_s() * 2.0
         {
             settle = self.setup.owner_silence_s();
         }
-        let lost = self.regime_broken
-            || self.regime_set && self.members.iter().any(|m| !wanted.contains(m));
+        let lost =
+            self.epoch_broken || self.epoch_set && self.members.iter().any(|m| !wanted.contains(m));
         let newest = self
             .links
             .values()
             .map(|l| l.since)
-            .fold(self.born, f64::max);
+            .fold(self.started_at, f64::max);
         if !lost && self.links.len() < known && now - newest < settle {
             return;
         }
-        if self.regime_set {
+        if self.epoch_set {
             self.token_asked = true;
-            self.deeds.push(Deed::NewToken);
+            self.actions.push(Action::NewToken);
         } else {
-            self.begin_regime(now);
+            self.begin_epoch(now);
         }
     }
 
@@ -107,18 +107,18 @@
         self.token_asked = false;
         if let Some(token) = token {
             self.token = token;
-            self.begin_regime(now);
+            self.begin_epoch(now);
         }
     }
 
-    pub(crate) fn begin_regime(&mut self, now: Secs) {
+    pub(crate) fn begin_epoch(&mut self, now: Secs) {
         let wanted = self.wanted_members();
         let old_members = std::mem::replace(&mut self.members, wanted);
-        let prev = self.regime_token;
-        self.regime_token = self.token;
-        self.regime_set = true;
-        self.regime_at = now;
-        self.regime_broken = false;
+        let prev = self.epoch_token;
+        self.epoch_token = self.token;
+        self.epoch_set = true;
+        self.epoch_at = now;
+        self.epoch_broken = false;
         let broken = std::mem::take(&mut self.broken);
         // Any earlier owner may have prolonged leases until its authority ends for certain.
         let granted = self
@@ -128,7 +128,7 @@
             .fold(self.lost_until, f64::max);
         let extra_ms = ((granted - now).max(0.0) * 1000.0).ceil() as u64;
         log::info!(
-            "event=regime token={} owners={} extra_ms={extra_ms}",
+            "event=epoch token={} owners={} extra_ms={extra_ms}",
             self.token,
             self.members.join(",")
         );
@@ -160,7 +160,7 @@
             self.next_group += 1;
             for (id, i) in &tasks {
                 if let Some(mut a) = self.unset_active(id, *i) {
-                    a.place = Place::Limbo(group);
+                    a.place = Place::Unresolved(group);
                     self.set_active(id, *i, a);
                 }
             }
@@ -170,19 +170,20 @@
                 .filter(|(_, m)| m.owner == *old)
                 .map(|(n, _)| n.clone())
                 .collect();
-            self.groups.insert(group, LimboGroup { machines, tasks });
+            self.groups
+                .insert(group, UnresolvedGroup { machines, tasks });
         }
         let token = self.token;
         self.stale.extend(self.machines.keys().cloned());
         for (name, m) in self.machines.iter_mut() {
-            let owner = part::owner(name, &self.members)
+            let owner = shard::owner(name, &self.members)
                 .unwrap_or(&self.me)
                 .to_string();
             if owner != m.owner || broken.contains(&owner) {
                 m.owner = owner;
                 m.since = token;
             }
-            m.accounted = false;
+            m.reconciled = false;
             // Owners learn from the cards what they may use; also what an earlier leader rostered.
             m.usable_told = m.rostered == Rostered::Yes && !m.drain && !m.releasing;
             m.cleared.clear();
@@ -217,7 +218,7 @@
             let machines = cards.iter().filter(mine).cloned().collect();
             self.send(
                 &member,
-                ToOwner::Regime {
+                ToOwner::Epoch {
                     token,
                     prev: if continues { prev } else { 0 },
                     members: self.members.clone(),
@@ -240,7 +241,7 @@
         if !self.members.contains(&me) {
             self.send(
                 &me,
-                ToOwner::Regime {
+                ToOwner::Epoch {
                     token,
                     prev: 0,
                     members: self.members.clone(),
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Fleet: which machines to rent and which to return.
 
-use crate::leader::{Deed, Job, Leader, Rostered};
+use crate::leader::{Action, Job, Leader, Rostered};
 use crate::place::{tier, Room};
 use crate::Secs;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -336,7 +336,7 @@
                     hire.count
                 );
                 self.fleet.asked.insert(name, hire.clone());
-                self.deeds.push(Deed::Hire(hire));
+                self.actions.push(Action::Hire(hire));
             }
         }
     }
@@ -725,7 +725,7 @@
             // may have come back meanwhile, and what is placed on a returned machine is lost.
             if m.drain
                 && m.closed
-                && m.accounted
+                && m.reconciled
                 && m.quiet
                 && m.tasks.is_empty()
                 && m.held.is_empty()
@@ -737,11 +737,11 @@
         // Nearly all were heard and the last of them a while ago, long enough for a worker whose report
         // was lost to try again: the few that are left are dead, and all work would wait for them.
         let few = self.unknown.len() as f64 <= self.machines.len() as f64 * FEW_UNKNOWN;
-        let heard = now - self.known_at.max(self.regime_at) <= wire::ANSWER_DROPPED_S * 1.25;
-        let long = now - self.regime_at > 2.0 * wire::ANSWER_DROPPED_S + 1.5 * self.setup.report_s;
+        let heard = now - self.known_at.max(self.epoch_at) <= wire::ANSWER_DROPPED_S * 1.25;
+        let long = now - self.epoch_at > 2.0 * wire::ANSWER_DROPPED_S + 1.5 * self.setup.report_s;
         if blocked && (long || few && !heard) {
             // Long enough for a worker to give up twice on a controller that does not answer.
-            // Work waits for machines that do not report: once returned they are accounted for.
+            // Work waits for machines that do not report: once returned they are reconciled.
             let silent: Vec<String> = self
                 .machines
                 .iter()
@@ -774,7 +774,7 @@
         }
         release.retain(|n| self.fleet.releasing.insert(n.clone()));
         for names in release.chunks(MOST_RELEASED) {
-            self.deeds.push(Deed::Release(names.to_vec()));
+            self.actions.push(Action::Release(names.to_vec()));
         }
     }
 
@@ -859,7 +859,7 @@
             }
         }
         for names in failed.chunks(MOST_RELEASED) {
-            self.deeds.push(Deed::Release(names.to_vec()));
+            self.actions.push(Action::Release(names.to_vec()));
         }
     }
 }
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -18,7 +18,7 @@
 
 /// What the leader wants done outside.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Deed {
+pub enum Action {
     Send(String, ToOwner),
     NewToken,
     Roster(String, Option<RosterRecord>),
@@ -49,7 +49,7 @@
     Given(String, String),
     On(String),
     /// In the hands of an owner that was lost; settled with the group of its machines.
-    Limbo(u64),
+    Unresolved(u64),
 }
 
 #[derive(Clone, Debug)]
@@ -166,8 +166,8 @@
     pub owner: String,
     pub since: u64,
     /// Its owner has shown what is on it since it became the owner.
-    pub accounted: bool,
-    /// Not accounted for since this leader began: what is on it is not known at all.
+    pub reconciled: bool,
+    /// Not reconciled since this leader began: what is on it is not known at all.
     pub unknown: bool,
     pub lapsed_at: Option<Secs>,
     pub notice_until: Option<Secs>,
@@ -177,7 +177,7 @@
     pub closed: bool,
     pub quiet: bool,
     /// Its reports arrive, but answers don't reach it.
-    pub deaf: bool,
+    pub unreachable: bool,
     /// Tasks of jobs that are over and not known here any more: nothing is placed beside them.
     pub foreign: bool,
     pub drain: bool,
@@ -195,8 +195,12 @@
 impl Machine {
     /// Whether tasks may be placed there now, as far as the picture goes.
     pub fn open(&self) -> bool {
-        let present = self.accounted && self.lapsed_at.is_none() && self.notice_until.is_none();
-        self.rostered == Rostered::Yes && self.usable_told && present && !self.foreign && !self.deaf
+        let present = self.reconciled && self.lapsed_at.is_none() && self.notice_until.is_none();
+        self.rostered == Rostered::Yes
+            && self.usable_told
+            && present
+            && !self.foreign
+            && !self.unreachable
     }
 
     /// What is left of its room beside possibly-on tasks and held room.
@@ -214,7 +218,7 @@
     pub granted_until: Secs,
 }
 
-pub(crate) struct LimboGroup {
+pub(crate) struct UnresolvedGroup {
     pub machines: BTreeSet<String>,
     pub tasks: Vec<(String, u32)>,
 }
@@ -234,7 +238,7 @@
     pub running: usize,
     pub machines: usize,
     pub booting: usize,
-    pub unaccounted: usize,
+    pub unreconciled: usize,
     /// CPUs of machines that are up, and what possibly runs of them: ordinary and cheap ones.
     pub cpus: [u32; 2],
     pub cpus_used: [u32; 2],
@@ -248,17 +252,17 @@
     pub(crate) setup: Setup,
     pub(crate) rng: fastrand::Rng,
     pub(crate) token: u64,
-    /// Token of the present regime; 0 before the first.
-    pub(crate) regime_token: u64,
-    /// An owner's connection broke: what was sent to it may be lost, so a new regime is due.
-    pub(crate) regime_broken: bool,
+    /// Token of the present epoch; 0 before the first.
+    pub(crate) epoch_token: u64,
+    /// An owner's connection broke: what was sent to it may be lost, so a new epoch is due.
+    pub(crate) epoch_broken: bool,
     pub(crate) broken: BTreeSet<String>,
     pub(crate) counter: u64,
-    pub(crate) born: Secs,
+    pub(crate) started_at: Secs,
     /// The time of the last tick.
     pub(crate) time: Secs,
     pub(crate) members: Vec<String>,
-    pub(crate) regime_set: bool,
+    pub(crate) epoch_set: bool,
     pub(crate) token_asked: bool,
     pub(crate) others_start: bool,
     pub(crate) links: BTreeMap<String, OwnerLink>,
@@ -279,20 +283,20 @@
     pub(crate) team_used: BTreeMap<String, Room>,
     /// CPUs of tasks that wait for room, by owner.
     pub(crate) ahead: BTreeMap<String, f64>,
-    pub(crate) groups: BTreeMap<u64, LimboGroup>,
+    pub(crate) groups: BTreeMap<u64, UnresolvedGroup>,
     pub(crate) next_group: u64,
     pub(crate) start_open: bool,
     /// By team: what jobs that were cancelled so lately that their tasks may still be on unknown
     /// machines could use together.
     pub(crate) lately_cancelled: BTreeMap<String, Room>,
     /// Jobs that are over, of which tasks may still run, and since when this leader knows: owners
-    /// are told, those of later regimes too.
+    /// are told, those of later epochs too.
     pub(crate) lately_over: BTreeMap<String, Secs>,
-    pub(crate) regime_at: Secs,
-    /// When a machine of unknown content was last accounted for.
+    pub(crate) epoch_at: Secs,
+    /// When a machine of unknown content was last reconciled.
     pub(crate) known_at: Secs,
     pub(crate) fleet: crate::fleet::Fleet,
-    pub(crate) deeds: Vec<Deed>,
+    pub(crate) actions: Vec<Action>,
     pub(crate) wake: bool,
     pub(crate) flushed: Secs,
     pub(crate) chunk_bits: u32,
@@ -343,12 +347,12 @@
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         write!(
             f,
-            "queued={} running={} machines={} booting={} unaccounted={} cpus={} cpus_used={} spot_cpus={} spot_cpus_used={} running_cpus={} ahead_cpus={}",
+            "queued={} running={} machines={} booting={} unreconciled={} cpus={} cpus_used={} spot_cpus={} spot_cpus_used={} running_cpus={} ahead_cpus={}",
             self.queued,
             self.running,
             self.machines,
             self.booting,
-            self.unaccounted,
+            self.unreconciled,
             self.cpus[0],
             self.cpus_used[0],
             self.cpus[1],
@@ -378,14 +382,14 @@
             setup,
             rng: fastrand::Rng::with_seed(seed),
             token,
-            regime_token: 0,
-            regime_broken: false,
+            epoch_token: 0,
+            epoch_broken: false,
             broken: BTreeSet::new(),
             counter: 0,
-            born: now,
+            started_at: now,
             time: now,
             members: Vec::new(),
-            regime_set: false,
+            epoch_set: false,
             token_asked: false,
             others_start: false,
             links: BTreeMap::new(),
@@ -406,10 +410,10 @@
             start_open: true,
             lately_cancelled: BTreeMap::new(),
             lately_over: BTreeMap::new(),
-            regime_at: now,
+            epoch_at: now,
             known_at: now,
             fleet: crate::fleet::Fleet::default(),
-            deeds: Vec::new(),
+            actions: Vec::new(),
             wake: false,
             flushed: now,
             chunk_bits: chunk_bits(value_kb),
@@ -439,7 +443,7 @@
             spot,
             owner: String::new(),
             since: self.token,
-            accounted: false,
+            reconciled: false,
             unknown: false,
             lapsed_at: None,
             notice_until: None,
@@ -447,7 +451,7 @@
             usable_told: false,
             closed: false,
             quiet: true,
-            deaf: false,
+            unreachable: false,
             foreign: false,
             drain: false,
             releasing: false,
@@ -485,8 +489,8 @@
     }
 
     /// What is to be done now.
-    pub fn drain(&mut self) -> Vec<Deed> {
-        std::mem::take(&mut self.deeds)
+    pub fn drain(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
     }
 
     pub fn summary(&self) -> Summary {
@@ -495,7 +499,7 @@
             running: self.jobs.values().map(|j| j.active.len()).sum(),
             machines: self.machines.len(),
             booting: self.fleet.booting.len(),
-            unaccounted: self.machines.values().filter(|m| !m.accounted).count(),
+            unreconciled: self.machines.values().filter(|m| !m.reconciled).count(),
             cpus: [false, true].map(|spot| {
                 self.machines
                     .values()
@@ -543,8 +547,8 @@
         };
         let machine = |(n, m): (&String, &Machine)| {
             format!(
-                "{n} {} {} spot={} owner={} accounted={} usable={} lapsed={:?} foreign={} used={} rostered={:?} drain={} closed={} quiet={} releasing={}",
-                m.kind, m.zone, m.spot, m.owner, m.accounted, m.usable_told, m.lapsed_at, m.foreign, m.used.cpus, m.rostered, m.drain, m.closed, m.quiet, m.releasing
+                "{n} {} {} spot={} owner={} reconciled={} usable={} lapsed={:?} foreign={} used={} rostered={:?} drain={} closed={} quiet={} releasing={}",
+                m.kind, m.zone, m.spot, m.owner, m.reconciled, m.usable_told, m.lapsed_at, m.foreign, m.used.cpus, m.rostered, m.drain, m.closed, m.quiet, m.releasing
             )
         };
         self.jobs
@@ -556,7 +560,7 @@
     }
 
     pub(crate) fn send(&mut self, to: &str, message: ToOwner) {
-        self.deeds.push(Deed::Send(to.to_string(), message));
+        self.actions.push(Action::Send(to.to_string(), message));
     }
 
     // ---- jobs ----
@@ -856,7 +860,7 @@
         if let Some(job) = self.jobs.get_mut(id) {
             if !job.over && !job.finishing && job.done.len() == job.spec.tasks {
                 job.finishing = true;
-                self.deeds.push(Deed::Finish { job: id.into() });
+                self.actions.push(Action::Finish { job: id.into() });
             }
         }
     }
@@ -915,7 +919,8 @@
         waiting.sort_unstable();
         // One that is not named is only taken to have begun.
         waiting.truncate(self.chunk_bits as usize / BITS_PER_WAITING);
-        self.deeds.push(Deed::Begin(BegunRecord { upto, waiting }));
+        self.actions
+            .push(Action::Begin(BegunRecord { upto, waiting }));
     }
 
     /// The record of what has begun is durable, or its outcome is not known (the next pass asks
@@ -998,7 +1003,7 @@
         self.machines.remove(name);
         self.stale.insert(name.into());
         self.unknown.remove(name);
-        self.deeds.push(Deed::Roster(name.into(), None));
+        self.actions.push(Action::Roster(name.into(), None));
         self.settle();
         self.wake = true;
     }
@@ -1008,11 +1013,11 @@
     /// Does what is due: `known` is the number of other controllers in the settings.
     pub fn tick(&mut self, now: Secs, known: usize) {
         self.time = now;
-        let remembered = self.setup.cancel_s + self.setup.lease_certainly_over_s();
+        let remembered = self.setup.over_remembered_s();
         self.lately_over
             .retain(|_, since| now - *since < remembered);
-        self.review_regime(now, known);
-        if !self.regime_set {
+        self.review_epoch(now, known);
+        if !self.epoch_set {
             return;
         }
         let late: Vec<String> = self
@@ -1056,7 +1061,7 @@
             for chunk in dirty {
                 let to = ((chunk + 1) * bits).min(job.spec.tasks);
                 let bits = job.done.hex(chunk * bits, to);
-                self.deeds.push(Deed::Progress {
+                self.actions.push(Action::Progress {
                     job: id.clone(),
                     chunk,
                     bits,
@@ -1165,7 +1170,7 @@
             self.index.clear();
             self.stale.extend(self.machines.keys().cloned());
         }
-        if !same && self.regime_set {
+        if !same && self.epoch_set {
             let message = ToOwner::Catalog {
                 types: self.types.values().cloned().collect(),
             };
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -1,17 +1,17 @@
 //! Decisions of ladderroute, sans I/O: time, random numbers and events are arguments.
 
 pub mod authority;
+mod epoch;
 pub mod fleet;
 pub mod index;
 pub mod leader;
 pub mod owner;
-pub mod part;
 pub mod place;
 mod preempt;
 mod queue;
 pub mod ranges;
-mod regime;
 pub mod setup;
+pub mod shard;
 mod views;
 
 /// A time on the process's steady clock, in seconds.
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -7,9 +7,9 @@
 
 use crate::authority::Authority;
 use crate::index::{Index, Spot};
-use crate::part;
 use crate::place::{tier, Room};
 use crate::setup::Setup;
+use crate::shard;
 use crate::Secs;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use wire::cloud::MachineType;
@@ -80,10 +80,14 @@
 impl Machine {
     /// Whether tasks may be placed there.
     fn open(&self) -> bool {
-        self.usable && self.known && !self.lapsed && self.notice_s.is_none() && !self.is_deaf()
+        self.usable
+            && self.known
+            && !self.lapsed
+            && self.notice_s.is_none()
+            && !self.is_unreachable()
     }
 
-    fn is_deaf(&self) -> bool {
+    fn is_unreachable(&self) -> bool {
         self.unheard >= ANSWERS_LOST
     }
 }
@@ -113,7 +117,7 @@
     members: Vec<String>,
     types: BTreeMap<String, MachineType>,
     pub authority: Authority,
-    regime_at: Secs,
+    epoch_at: Secs,
     extra_s: Secs,
     machines: BTreeMap<String, Machine>,
     holds: BTreeMap<u64, Hold>,
@@ -139,7 +143,7 @@
             token: 0,
             members: Vec::new(),
             types: BTreeMap::new(),
-            regime_at: 0.0,
+            epoch_at: 0.0,
             extra_s: 0.0,
             machines: BTreeMap::new(),
             holds: BTreeMap::new(),
@@ -211,7 +215,7 @@
     pub fn on_leader(&mut self, message: ToOwner, now: Secs, jobs: &dyn Jobs) {
         self.show = true;
         match message {
-            ToOwner::Regime {
+            ToOwner::Epoch {
                 token,
                 prev,
                 members,
@@ -221,7 +225,7 @@
                 if token < self.token {
                     return;
                 }
-                self.regime(token, prev, members, extra_ms, machines, now);
+                self.epoch(token, prev, members, extra_ms, machines, now);
             }
             ToOwner::Catalog { types } => self.catalog(&types),
             ToOwner::Use { machine, usable } => {
@@ -290,7 +294,7 @@
             }
             ToOwner::Over { jobs: ids } => {
                 for id in ids {
-                    self.drop_ahead(|job| job == id);
+                    self.hand_back(|ahead| ahead.job == id);
                     self.over.insert(id, now);
                 }
             }
@@ -304,7 +308,7 @@
         self.stale.extend(self.machines.keys().cloned());
     }
 
-    fn regime(
+    fn epoch(
         &mut self,
         token: u64,
         prev: u64,
@@ -313,9 +317,9 @@
         cards: Vec<wire::peers::MachineCard>,
         now: Secs,
     ) {
-        // Room that was lent ends with the regime: the leader releases its waiting gangs.
+        // Room that was lent ends with the epoch: the leader releases its waiting gangs.
         self.holds.clear();
-        // What waits for room is nowhere yet; the leader takes it back once all is accounted for.
+        // What waits for room is nowhere yet; the leader takes it back once all is reconciled.
         self.ahead.clear();
         self.out.clear();
         if self.token != prev || prev == 0 {
@@ -323,13 +327,13 @@
         }
         self.token = token;
         self.members = members;
-        self.regime_at = now;
+        self.epoch_at = now;
         self.extra_s = extra_ms as f64 / 1000.0;
         let (me, members) = (&self.me, &self.members);
         self.machines
-            .retain(|name, _| part::owner(name, members) == Some(me.as_str()));
+            .retain(|name, _| shard::owner(name, members) == Some(me.as_str()));
         for card in cards {
-            if part::owner(&card.name, &self.members) != Some(self.me.as_str()) {
+            if shard::owner(&card.name, &self.members) != Some(self.me.as_str()) {
                 continue;
             }
             let m = self.machines.entry(card.name).or_insert_with(|| {
@@ -349,19 +353,19 @@
         if !self.has_authority(now) || self.token == 0 {
             return Answer::NotNow;
         }
-        match part::owner(&report.machine, &self.members) {
+        match shard::owner(&report.machine, &self.members) {
             Some(o) if o == self.me => {}
             Some(o) => return Answer::Elsewhere(o.to_string()),
             None => return Answer::NotNow,
         }
-        let (token, born) = (self.token, self.regime_at + self.extra_s);
+        let (token, since) = (self.token, self.epoch_at + self.extra_s);
         if !self.machines.contains_key(&report.machine) {
             let new = new_machine(
                 report.kind.clone(),
                 report.zone.clone(),
                 report.spot,
                 token,
-                born,
+                since,
             );
             self.machines.insert(report.machine.clone(), new);
         }
@@ -396,7 +400,7 @@
         // A worker that gets its answer stays, so that its next report comes here as well; one that
         // does not goes to the next controller first. What such a machine was to start it never
         // will: this report lacks it, and no later answer repeats it.
-        let deaf = m.is_deaf();
+        let unreachable = m.is_unreachable();
         if m.asked != (0, 0) {
             m.unheard = if order == (m.asked.0, m.asked.1 + 1) {
                 0
@@ -405,7 +409,7 @@
             };
         }
         m.asked = order;
-        m.dirty |= m.is_deaf() != deaf;
+        m.dirty |= m.is_unreachable() != unreachable;
         m.dirty |= m.lapsed || !m.known;
         m.lapsed = false;
         m.known = true;
@@ -437,7 +441,7 @@
         }
         m.tasks = tasks;
         m.notice_s = report.notice_s;
-        if m.is_deaf() {
+        if m.is_unreachable() {
             log::info!(
                 "event=starts_lost machine={} tasks={}",
                 report.machine,
@@ -500,11 +504,7 @@
         self.ahead.retain(|a| !a.indexes.is_empty());
     }
 
-    /// Hands back what waits for room, of these jobs.
-    fn drop_ahead(&mut self, of: impl Fn(&str) -> bool) {
-        self.hand_back(|a| of(&a.job));
-    }
-
+    /// Hands tasks that wait for room back to the leader.
     fn hand_back(&mut self, which: impl Fn(&Ahead) -> bool) {
         let out = &mut self.out;
         self.ahead.retain_mut(|a| {
@@ -524,8 +524,7 @@
     /// Lets holds and leases run out.
     pub fn tick(&mut self, now: Secs) {
         self.hand_back(|a| now >= a.until);
-        // By then the last task of such a job is gone.
-        let remembered = self.setup.cancel_s + self.setup.lease_certainly_over_s();
+        let remembered = self.setup.over_remembered_s();
         self.over.retain(|_, at| now - *at < remembered);
         if now - self.shown_at >= self.setup.report_s / VIEWS_PER_REPORT {
             self.shown_at = now;
@@ -816,7 +815,7 @@
         tasks: m.tasks.values().cloned().collect(),
         pending: m.pending.keys().cloned().collect(),
         usable: m.usable,
-        deaf: m.is_deaf(),
+        unreachable: m.is_unreachable(),
     }
 }
 
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -5,7 +5,7 @@
 //! and does not block those behind it.
 
 use crate::index::{Found, Spot};
-use crate::leader::{Active, Begun, Deed, Job, Leader, Machine, Phase, Place};
+use crate::leader::{Action, Active, Begun, Job, Leader, Machine, Phase, Place};
 use crate::place::{Room, SLACK};
 use crate::ranges::runs;
 use crate::views::LONGEST_BACKOFF_S;
@@ -449,7 +449,7 @@
             if let Some(zone) = zone {
                 needs.zone = Some(zone.to_string());
             }
-            self.deeds.push(Deed::Send(
+            self.actions.push(Action::Send(
                 owner,
                 ToOwner::Give {
                     job: id.into(),
@@ -553,7 +553,7 @@
                 tasks: runs(mine),
                 wait_ms,
             };
-            self.deeds.push(Deed::Send(owner.clone(), message));
+            self.actions.push(Action::Send(owner.clone(), message));
         }
         pass.charge(&team, each, n);
     }
@@ -675,7 +675,7 @@
                 places,
                 wait_ms: (wait * 1000.0) as u64,
             };
-            self.deeds.push(Deed::Send(owner, message));
+            self.actions.push(Action::Send(owner, message));
         }
     }
 
@@ -709,7 +709,7 @@
                         until,
                         places: places.clone(),
                     };
-                    self.deeds.push(Deed::Bind {
+                    self.actions.push(Action::Bind {
                         job: id,
                         attempt,
                         places,
@@ -776,8 +776,8 @@
         }
         log::info!("event=bound job={id} attempt={attempt}");
         for owner in owners {
-            self.deeds
-                .push(Deed::Send(owner, ToOwner::Bind { attempt }));
+            self.actions
+                .push(Action::Send(owner, ToOwner::Bind { attempt }));
         }
     }
 
@@ -817,8 +817,8 @@
             }
         }
         for owner in owners {
-            self.deeds
-                .push(Deed::Send(owner, ToOwner::Release { attempt: *attempt }));
+            self.actions
+                .push(Action::Send(owner, ToOwner::Release { attempt: *attempt }));
         }
         self.wake();
     }
--- a/crates/sched/src/setup.rs
+++ b/crates/sched/src/setup.rs
@@ -53,6 +53,11 @@
         (self.cancel_s - self.lease_certainly_over_s()).max(self.start_knowledge_s())
     }
 
+    /// For how long a job that is over is remembered: by then its last task is gone.
+    pub fn over_remembered_s(&self) -> f64 {
+        self.cancel_s + self.lease_certainly_over_s()
+    }
+
     /// How old knowledge of the store may be for a start.
     pub fn start_knowledge_s(&self) -> f64 {
         self.leader_lease_s
--- a/crates/sched/src/views.rs
+++ b/crates/sched/src/views.rs
@@ -1,7 +1,7 @@
 //! What owners show of their machines, and what the leader's picture takes from it.
 
-use crate::leader::{Active, Deed, Job, Leader, Phase, Place, Rostered};
-use crate::part;
+use crate::leader::{Action, Active, Job, Leader, Phase, Place, Rostered};
+use crate::shard;
 use crate::Secs;
 use std::collections::BTreeSet;
 use wire::peers::{MachineView, TaskRef, TaskView, ToLeader, ToOwner};
@@ -43,7 +43,7 @@
     }
 
     pub(crate) fn apply_view(&mut self, from: &str, v: MachineView, now: Secs) {
-        if part::owner(&v.name, &self.members) != Some(from) {
+        if shard::owner(&v.name, &self.members) != Some(from) {
             return;
         }
         if !self.machines.contains_key(&v.name) {
@@ -52,7 +52,7 @@
                 return;
             }
             if v.token != self.token || v.lapsed {
-                // Known by a late copy of a report only, or seen under an earlier regime; its owner will show it again under this one.
+                // Known by a late copy of a report only, or seen under an earlier epoch; its owner will show it again under this one.
                 return;
             }
             log::info!(
@@ -85,18 +85,22 @@
         m.lapsed_at = v.lapsed.then(|| m.lapsed_at.unwrap_or(now));
         m.notice_until = v.notice_s.map(|s| m.notice_until.unwrap_or(now + s));
         m.closed = !v.usable;
-        if v.deaf != m.deaf {
+        if v.unreachable != m.unreachable {
             log::info!(
                 "event=machine_{} machine={}",
-                if v.deaf { "deaf" } else { "hears" },
+                if v.unreachable {
+                    "unreachable"
+                } else {
+                    "reachable"
+                },
                 v.name
             );
-            m.deaf = v.deaf;
+            m.unreachable = v.unreachable;
         }
         m.quiet = v.pending.is_empty() && v.tasks.iter().all(|t| t.state == TaskState::Exited);
-        // Only a view of this very regime proves that nothing else was placed there meanwhile.
+        // Only a view of this very epoch proves that nothing else was placed there meanwhile.
         if v.token == token {
-            m.accounted = true;
+            m.reconciled = true;
             if std::mem::take(&mut m.unknown) {
                 self.unknown.remove(&v.name);
                 self.known_at = now;
@@ -135,7 +139,7 @@
                 zone: m.zone.clone(),
                 spot: m.spot,
             };
-            self.deeds.push(Deed::Roster(name.into(), Some(record)));
+            self.actions.push(Action::Roster(name.into(), Some(record)));
         }
     }
 
@@ -160,7 +164,7 @@
             let here = |a: &Active| match &a.place {
                 Place::Given(o, _) => o == from,
                 Place::On(m) => *m == v.name,
-                Place::Limbo(_) => false,
+                Place::Unresolved(_) => false,
             };
             if self
                 .jobs
@@ -376,13 +380,13 @@
         log::info!("event=job_fails_anywhere job={id}");
     }
 
-    /// Settles what waited for machines to be accounted for.
+    /// Settles what waited for machines to be reconciled.
     pub(crate) fn settle(&mut self) {
         let mut ready = Vec::new();
         let machines = &self.machines;
         self.groups.retain(|id, g| {
             g.machines
-                .retain(|m| machines.get(m).is_some_and(|m| !m.accounted));
+                .retain(|m| machines.get(m).is_some_and(|m| !m.reconciled));
             if g.machines.is_empty() {
                 ready.push((*id, std::mem::take(&mut g.tasks)));
             }
@@ -394,13 +398,13 @@
                     .jobs
                     .get(&id)
                     .and_then(|j| j.active.get(&i))
-                    .is_some_and(|a| a.place == Place::Limbo(group));
+                    .is_some_and(|a| a.place == Place::Unresolved(group));
                 if still {
                     self.gone(&id, i);
                 }
             }
         }
-        if !self.start_open || !self.regime_set {
+        if !self.start_open || !self.epoch_set {
             return;
         }
         let unknown = &self.unknown;
@@ -417,7 +421,7 @@
             .collect();
         if all {
             self.start_open = false;
-            log::info!("event=accounted machines={}", self.machines.len());
+            log::info!("event=reconciled machines={}", self.machines.len());
         }
         for id in ids {
             self.certain(&id);
--- a/crates/store/src/leadership.rs
+++ b/crates/store/src/leadership.rs
@@ -45,9 +45,9 @@
     }
 }
 
-/// A leadership that was won.
+/// The lease on the leadership that this controller took.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Won {
+pub struct LeadershipLease {
     pub token: u64,
     pub lease: u64,
     /// Version of the leader key: the condition of every write of this leader.
@@ -64,8 +64,12 @@
 }
 
 /// Tries once to take the leadership; none if someone else holds it or the outcome shows
-/// that it was not won.
-pub async fn take(store: &impl Keeper, me: &str, ttl: Duration) -> Result<Option<Won>, StoreError> {
+/// that it was not taken.
+pub async fn take(
+    store: &impl Keeper,
+    me: &str,
+    ttl: Duration,
+) -> Result<Option<LeadershipLease>, StoreError> {
     if store.get(keys::LEADER).await?.is_some() {
         return Ok(None);
     }
@@ -120,7 +124,7 @@
             return Err(e);
         }
     };
-    Ok(Some(Won {
+    Ok(Some(LeadershipLease {
         token,
         lease,
         version,
@@ -133,20 +137,20 @@
 pub async fn next_token(
     store: &impl Keeper,
     me: &str,
-    won: &Won,
+    leadership: &LeadershipLease,
 ) -> Result<Option<(u64, u64)>, StoreError> {
-    let token = won.token + 1;
+    let token = leadership.token + 1;
     let record = LeaderRecord {
         member: me.into(),
         token,
     };
     let txn = Txn {
-        conditions: vec![still_leader(won.version)],
+        conditions: vec![still_leader(leadership.version)],
         writes: vec![
             Write::Put {
                 key: keys::LEADER.into(),
                 value: to_value(&record),
-                lease: Some(won.lease),
+                lease: Some(leadership.lease),
             },
             Write::Put {
                 key: keys::TERM.into(),
@@ -165,7 +169,7 @@
             Some(item) if from_value::<LeaderRecord>(&item.value).as_ref() == Some(&record) => {
                 Ok(Some((token, item.version)))
             }
-            Some(item) if item.version == won.version => {
+            Some(item) if item.version == leadership.version => {
                 Err(StoreError::Unknown("not applied yet".into()))
             }
             _ => Ok(None),
--- a/crates/store/tests/leadership.rs
+++ b/crates/store/tests/leadership.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 use store::client::{Decided, StoreError};
 use store::keys;
-use store::leadership::{next_token, take, Keeper, Won};
+use store::leadership::{next_token, take, Keeper, LeadershipLease};
 use wire::store::Value;
 use wire::store::{from_value, Item, LeaderRecord, Txn, Write};
 
@@ -140,11 +140,11 @@
 /// token is given out twice, and whoever believes to lead holds the key while its lease runs.
 #[test]
 fn tokens_are_never_given_out_twice_whatever_the_store_loses() {
-    let (mut won, mut moved, mut unknown) = (0, 0, 0);
+    let (mut taken, mut moved, mut unknown) = (0, 0, 0);
     for seed in 0..300 {
         let s = StandIn::new(seed, 12);
         let mut rng = fastrand::Rng::with_seed(seed);
-        let mut leaders: BTreeMap<String, Won> = BTreeMap::new();
+        let mut leaders: BTreeMap<String, LeadershipLease> = BTreeMap::new();
         let mut tokens: BTreeSet<u64> = BTreeSet::new();
         for _ in 0..60 {
             let me = format!("rung-{}", rng.u32(0..4));
@@ -174,7 +174,7 @@
                             "seed {seed}: an older token"
                         );
                         leaders.insert(me, w);
-                        won += 1;
+                        taken += 1;
                     }
                     Ok(None) => {}
                     Err(_) => unknown += 1,
@@ -209,7 +209,7 @@
         }
     }
     assert!(
-        won > 500 && moved > 500 && unknown > 500,
-        "too little happened: {won} {moved} {unknown}"
+        taken > 500 && moved > 500 && unknown > 500,
+        "too little happened: {taken} {moved} {unknown}"
     );
 }
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -43,7 +43,7 @@
 /// A machine as its owner sees it.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct MachineView {
-    /// Token of the regime under which this was seen.
+    /// Token of the epoch under which this was seen.
     pub token: u64,
     pub name: String,
     pub kind: String,
@@ -60,7 +60,7 @@
     /// Whether the owner may still place tasks there, as it was last told.
     pub usable: bool,
     /// Its reports arrive, but answers don't reach it: nothing is placed there meanwhile.
-    pub deaf: bool,
+    pub unreachable: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -87,7 +87,7 @@
     /// A new token and the owners under it. `prev` is the token that it follows for an owner
     /// whose records go on; any other owner starts anew. No earlier owner can answer reports
     /// after `extra_ms` from the receipt.
-    Regime {
+    Epoch {
         token: u64,
         prev: u64,
         members: Vec<String>,
