--- a/crates/model/tests/reclaim.rs
+++ b/crates/model/tests/reclaim.rs
@@ -190,3 +190,45 @@
     scene.pass(4.0);
     assert!(scene.stopped.is_empty(), "{:?}", scene.stopped);
 }
+
+/// What saves loses no more than the time that takes, however long it has run: it goes before what
+/// began later and would have to begin anew.
+#[test]
+fn what_can_save_is_stopped_before_what_would_lose_its_work() {
+    let mut scene = Scene::new(guest_array(), job(4, "red", Shape::Array, 1, 20.0));
+    let loses = Job {
+        priority: Priority::BestEffort,
+        ..job(3, "blue", Shape::Array, 1, 4.0)
+    };
+    let later = TaskRef {
+        job: loses.id.clone(),
+        index: 0,
+        attempt: ARRAY_ATTEMPT,
+    };
+    scene.leader.add_job(OpenJob {
+        spec: Rc::new(loses),
+        revision: 3,
+        done: Ranges::default(),
+        earlier: Earlier::Untouched,
+    });
+    scene.pass(20.0);
+    let state = TaskState::Running;
+    let task = TaskView {
+        task: later,
+        state,
+        why: None,
+        saved: false,
+    };
+    scene.tasks.insert("host-2", vec![task]);
+    scene.pass(4.0);
+    assert!(scene.stopped.is_empty(), "{:?}", scene.stopped);
+    scene.leader.add_job(OpenJob {
+        spec: Rc::new(job(2, "red", Shape::Array, 1, 3.0)),
+        revision: 4,
+        done: Ranges::default(),
+        earlier: Earlier::Untouched,
+    });
+    scene.pass(3.0);
+    let stopped: Vec<&str> = scene.stopped.iter().map(|t| t.job.as_str()).collect();
+    assert_eq!(stopped, ["wk-000001"]);
+}
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -275,7 +275,14 @@
                     && matches!(a.place, Place::On(_))
                     && (!job.is_gang() || job.spec.tasks == 1)
                 {
-                    let lost_s = if a.running { now - a.since } else { 0.0 };
+                    let ran_s = if a.running { now - a.since } else { 0.0 };
+                    // What saves when it is stopped loses no more than the time that takes.
+                    let saves = job.spec.checkpoint_s > 0.0;
+                    let lost_s = if saves {
+                        ran_s.min(job.spec.save_s)
+                    } else {
+                        ran_s
+                    };
                     victims.push(Victim {
                         job: id.clone(),
                         index: *i,
