--- a/crates/model/tests/reclaim.rs
+++ b/crates/model/tests/reclaim.rs
@@ -232,3 +232,78 @@
     let stopped: Vec<&str> = scene.stopped.iter().map(|t| t.job.as_str()).collect();
     assert_eq!(stopped, ["wk-000001"]);
 }
+
+/// Machines are set aside for a gang that waits long and for which nothing can be stopped: a younger
+/// one could not use what is stopped for it, and would not have been rented for.
+#[test]
+fn nothing_is_stopped_for_a_gang_behind_one_that_cannot_be_helped() {
+    let mut scene = Scene::new(guest_array(), job(2, "red", Shape::Gang, 3, 2.5));
+    scene.pass(12.0);
+    scene.leader.add_job(OpenJob {
+        spec: Rc::new(job(3, "red", Shape::Gang, 2, 3.0)),
+        revision: 3,
+        done: Ranges::default(),
+        earlier: Earlier::Untouched,
+    });
+    scene.rented = 0;
+    scene.pass(4.0);
+    assert!(scene.stopped.is_empty(), "{:?}", scene.stopped);
+    assert!(scene.rented > 0, "it is rented for instead");
+}
+
+/// The pass keeps machine types that alone fit some class for that class. What is free of them is no room
+/// for another gang: it was taken for such, and nothing was rented.
+#[test]
+fn a_gang_is_not_taken_to_have_room_where_the_pass_would_not_place_it() {
+    let large_only = Job {
+        class: "needs-large".into(),
+        priority: Priority::BestEffort,
+        ..job(1, "blue", Shape::Array, 1, 10.0)
+    };
+    let setup = Setup {
+        keep_boots: 1e6,
+        ..setup()
+    };
+    let record = RosterRecord {
+        kind: "large".into(),
+        zone: "a".into(),
+        spot: false,
+    };
+    let roster = BTreeMap::from([("host-9".to_string(), record)]);
+    let open = |job: Job, revision, earlier| OpenJob {
+        spec: Rc::new(job),
+        revision,
+        done: Ranges::default(),
+        earlier,
+    };
+    let earlier = vec![open(large_only, 1, Earlier::Anywhere)];
+    let mut leader = Leader::new("rung-0", setup, 1, 1, 4.0, earlier, &roster, 1, 0.0);
+    leader.catalog(vec![
+        machine_type("small", 4.0, 16.0, 0.3),
+        machine_type("large", 16.0, 64.0, 1.1),
+    ]);
+    let task = array_task(0, TaskState::Running, None);
+    let (mut now, mut rented) = (0.0, 0);
+    while now < 8.0 {
+        now += 0.25;
+        leader.tick(now, 0);
+        for action in leader.drain() {
+            if let Action::Hire(hire) = action {
+                rented += hire.count;
+            }
+        }
+        let view = machine_view("host-9", "large", vec![task.clone()]);
+        leader.on_owner("rung-0", ToLeader::Machines(vec![view]), now);
+        if now == 2.0 {
+            leader.add_job(open(
+                job(2, "red", Shape::Gang, 2, 3.0),
+                3,
+                Earlier::Untouched,
+            ));
+        }
+    }
+    assert!(
+        rented >= 2,
+        "{rented}: machines of the small type for the gang"
+    );
+}
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -92,19 +92,29 @@
             return;
         }
         self.preempted_at = now;
+        let scarce = self.scarce();
+        let first = self.set_aside(&scarce, now).map(|(id, _)| id);
         let mut fields = self.fields(now);
         for (id, n) in due {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
-            let needs = self.needs(job, None);
             if job.needs_many_at_once() {
+                if first
+                    .as_ref()
+                    .is_some_and(|first| self.blocks(first, &id, now))
+                {
+                    continue;
+                }
+                // On the machines on which the pass would place it.
+                let needs = self.needs_sparing(job, &scarce);
                 let stops = self.make_room_for_gang(job, &needs, &mut fields, &mut used);
                 if let Some(stops) = stops {
                     self.reclaim(&id, &fields, stops, now);
                 }
                 continue;
             }
+            let needs = self.needs(job, None);
             for _ in 0..n {
                 let Some(job) = self.jobs.get(&id) else { break };
                 let Some(stops) = self.make_room(job, &needs, &mut fields, &mut used) else {
@@ -115,6 +125,13 @@
         }
     }
 
+    /// Whether machines are set aside for another gang for which no room can be taken back: until it is
+    /// placed, this one can't be, whatever is stopped for it.
+    fn blocks(&self, first: &str, id: &str, now: Secs) -> bool {
+        let reclaims = |job: &Job| now < job.reclaims_until;
+        first != id && !self.jobs.get(first).is_some_and(reclaims)
+    }
+
     /// Whether others may be stopped for a job that found no room.
     fn may_reclaim(&self, job: &Job, now: Secs) -> bool {
         let waited = now - job.seen;
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -96,7 +96,11 @@
     /// The gang of several tasks that has waited longest, if too long, and where machines are left
     /// to it: all that it may use of one zone. Without this, smaller gangs and arrays take each
     /// machine that becomes free, for ever.
-    fn set_aside(&self, scarce: &BTreeSet<(String, bool)>, now: Secs) -> Option<(String, Needs)> {
+    pub(crate) fn set_aside(
+        &self,
+        scarce: &BTreeSet<(String, bool)>,
+        now: Secs,
+    ) -> Option<(String, Needs)> {
         let waits = |job: &Job| {
             let whole = job.needs_many_at_once()
                 && job.phase == Phase::Idle
