--- a/crates/ladderroute/tests/batches.rs
+++ b/crates/ladderroute/tests/batches.rs
@@ -6,7 +6,10 @@
 use sched::setup::Setup;
 use std::collections::{BTreeMap, VecDeque};
 use store::replica::Replica;
-use wire::store::{BegunRecord, JobRecord, Recorded, RosterRecord};
+use wire::store::{
+    to_value, value_bytes, BegunRecord, BindingRecord, Change, Changes, JobRecord, ProgressPage,
+    Recorded, RosterPage, RosterRecord, Value, Write,
+};
 use wire::users::{Job, Priority, Shape};
 
 const LIMITS: TxnLimits = TxnLimits {
@@ -19,9 +22,19 @@
     records: RecordPages,
     replica: Replica,
     leader: Leader,
+    limits: TxnLimits,
 }
 
 impl Scene {
+    /// A leader that takes over what the store holds, with limits that have become smaller.
+    fn taking_over(stored: Replica, limits: TxnLimits) -> Scene {
+        let mut scene = Scene::new([]);
+        scene.records = RecordPages::load(&stored, limits.value_kb);
+        scene.replica = stored;
+        scene.limits = limits;
+        scene
+    }
+
     fn new(waiting: impl IntoIterator<Item = Action>) -> Scene {
         let setup = Setup {
             teams: BTreeMap::new(),
@@ -53,6 +66,7 @@
                 0.0,
             ),
             replica,
+            limits: LIMITS,
         }
     }
 
@@ -95,7 +109,7 @@
             &mut self.records,
             &self.replica,
             &mut self.leader,
-            LIMITS,
+            self.limits,
         )
     }
 }
@@ -209,3 +223,194 @@
     assert_eq!(scene.waiting, [progress("wk-000003")]);
     assert_eq!(scene.next().actions, [progress("wk-000003")]);
 }
+
+const LOWER: TxnLimits = TxnLimits {
+    operations: 4,
+    value_kb: 2.0,
+};
+
+fn put(key: &str, value: Value) -> Change {
+    Change {
+        put: Some(key.into()),
+        dropped: None,
+        value: Some(value),
+        version: 1,
+    }
+}
+
+/// A roster page that an earlier leader filled up to the larger limit.
+fn full_roster() -> RosterPage {
+    let record = RosterRecord {
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: false,
+    };
+    let names = (0..55).map(|n| format!("host-{n:06}")).collect();
+    RosterPage {
+        groups: vec![(record, names)],
+    }
+}
+
+fn machines_on(write: &Write) -> Vec<String> {
+    let Write::Put { value, .. } = write else {
+        return Vec::new();
+    };
+    let page: RosterPage = wire::store::from_value(value).unwrap_or_default();
+    page.groups
+        .into_iter()
+        .flat_map(|(_, names)| names)
+        .collect()
+}
+
+fn assert_within(batch: &Batch, limits: TxnLimits) {
+    assert!(batch.writes.len() <= limits.operations);
+    assert!(batch.conditions.len() < limits.operations * 4);
+    for write in &batch.writes {
+        if let Write::Put { key, value, .. } = write {
+            let bytes = value_bytes(value);
+            assert!(bytes as f64 <= limits.value_kb * 1024.0, "{key}: {bytes}");
+        }
+    }
+}
+
+/// A page that was filled up to a larger limit is split in one transaction, so that no machine is off
+/// the roster at any time; and it is left alone until it has to be written.
+#[test]
+fn a_page_filled_to_a_larger_limit_is_split_in_one_transaction() {
+    let mut stored = Replica::new(8192);
+    stored.apply(&Changes {
+        revision: 1,
+        changes: vec![put("lr/roster/0", to_value(&full_roster()))],
+    });
+    let mut scene = Scene::taking_over(stored, LOWER);
+    assert!(scene.next().is_empty(), "taking over writes nothing");
+    scene
+        .waiting
+        .push_back(Action::Roster("host-000007".into(), None));
+    let batch = scene.next();
+    assert_within(&batch, LOWER);
+    let mut machines: Vec<String> = batch.writes.iter().flat_map(machines_on).collect();
+    machines.sort();
+    assert_eq!(machines.len(), 54);
+    assert!(!machines.contains(&"host-000007".to_string()));
+    assert_eq!(batch.roster[0], 0);
+    assert!(batch
+        .conditions
+        .iter()
+        .any(|c| c.key == "lr/roster/0" && c.version == 1));
+    scene.records.written(&batch.roster, &batch.progress);
+    assert!(scene.next().is_empty());
+}
+
+/// Where a transaction is too small for all pages of a split, copies go first and the page that held
+/// them last: each step leaves every machine on the roster.
+#[test]
+fn a_split_that_takes_several_transactions_never_lacks_a_machine() {
+    let tiny = TxnLimits {
+        operations: 1,
+        value_kb: 1.0,
+    };
+    let mut stored = Replica::new(8192);
+    let page = put("lr/roster/0", to_value(&full_roster()));
+    stored.apply(&Changes {
+        revision: 1,
+        changes: vec![page],
+    });
+    let mut scene = Scene::taking_over(stored, tiny);
+    scene.waiting.push_back(machine("host-000003"));
+    for step in 2..12 {
+        let batch = scene.next();
+        if batch.is_empty() {
+            break;
+        }
+        assert_within(&batch, tiny);
+        let changes = batch.writes.iter().map(|write| match write {
+            Write::Put { key, value, .. } => put(key, value.clone()),
+            Write::Drop { .. } => panic!("nothing is dropped"),
+        });
+        scene.replica.apply(&Changes {
+            revision: step,
+            changes: changes.map(|c| Change { version: step, ..c }).collect(),
+        });
+        assert_eq!(scene.replica.roster.len(), 55, "step {step}");
+        scene.records.written(&batch.roster, &batch.progress);
+    }
+    assert!(scene.waiting.is_empty() && scene.next().is_empty());
+    assert!(scene.replica.roster_pages.len() > 3);
+}
+
+/// Chunks of version 0.1 begin at their number times a size that depended on its settings. They are laid
+/// out anew, as bitmaps that say where they begin, below the smaller limit.
+#[test]
+fn progress_of_another_layout_is_laid_out_anew() {
+    let mut stored = Replica::new(8192);
+    let full = "ff".repeat(1024);
+    let page = ProgressPage {
+        chunks: vec![("wk-000001".into(), 1, full)],
+        sections: Vec::new(),
+    };
+    stored.apply(&Changes {
+        revision: 1,
+        changes: vec![put("lr/progress/0", to_value(&page))],
+    });
+    let mut scene = Scene::taking_over(stored, LOWER);
+    scene.accept("wk-000001");
+    let records = [8192, 12_288].map(|first_task| Action::Progress {
+        job: "wk-000001".into(),
+        first_task,
+        bits: "ff".repeat(512),
+    });
+    scene.waiting.extend(records);
+    let mut sections = Vec::new();
+    for _ in 0..3 {
+        let batch = scene.next();
+        assert_within(&batch, LOWER);
+        for write in &batch.writes {
+            if let Write::Put { value, .. } = write {
+                let page: ProgressPage = wire::store::from_value(value).unwrap();
+                assert!(page.chunks.is_empty());
+                sections.extend(
+                    page.sections
+                        .into_iter()
+                        .map(|(_, first, bits)| (first, bits.len())),
+                );
+            }
+        }
+        scene.records.written(&batch.roster, &batch.progress);
+    }
+    sections.sort_unstable();
+    assert_eq!(sections, [(8192, 1024), (12_288, 1024)]);
+}
+
+/// A gang on more machines than one transaction can name is bound in several; it starts after the last.
+#[test]
+fn a_binding_longer_than_a_transaction_is_written_in_parts() {
+    let machines = 400;
+    let mut scene = Scene::new([binding("wk-000001", machines), begun()]);
+    scene.limits = LOWER;
+    let mut places = 0;
+    for _ in 0..3 {
+        let batch = scene.next();
+        assert_within(&batch, LOWER);
+        assert!(batch.actions.is_empty(), "not bound yet");
+        let part = batch.binding.expect("a part of the binding");
+        assert!(part.places > places);
+        // An outcome that is not known: the same part again.
+        assert_eq!(scene.next().binding, Some(part));
+        places = part.places;
+        scene
+            .records
+            .set_bound_places(part.attempt, Some(part.places));
+    }
+    let batch = scene.next();
+    assert_within(&batch, LOWER);
+    assert_eq!(batch.actions[0], binding("wk-000001", machines));
+    let last = batch.writes.iter().filter_map(|write| match write {
+        Write::Put { value, .. } => wire::store::from_value::<BindingRecord>(value),
+        Write::Drop { .. } => None,
+    });
+    assert_eq!(
+        places + last.map(|b| b.places.len()).sum::<usize>(),
+        machines
+    );
+}
--- a/crates/ladderroute/tests/settings.rs
+++ b/crates/ladderroute/tests/settings.rs
@@ -53,6 +53,39 @@
 max_sockets = 500
 "#;
 
+/// What the state service will allow may be missing, partial, or more than it allows now.
+#[test]
+fn the_smaller_of_present_limits_and_those_to_come_hold() {
+    let next = |text: &str| {
+        let with_next = GOOD.replace("txn_ops = 12", &format!("txn_ops = 12\n{text}"));
+        Settings::parse(&with_next, "f")
+    };
+    let limits = |text: &str| {
+        let limits = next(text).unwrap().settings.state.limits();
+        (
+            limits.rps,
+            limits.write_rps,
+            limits.value_kb,
+            limits.txn_ops,
+        )
+    };
+    assert_eq!(limits(""), (50.0, 20.0, 4.0, 12));
+    let partial = "[settings.state.next]\nvalue_kb = 2\ntxn_ops = 4";
+    assert_eq!(limits(partial), (50.0, 20.0, 2.0, 4));
+    let all = "next = { rps = 40.0, write_rps = 15.5, value_kb = 2.5, txn_ops = 4, more = \"x\" }";
+    assert_eq!(limits(all), (40.0, 15.5, 2.5, 4));
+    let larger = "next = { rps = 400.0, write_rps = 150, value_kb = 64, txn_ops = 100 }";
+    assert_eq!(limits(larger), (50.0, 20.0, 4.0, 12));
+    for name in ["rps", "write_rps", "value_kb", "txn_ops"] {
+        for odd in ["0", "-1", "-0.5", "nan", "inf", "\"4\"", "true"] {
+            let refused = next(&format!("next = {{ {name} = {odd} }}")).unwrap_err();
+            let field = format!("settings.state.next.{name}");
+            assert!(refused.to_string().contains(&field), "{refused}");
+        }
+    }
+    assert!(next("next = 3").is_err());
+}
+
 /// The last one listed counted, so that gangs due in 100 s waited as if due in 250 s.
 #[test]
 fn of_several_start_objectives_of_a_class_the_shortest_counts() {
--- a/crates/ladderroute/tests/stand_in/mod.rs
+++ b/crates/ladderroute/tests/stand_in/mod.rs
@@ -1,5 +1,7 @@
 //! A stand-in for the state service on loopback, and controllers that use it.
 
+pub mod requests;
+
 use http::server::{Limits, Request, Response};
 use ladderroute::node::Node;
 use ladderroute::operator::Tuning;
@@ -13,6 +15,8 @@
 use wire::store::{Change, Changes, Conflict, Item, Page, Revision, Txn, Value, Write};
 
 /// What becomes of the next transaction.
+// Not every test uses all of them.
+#[allow(dead_code)]
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fate {
     Served,
--- /dev/null
+++ b/crates/ladderroute/tests/stand_in/requests.rs
@@ -0,0 +1,94 @@
+//! Users' requests, what they are answered, and the end of a job as a leader writes it.
+
+// Not every test uses all of them.
+#![allow(dead_code)]
+
+use super::{controller, Store};
+use http::server::Response;
+use ladderroute::node::Node;
+use std::future::Future;
+use std::rc::Rc;
+use wire::cbor;
+use wire::store::{from_value, to_value, Condition, JobRecord, Recorded, Txn, Value, Write};
+use wire::users::{Accepted, JobState, Progress};
+
+/// Runs a test with a store and two controllers.
+pub fn with<F: Future<Output = ()>>(test: impl FnOnce(Rc<Store>, [Rc<Node>; 2]) -> F) {
+    let ex = Rc::new(smol::LocalExecutor::new());
+    smol::block_on(ex.clone().run(async move {
+        let (store, addr) = Store::start(&ex).await;
+        let nodes = [
+            controller(&ex, 0, addr).await,
+            controller(&ex, 1, addr).await,
+        ];
+        test(store, nodes).await;
+    }));
+}
+
+/// The protocol page's example of a submission, changed as the test wants.
+pub fn body(id: &str, change: impl FnOnce(&mut Vec<(Value, Value)>)) -> Vec<u8> {
+    let text = |s: &str| Value::Text(s.into());
+    let mut map: Vec<(Value, Value)> = vec![
+        (text("name_id"), text(id)),
+        (text("docket"), text("train")),
+        (text("crew"), text("vision")),
+        (text("shape"), text("ensemble")),
+        (text("urgency"), text("high")),
+        (text("tickets"), Value::Integer(16.into())),
+        (text("vcpus"), Value::Float(8.0)),
+        (text("gpus"), Value::Float(1.0)),
+        (text("mem_gb"), Value::Float(64.0)),
+        (text("kit"), text("img-07")),
+        (text("image_gb"), Value::Float(6.2)),
+        (text("chassis_list"), Value::Array(vec![text("g8")])),
+        (text("yard"), Value::Null),
+        (text("one_zone"), Value::Bool(true)),
+        (text("spread"), Value::Bool(false)),
+        (text("loaners"), Value::Bool(true)),
+        (text("expected_s"), Value::Float(240.0)),
+        (text("bookmark_s"), Value::Float(30.0)),
+        (text("stash_s"), Value::Float(4.0)),
+        (text("due_s"), Value::Float(900.0)),
+    ];
+    change(&mut map);
+    cbor::encode(&Value::Map(map))
+}
+
+pub fn set(map: &mut [(Value, Value)], name: &str, value: Value) {
+    let field = map
+        .iter_mut()
+        .find(|(k, _)| *k == Value::Text(name.into()))
+        .unwrap();
+    field.1 = value;
+}
+
+pub fn accepted(r: &Response) -> (u16, JobState) {
+    (r.status, cbor::decode::<Accepted>(&r.body).unwrap().state)
+}
+
+pub fn told(r: &Response) -> (u16, JobState) {
+    (r.status, cbor::decode::<Progress>(&r.body).unwrap().state)
+}
+
+/// Writes the end of a job as a leader does.
+pub fn finish(store: &Store, id: &str) -> u16 {
+    let item = store.get(&store::keys::job(id)).unwrap();
+    let record: JobRecord = from_value(&item.value).unwrap();
+    let put = Write::Put {
+        key: item.key.clone(),
+        value: to_value(&JobRecord {
+            state: Recorded::Done,
+            ..record
+        }),
+        lease: None,
+    };
+    store
+        .apply(&Txn {
+            conditions: vec![Condition {
+                key: item.key,
+                version: item.version,
+            }],
+            writes: vec![put],
+        })
+        .status
+}
--- a/crates/store/tests/pages.rs
+++ b/crates/store/tests/pages.rs
@@ -34,3 +34,83 @@
     }
     assert!(plain.len() > 10);
 }
+
+/// What the store holds of the pages: written as they are here.
+type Stored = BTreeMap<u32, BTreeMap<u32, u32>>;
+
+fn write(book: &mut Pages<u32, u32>, stored: &mut Stored, unit: &[u32]) {
+    for page in unit {
+        let entries: BTreeMap<u32, u32> = book
+            .page(*page)
+            .map(|p| p.map(|(k, v)| (*k, *v)).collect())
+            .unwrap_or_default();
+        assert!(entries.len() <= 5, "a page is too large");
+        stored.insert(*page, entries);
+        book.written(*page);
+    }
+}
+
+fn union(stored: &Stored) -> BTreeMap<u32, u32> {
+    stored.values().flatten().map(|(k, v)| (*k, *v)).collect()
+}
+
+/// Pages that were filled up to a larger limit are read, and split only when they are written: together,
+/// so that the store lacks no entry at any time. The new pages come after the old one, also by their
+/// keys, since readers of version 0.1 forget what a page held when it is written anew.
+#[test]
+fn pages_filled_to_a_larger_limit_are_split_when_they_are_written() {
+    let mut stored = Stored::new();
+    for page in [0, 3, 9, 10, 11] {
+        let entries = (0..11).map(|i| (page * 100 + i, i));
+        stored.insert(page, entries.collect());
+    }
+    let mut book = Pages::new(100);
+    for (page, entries) in &stored {
+        for (key, value) in entries {
+            book.load(*page, *key, 20, *value);
+        }
+    }
+    assert_eq!(book.next_dirty(), None, "reading writes nothing");
+    let mut plain = union(&stored);
+    for removed in [305, 907, 1010] {
+        book.remove(&removed, true);
+        plain.remove(&removed);
+    }
+    book.put(42, 20, 7);
+    plain.insert(42, 7);
+    while let Some(page) = book.next_dirty() {
+        let unit = book.write_unit(page);
+        let name = |page: &u32| page.to_string();
+        assert!(unit.iter().skip(1).all(|new| name(new) > name(&unit[0])));
+        assert!(unit.contains(&page));
+        let before = union(&stored);
+        write(&mut book, &mut stored, &unit);
+        let after = union(&stored);
+        assert!(before
+            .keys()
+            .all(|k| after.contains_key(k) || !plain.contains_key(k)));
+    }
+    assert_eq!(union(&stored), plain);
+    assert_eq!(stored[&0].len(), 11, "what is not written stays as it is");
+}
+
+/// A split that needs several transactions leaves entries on two pages for a while. A leader that ends
+/// in between leaves it at that; its successor counts each entry once.
+#[test]
+fn an_entry_on_two_pages_counts_once() {
+    let mut book = Pages::new(100);
+    for (page, key) in [(0, 1), (0, 2), (4, 2), (4, 3)] {
+        book.load(page, key, 20, key);
+    }
+    assert_eq!(book.next_dirty(), Some(0), "the older copy is taken out");
+    book.remove(&2, true);
+    let mut stored = Stored::from([
+        (0, BTreeMap::from([(1, 1), (2, 2)])),
+        (4, BTreeMap::from([(2, 2), (3, 3)])),
+    ]);
+    while let Some(page) = book.next_dirty() {
+        let unit = book.write_unit(page);
+        write(&mut book, &mut stored, &unit);
+    }
+    assert_eq!(union(&stored), BTreeMap::from([(1, 1), (3, 3)]));
+}
--- a/crates/store/tests/replica.rs
+++ b/crates/store/tests/replica.rs
@@ -33,6 +33,32 @@
     })
 }
 
+fn array(tasks: u32) -> wire::users::Job {
+    wire::users::Job {
+        id: "wk-1".into(),
+        class: "c".into(),
+        team: "t".into(),
+        shape: wire::users::Shape::Array,
+        priority: wire::users::Priority::Standard,
+        tasks,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 1.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+        dependencies: Vec::new(),
+    }
+}
+
 /// Two requests can bring the same changes; the older answer must not undo the newer one.
 #[test]
 fn an_older_answer_does_not_undo_a_newer_one() {
@@ -88,29 +114,7 @@
 /// Progress may be loaded before its job's record, which sorts after it or not.
 #[test]
 fn progress_that_came_first_is_not_lost() {
-    let job = wire::users::Job {
-        id: "wk-1".into(),
-        class: "c".into(),
-        team: "t".into(),
-        shape: wire::users::Shape::Array,
-        priority: wire::users::Priority::Standard,
-        tasks: 9,
-        cpus: 1.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "i".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: 1.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-        dependencies: Vec::new(),
-    };
+    let job = array(9);
     let page = ProgressPage {
         chunks: vec![("wk-1".into(), 0, "0501".into())],
         sections: Vec::new(),
@@ -148,3 +152,83 @@
         (3, Recorded::Open, 6)
     );
 }
+
+fn roster(machines: &[&str]) -> Value {
+    let record = RosterRecord {
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: false,
+    };
+    let names = machines.iter().map(|m| m.to_string()).collect();
+    to_value(&RosterPage {
+        groups: vec![(record, names)],
+    })
+}
+
+/// While a page is split, a machine may stand on two: it is on the roster until the last is gone, in
+/// whichever order the pages come.
+#[test]
+fn a_machine_on_two_pages_stays_until_it_is_on_none() {
+    for order in [[0, 1], [1, 0]] {
+        let mut r = Replica::default();
+        r.apply(&Changes {
+            revision: 1,
+            changes: vec![put("lr/roster/0", roster(&["host-1", "host-2"]), 1)],
+        });
+        let split = [
+            put("lr/roster/0", roster(&["host-1"]), 2),
+            put("lr/roster/5", roster(&["host-2"]), 2),
+        ];
+        r.apply(&Changes {
+            revision: 2,
+            changes: order.map(|i: usize| split[i].clone()).into(),
+        });
+        assert_eq!(r.roster.len(), 2, "{order:?}");
+        r.apply(&Changes {
+            revision: 3,
+            changes: vec![dropped("lr/roster/5", 3)],
+        });
+        assert_eq!(r.roster.keys().collect::<Vec<_>>(), ["host-1"]);
+    }
+}
+
+/// Bitmaps that begin at different tasks, written with different limits, are joined; chunks of version
+/// 0.1 begin at their number times the size that the settings gave them.
+#[test]
+fn progress_written_with_different_limits_is_joined() {
+    let mut r = Replica::new(16);
+    let record = JobRecord {
+        state: Recorded::Open,
+        created_ms: 0,
+        job: array(100),
+    };
+    let page = |chunks: &[(u32, &str)], sections: &[(u32, &str)]| {
+        let entry = |(n, bits): &(u32, &str)| ("wk-1".to_string(), *n, bits.to_string());
+        to_value(&ProgressPage {
+            chunks: chunks.iter().map(entry).collect(),
+            sections: sections.iter().map(entry).collect(),
+        })
+    };
+    r.apply(&Changes {
+        revision: 4,
+        changes: vec![
+            put("lr/job/wk-1", to_value(&record), 1),
+            put("lr/progress/0", page(&[(0, "0100"), (2, "8000")], &[]), 2),
+            put(
+                "lr/progress/1",
+                page(&[(0, "03")], &[(32, "c0"), (40, "01")]),
+                3,
+            ),
+            // Of another service, or damaged: no job has so many tasks.
+            put(
+                "lr/progress/2",
+                page(&[(u32::MAX, "ff")], &[(200_000, "ff")]),
+                4,
+            ),
+        ],
+    });
+    // Tasks 0 and 1, 39 and 38, 40.
+    let done = r.jobs["wk-1"].progress.bytes();
+    assert_eq!(done, [0x03, 0, 0, 0, 0xc0, 0x01]);
+    assert_eq!(r.jobs["wk-1"].done_tasks(), 5);
+}
