Inherited priority orders the queue; only a job's own takes resources back

Change: what a job may have stopped for it goes by its own priority; the order of the queue, and what it is spared, by the inherited one.

--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -85,7 +85,7 @@
         };
         if due.is_empty()
             || !used.iter().any(over)
-                && !due.iter().any(|(id, _)| self.lower(self.jobs[id].priority))
+                && !due.iter().any(|(id, _)| self.lower(self.jobs[id].spec.priority))
         {
             return;
         }
@@ -147,7 +147,7 @@
         }
         let in_time = window.contains(&waited);
         let starved = waited > self.setup.guarantee_s * STARVED;
-        (in_time || starved) && (job.within || self.lower(job.priority))
+        (in_time || starved) && (job.within || self.lower(job.spec.priority))
     }
 
     /// Has room for a whole gang taken back, and kept for it meanwhile.
@@ -344,7 +344,7 @@
             return Some((at, Vec::new()));
         }
         let may = |v: &&Victim| {
-            let lower = v.priority > job.priority;
+            let lower = v.priority > job.spec.priority;
             lower || job.within && !v.within && v.team != job.spec.team && !v.costly
         };
         let mut best: Option<(f64, usize, Vec<usize>)> = None;
@@ -390,7 +390,7 @@
         used: &BTreeMap<String, Room>,
     ) -> bool {
         let mut taken: BTreeMap<&str, Room> = BTreeMap::new();
-        for v in victims.filter(|v| v.priority <= job.priority) {
+        for v in victims.filter(|v| v.priority <= job.spec.priority) {
             taken.entry(&v.team).or_default().add(v.room);
         }
         taken.into_iter().all(|(name, room)| {
