--- /dev/null
+++ b/crates/model/tests/chains.rs
@@ -0,0 +1,159 @@
+//! Jobs that need others meet a trouble at the wrong moment, each meeting brought about on purpose. The
+//! rules, `too_early` and `orphaned` among them, hold, and every job ends as its chain says.
+
+use model::world::{job, Defect, World};
+use wire::users::{Job, Shape};
+
+const SEEDS: u64 = 12;
+
+fn id(number: u32) -> String {
+    job(number, "red", Shape::Array, 1, 1.0).id
+}
+
+/// An array of three tasks that needs others.
+fn after(number: u32, needed: &[u32], estimate_s: f64) -> Job {
+    Job {
+        dependencies: needed.iter().map(|n| id(*n)).collect(),
+        estimate_s,
+        ..job(number, "red", Shape::Array, 3, 1.0)
+    }
+}
+
+/// A chain of four, each of which needs the one before, with machines that run its first job.
+fn chain(seed: u64) -> World {
+    let mut w = World::new(seed, Defect::None);
+    w.submit(after(1, &[], 20.0));
+    w.submit(after(2, &[1], 2.0));
+    w.submit(after(3, &[2], 2.0));
+    w.submit(after(4, &[1, 3], 2.0));
+    pass_until(&mut w, |w| w.live_tasks(&id(1)) == 3);
+    w
+}
+
+fn pass_until(w: &mut World, is_reached: impl Fn(&World) -> bool) {
+    let end = w.now + 200.0;
+    while !is_reached(w) {
+        assert!(w.now < end, "it never came to that\n{}", w.explain());
+        w.pass(0.1);
+    }
+}
+
+fn outcomes(w: &World) -> Vec<Option<&'static str>> {
+    (1..=4).map(|number| w.outcome(&id(number))).collect()
+}
+
+fn ends_well(mut w: World, seed: u64, expected: [&'static str; 4]) {
+    w.calm(300.0);
+    assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+    assert_eq!(
+        outcomes(&w),
+        expected.map(Some),
+        "seed {seed}\n{}",
+        w.explain()
+    );
+}
+
+#[test]
+fn a_chain_runs_in_order() {
+    for seed in 0..SEEDS {
+        ends_well(chain(seed), seed, ["done"; 4]);
+    }
+}
+
+#[test]
+fn a_follower_confirms_a_cancellation_while_the_store_refuses_the_leader_and_then_everybody() {
+    for seed in 0..SEEDS {
+        let mut w = chain(seed);
+        w.hints = false;
+        pass_until(&mut w, |w| w.leader_at().is_some());
+        let leader = w.leader_at().unwrap_or(0);
+        w.refuse(leader, 8.0);
+        w.pass(0.3);
+        assert!(w.cancel(&id(2)));
+        w.outage(40.0);
+        w.pass(45.0);
+        ends_well(w, seed, ["done", "cancelled", "cancelled", "cancelled"]);
+    }
+}
+
+/// One of the two is written first: what follows goes on, or is cancelled with it.
+#[test]
+fn a_cancellation_meets_the_end_of_a_job_that_others_need() {
+    let mut seen = [0; 2];
+    for seed in 0..SEEDS * 2 {
+        let mut w = chain(seed);
+        let cancelled = loop {
+            w.pass(0.1);
+            if let Some(cancelled) = w.cancel_at_end() {
+                break cancelled == id(1);
+            }
+            if w.outcome(&id(1)).is_some() {
+                break false;
+            }
+        };
+        assert!(cancelled || !w.cancel(&id(1)), "it is answered with done");
+        seen[usize::from(cancelled)] += 1;
+        if cancelled {
+            ends_well(w, seed, ["cancelled"; 4]);
+        } else {
+            ends_well(w, seed, ["done"; 4]);
+        }
+    }
+    assert!(seen[1] > 0, "no cancellation came first: {seen:?}");
+}
+
+#[test]
+fn the_leader_ends_between_the_end_of_a_job_and_the_start_of_what_needs_it() {
+    for seed in 0..SEEDS {
+        let mut w = chain(seed);
+        for number in 1..4 {
+            pass_until(&mut w, |w| w.outcome(&id(number)).is_some());
+            let leader = w.leader_at();
+            leader.into_iter().for_each(|i| w.end(i, 0.4));
+        }
+        ends_well(w, seed, ["done"; 4]);
+    }
+}
+
+/// Machines with tasks of the first job hang; the tasks run elsewhere, and the job is done while the
+/// earlier attempts may still be there. What needs it starts all the same, and only then.
+#[test]
+fn an_earlier_attempt_hangs_while_its_job_is_done_elsewhere() {
+    for seed in 0..SEEDS {
+        let mut w = chain(seed);
+        let machines = w.busy_machines(9);
+        w.hang(&machines, 30.0);
+        w.pass(40.0);
+        ends_well(w, seed, ["done"; 4]);
+    }
+}
+
+/// All controllers end while the chain is cancelled, one after the other or at once, and come back with
+/// records of another size.
+#[test]
+fn a_chain_is_cancelled_while_all_controllers_end_and_come_back() {
+    for seed in 0..SEEDS {
+        let mut w = chain(seed);
+        pass_until(&mut w, |w| w.leader_at().is_some());
+        assert!(w.cancel(&id(1)));
+        (0..3).for_each(|i| w.end(i, 1.0 + i as f64));
+        w.pass(5.0);
+        // Submitted on a job that was cancelled long ago.
+        w.submit(after(5, &[4], 2.0));
+        w.roll(4.0, 0.004);
+        assert_eq!(w.outcome(&id(5)), Some("cancelled"));
+        ends_well(w, seed, ["cancelled"; 4]);
+    }
+}
+
+/// A zone with workers and a controller is cut off while the jobs before the last are done.
+#[test]
+fn a_controller_is_alone_with_its_workers_while_the_chain_goes_on() {
+    for seed in 0..SEEDS {
+        let mut w = chain(seed);
+        let i = seed as usize % 3;
+        w.leave_alone(i, 15.0);
+        w.pass(20.0);
+        ends_well(w, seed, ["done"; 4]);
+    }
+}
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -85,7 +85,9 @@
         };
         if due.is_empty()
             || !used.iter().any(over)
-                && !due.iter().any(|(id, _)| self.lower(self.jobs[id].spec.priority))
+                && !due
+                    .iter()
+                    .any(|(id, _)| self.lower(self.jobs[id].spec.priority))
         {
             return;
         }
