--- /dev/null
+++ b/crates/model/src/world/controllers.rs
@@ -0,0 +1,328 @@
+//! The controllers: owners of shards, the leader, and its election.
+
+use super::*;
+
+impl World {
+    pub(super) fn deliver(&mut self) {
+        let now = self.now;
+        let mut due: Vec<(f64, Message)> = Vec::new();
+        let mut i = 0;
+        while i < self.messages.len() {
+            if self.messages[i].0 <= now {
+                due.push(self.messages.swap_remove(i));
+            } else {
+                i += 1;
+            }
+        }
+        due.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, m) in due {
+            match m {
+                Message::Report { to, report } => self.answer_report(to, report),
+                Message::Answer {
+                    worker,
+                    session,
+                    seq,
+                    answer,
+                } => self.take_answer(&worker, session, seq, answer),
+            }
+        }
+    }
+
+    pub(super) fn run_controllers(&mut self) {
+        let now = self.now;
+        let led = self.leader.as_ref().map(|(i, _, _)| *i);
+        let trusting = self.defect == Defect::TrustOldPicture;
+        let ignorant = matches!(self.defect, Defect::IgnoreCancel | Defect::ForgetCancelled);
+        for i in 0..self.controllers.len() {
+            if now < self.controllers[i].down_until || self.is_frozen(i) {
+                continue;
+            }
+            let wait = 0.02 + self.rng.f64() * 0.15;
+            let c = &mut self.controllers[i];
+            c.owner.tick(now);
+            if trusting {
+                c.owner.authority.learn(now);
+            }
+            if led == Some(i) || led.is_none() || now < c.link_at {
+                continue;
+            }
+            if !c.joined {
+                c.joined = true;
+                c.epoch = false;
+            }
+            if c.pings.back().is_none_or(|(_, sent)| now - sent > 0.35) {
+                c.pings.push_back((now + wait, now));
+            }
+            while c.to_owner.front().is_some_and(|(at, _)| *at <= now) {
+                let Some((_, message)) = c.to_owner.pop_front() else {
+                    break;
+                };
+                if matches!(message, ToOwner::Epoch { .. }) && !c.epoch {
+                    c.epoch = true;
+                    c.owner.authority.set(f64::MIN);
+                }
+                let seen = if ignorant { f64::MIN } else { c.seen };
+                c.owner.on_leader(message, now, &Book(&self.jobs, seen));
+            }
+            while c.knows.front().is_some_and(|(at, _)| *at <= now) {
+                let Some((_, known)) = c.knows.pop_front() else {
+                    break;
+                };
+                c.owner.authority.learn(known);
+            }
+            let mut at = c
+                .to_leader
+                .back()
+                .map_or(0.0, |(at, _)| *at)
+                .max(now + wait);
+            for m in c.owner.drain() {
+                at += 0.001;
+                c.to_leader.push_back((at, m));
+            }
+        }
+    }
+
+    pub(super) fn run_leader(&mut self) {
+        let now = self.now;
+        if self.leader.is_none() {
+            self.elect();
+        }
+        let Some((me, mut leader, id)) = self.leader.take() else {
+            return;
+        };
+        if self.is_alone(me) {
+            // Its owners left at once; its own authority runs out, and then the key is free.
+            for i in (0..self.controllers.len()).filter(|i| *i != me) {
+                leader.owner_lost(&name(i));
+                disconnect(&mut self.controllers[i], now + 0.2);
+            }
+        }
+        if self.reaches_store(me) {
+            self.lease_end = now + TTL;
+            self.controllers[me]
+                .owner
+                .authority
+                .renew(now + TTL * 0.95, now);
+        } else if now < self.store_down_until {
+            // An outage preserves the leases; afterwards they get their full time again.
+            self.lease_end = self.store_down_until + TTL;
+        } else if now > self.lease_end {
+            self.end_leader();
+            return;
+        }
+        if self.is_frozen(me) {
+            self.leader = Some((me, leader, id));
+            return;
+        }
+        let (answers_until, known) = {
+            let a = &self.controllers[me].owner.authority;
+            (a.answers_until(), a.known())
+        };
+        for i in 0..self.controllers.len() {
+            let c = &mut self.controllers[i];
+            if i == me || now < c.down_until || !c.joined {
+                continue;
+            }
+            while c.pings.front().is_some_and(|(at, _)| *at <= now) {
+                let Some((_, sent)) = c.pings.pop_front() else {
+                    break;
+                };
+                leader.owner_heard(&name(i), now);
+                let until = answers_until.min(now + self.setup.owner_silence_s() * 1.25);
+                if let Some(valid) = leader.grant(&name(i), now, until) {
+                    if c.epoch && c.owner.token() == leader.token() {
+                        c.owner.authority.set(sent + valid);
+                        // Behind all that was sent before it.
+                        let at = c.to_owner.back().map_or(0.0, |(at, _)| *at).max(now + 0.02);
+                        c.knows.push_back((at, sent - (now - known)));
+                    }
+                }
+            }
+            while c.to_leader.front().is_some_and(|(at, _)| *at <= now) {
+                let Some((_, m)) = c.to_leader.pop_front() else {
+                    break;
+                };
+                leader.on_owner(&name(i), m, now);
+            }
+        }
+        if now < answers_until {
+            leader.tick(now, 2);
+        }
+        if !leader.index_agrees() {
+            self.break_rule("index");
+        }
+        loop {
+            let mut idle = true;
+            for m in self.controllers[me].owner.drain() {
+                idle = false;
+                leader.on_owner(&name(me), m, now);
+            }
+            for action in leader.drain() {
+                idle = false;
+                match action {
+                    Action::Send(to, message) => {
+                        let i = (0..3).find(|i| name(*i) == to).unwrap_or(0);
+                        if i == me {
+                            let seen = self.known_to(me);
+                            self.controllers[me].owner.on_leader(
+                                message,
+                                now,
+                                &Book(&self.jobs, seen),
+                            );
+                        } else if self.controllers[i].joined {
+                            let wait = 0.02 + self.rng.f64() * 0.15;
+                            let c = &mut self.controllers[i];
+                            let at = c.to_owner.back().map_or(0.0, |(at, _)| *at).max(now + wait);
+                            c.to_owner.push_back((at, message));
+                        }
+                    }
+                    other => {
+                        let at = now + 0.02 + self.rng.f64() * 0.3;
+                        let expected = self.expected(&other);
+                        self.writes.push(Pending {
+                            at,
+                            by: id,
+                            action: other,
+                            expected,
+                            late: false,
+                        });
+                    }
+                }
+            }
+            if idle {
+                break;
+            }
+        }
+        self.leader = Some((me, leader, id));
+    }
+
+    pub(super) fn elect(&mut self) {
+        let now = self.now;
+        if now < self.free_at || now < self.store_down_until {
+            return;
+        }
+        let up: Vec<usize> = (0..3).filter(|i| self.reaches_store(*i)).collect();
+        let Some(me) = (!up.is_empty()).then(|| up[self.rng.usize(0..up.len())]) else {
+            return;
+        };
+        self.term += 1;
+        self.revision += 1;
+        self.leaders += 1;
+        let mut chains = std::mem::take(&mut self.controllers[me].chains);
+        chains.reload(&self.jobs, now);
+        let open = |j: &JobState| self.told(j);
+        let ignore = self.defect == Defect::IgnoreCancel;
+        let lost = |j: &JobState| self.defect == Defect::LoseJobs && j.revision & 1 == 0;
+        let known = |j: &&JobState| {
+            (j.own_end.is_none() || ignore && j.cancelled)
+                && !lost(j)
+                && self.may_be_told(&chains, j)
+        };
+        let jobs: Vec<OpenJob> = self.jobs.values().filter(known).map(open).collect();
+        let priorities = jobs
+            .iter()
+            .map(|j| (j.spec.id.clone(), chains.priority(&j.spec)));
+        let priorities: Vec<(String, Priority)> = priorities.collect();
+        let empty = BTreeMap::new();
+        let roster = if self.defect == Defect::ForgetRoster {
+            &empty
+        } else {
+            &self.roster
+        };
+        let seed = self.rng.u64(..);
+        let mut leader = Leader::new(
+            &name(me),
+            self.setup.clone(),
+            seed,
+            self.term,
+            self.controllers[me].value_kb,
+            jobs,
+            roster,
+            self.begun,
+            now,
+        );
+        for (id, priority) in priorities {
+            leader.set_priority(&id, priority);
+        }
+        let lately = |j: &&JobState| {
+            j.cancelled
+                && j.own_end.is_some()
+                && j.over
+                    .is_some_and(|at| now - at < self.setup.lease_s + self.setup.cancel_s)
+        };
+        let room = |s: &Job| {
+            Room {
+                cpus: s.cpus,
+                gpus: s.gpus,
+                memory_gb: 0.0,
+            }
+            .scaled(s.tasks)
+        };
+        let lately = self
+            .jobs
+            .values()
+            .filter(lately)
+            .map(|j| (j.spec.id.clone(), j.spec.team.clone(), room(&j.spec)));
+        if self.defect != Defect::ForgetCancelled {
+            leader.set_lately_cancelled(lately);
+        }
+        leader.catalog(self.types.clone());
+        self.lease_end = now + TTL;
+        let c = &mut self.controllers[me];
+        c.owner = Owner::new(&name(me), self.setup.clone());
+        c.owner.authority.set(now + TTL * 0.95);
+        c.owner.authority.learn(now);
+        self.known_versions = self.versions.clone();
+        // What changes at this very instant comes with the next look.
+        (c.seen, c.look, c.chains) = (now - STEP / 10.0, None, chains);
+        for c in &mut self.controllers {
+            disconnect(c, now + 0.1);
+        }
+        self.leader = Some((me, leader, self.revision));
+    }
+
+    /// A job as the leader gets to know it.
+    pub(super) fn told(&self, j: &JobState) -> OpenJob {
+        let mut spec = (*j.spec).clone();
+        if self.defect == Defect::IgnoreTypes {
+            spec.types = None;
+            spec.zone = None;
+        }
+        OpenJob {
+            spec: Rc::new(spec),
+            revision: j.revision,
+            done: j.done.clone(),
+            earlier: j.earlier.clone(),
+        }
+    }
+}
+
+pub(super) fn new_controller(i: usize, setup: &Setup) -> Controller {
+    Controller {
+        owner: Owner::new(&name(i), setup.clone()),
+        down_until: 0.0,
+        link_at: 0.0,
+        joined: false,
+        to_owner: VecDeque::new(),
+        to_leader: VecDeque::new(),
+        pings: VecDeque::new(),
+        epoch: false,
+        knows: VecDeque::new(),
+        refused_until: 0.0,
+        frozen_until: 0.0,
+        freezes_for: None,
+        value_kb: 4.0,
+        chains: ChainView::default(),
+        seen: f64::MIN,
+        look: None,
+    }
+}
+
+pub(super) fn disconnect(c: &mut Controller, until: f64) {
+    c.link_at = c.link_at.max(until);
+    c.joined = false;
+    c.to_owner.clear();
+    c.to_leader.clear();
+    c.pings.clear();
+    c.knows.clear();
+}
--- /dev/null
+++ b/crates/model/src/world/fixtures.rs
@@ -0,0 +1,129 @@
+//! Settings, jobs and reports as tests use them.
+
+use super::*;
+
+pub fn machine_type(name: &str, cpus: f64, memory_gb: f64, price: f64) -> MachineType {
+    MachineType {
+        name: name.into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price,
+        spot_price: price / 3.0,
+        boot_s: 3.0,
+        zones: vec!["a".into(), "b".into()],
+    }
+}
+
+pub fn setup() -> Setup {
+    let team = |cpus: f64, cpus_max: f64| Team {
+        cpus,
+        cpus_max,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    };
+    Setup {
+        teams: BTreeMap::from([
+            ("red".into(), team(8.0, 24.0)),
+            ("blue".into(), team(12.0, 32.0)),
+        ]),
+        report_s: 1.0,
+        lease_s: 8.0,
+        cancel_s: 25.0,
+        list_lag_s: 4.0,
+        hold_s: 5.0,
+        leader_lease_s: TTL,
+        guarantee_s: 5.0,
+        wait_s: BTreeMap::new(),
+        patience: 0.4,
+        keep_boots: 2.0,
+    }
+}
+
+/// A report of a machine of type `small` in zone `a`.
+pub fn report(machine: &str, session: u64, seq: u64, token: u64, tasks: Vec<TaskReport>) -> Report {
+    Report {
+        machine: machine.into(),
+        addr: String::new(),
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: false,
+        session,
+        seq,
+        token,
+        notice_s: None,
+        tasks,
+    }
+}
+
+/// A machine in zone `a` as its owner shows it under the first token.
+pub fn machine_view(name: &str, kind: &str, tasks: Vec<TaskView>) -> MachineView {
+    MachineView {
+        token: 1,
+        name: name.into(),
+        kind: kind.into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        lapsed: false,
+        notice_s: None,
+        tasks,
+        pending: Vec::new(),
+        usable: true,
+        unreachable: false,
+    }
+}
+
+/// A job as tests submit it.
+pub fn job(id: u32, team: &str, shape: Shape, tasks: u32, cpus: f64) -> Job {
+    Job {
+        id: format!("wk-{id:06}"),
+        class: "any".into(),
+        team: team.into(),
+        shape,
+        priority: Priority::Standard,
+        tasks,
+        cpus,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "img".into(),
+        image_gb: 0.5,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 3.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+        dependencies: Vec::new(),
+    }
+}
+
+pub(super) fn random_job(rng: &mut fastrand::Rng, id: u32) -> Job {
+    let gang = rng.u32(0..4) == 0;
+    let shape = if gang { Shape::Gang } else { Shape::Array };
+    let tasks = if gang { rng.u32(1..4) } else { rng.u32(1..12) };
+    let mut j = job(
+        id,
+        if rng.bool() { "red" } else { "blue" },
+        shape,
+        tasks,
+        f64::from(rng.u32(1..4)),
+    );
+    j.image = format!("img-{}", rng.u32(0..3));
+    j.estimate_s = 1.0 + rng.f64() * 6.0;
+    j.spot = rng.bool();
+    j.one_zone = rng.u32(0..4) == 0;
+    j.spread = !j.one_zone && rng.u32(0..4) == 0 && tasks > 1;
+    if rng.u32(0..4) == 0 {
+        j.types = Some(vec!["large".into()]);
+    }
+    if rng.u32(0..6) == 0 && !j.spread {
+        j.zone = Some("a".into());
+    }
+    j
+}
