--- /dev/null
+++ b/crates/sched/src/leader/machines.rs
@@ -0,0 +1,91 @@
+//! Machines join the roster, may be used or not, and are forgotten once they are certainly gone.
+
+use super::{Action, Leader, Machine, Rostered};
+use crate::place::Room;
+use crate::Secs;
+use std::collections::{BTreeMap, BTreeSet};
+use wire::peers::ToOwner;
+
+impl Leader {
+    pub(crate) fn new_machine(&self, kind: &str, zone: &str, spot: bool, now: Secs) -> Machine {
+        Machine {
+            kind: kind.into(),
+            zone: zone.into(),
+            spot,
+            owner: String::new(),
+            since: self.token,
+            reconciled: false,
+            unknown: false,
+            lapsed_at: None,
+            notice_until: None,
+            rostered: Rostered::No,
+            usable_told: false,
+            closed: false,
+            quiet: true,
+            unreachable: false,
+            foreign: false,
+            drain: false,
+            releasing: false,
+            tasks: BTreeMap::new(),
+            used: Room::default(),
+            held: BTreeMap::new(),
+            idle_since: now,
+            seen_at: now,
+            images: Vec::new(),
+            failed_jobs: BTreeSet::new(),
+            cleared: BTreeSet::new(),
+        }
+    }
+
+    /// The roster record of a machine is durable (or dropped), or could not be written.
+    pub fn roster_result(&mut self, machine: &str, put: bool, written: bool) {
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
+        if !put {
+            return;
+        }
+        m.rostered = if written { Rostered::Yes } else { Rostered::No };
+        self.stale.insert(machine.into());
+        if written {
+            self.tell_usable(machine);
+            self.wake = true;
+        }
+    }
+
+    /// Tells the owner whether it may place tasks on a machine.
+    pub(crate) fn tell_usable(&mut self, machine: &str) {
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
+        let usable = m.rostered == Rostered::Yes && !m.drain && !m.releasing;
+        if usable != m.usable_told {
+            m.usable_told = usable;
+            self.stale.insert(machine.into());
+            let owner = m.owner.clone();
+            self.send(
+                &owner,
+                ToOwner::Use {
+                    machine: machine.into(),
+                    usable,
+                },
+            );
+        }
+    }
+
+    /// A machine is certainly gone.
+    pub(crate) fn forget_machine(&mut self, name: &str) {
+        let Some(m) = self.machines.get(name) else {
+            return;
+        };
+        for (id, i) in m.tasks.keys().cloned().collect::<Vec<_>>() {
+            self.gone(&id, i);
+        }
+        self.machines.remove(name);
+        self.stale.insert(name.into());
+        self.unknown.remove(name);
+        self.actions.push(Action::Roster(name.into(), None));
+        self.settle();
+        self.wake = true;
+    }
+}
--- /dev/null
+++ b/crates/sched/src/leader/mod.rs
@@ -0,0 +1,297 @@
+//! The leader: orders the queue, places gangs in one pass, has room held and bound, splits
+//! arrays among the parts, and keeps the record of what may be where.
+//!
+//! A task is *possibly somewhere* (`Job::active`) from the decision to start it until an owner
+//! shows that it is not. Only tasks in `Job::ready` are ever started.
+
+mod job;
+mod jobs;
+mod machine;
+mod machines;
+mod notices;
+mod placement;
+mod progress;
+mod summary;
+
+pub(crate) use job::{Active, Begun, Job, Phase, Place};
+pub use job::{Earlier, OpenJob};
+pub(crate) use machine::{Machine, Rostered};
+pub use progress::chunk_bits;
+pub use summary::Summary;
+
+use crate::index::Index;
+use crate::place::Room;
+use crate::setup::Setup;
+use crate::Secs;
+use std::collections::{BTreeMap, BTreeSet};
+use wire::cloud::{Hire, MachineType};
+use wire::peers::ToOwner;
+use wire::store::{BegunRecord, RosterRecord};
+
+/// What the leader wants done outside.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Send(String, ToOwner),
+    NewToken,
+    Roster(String, Option<RosterRecord>),
+    /// Record of which arrays tasks may be given out from now on.
+    Begin(BegunRecord),
+    /// Which of a job's tasks are done, from `first_task` on, as a bitmap in hexadecimal.
+    Progress {
+        job: String,
+        first_task: u32,
+        bits: String,
+    },
+    Finish {
+        job: String,
+    },
+    Bind {
+        job: String,
+        attempt: u64,
+        places: Vec<(String, u32, u32)>,
+    },
+    Hire(Hire),
+    Release(Vec<String>),
+}
+
+pub(crate) struct OwnerLink {
+    pub since: Secs,
+    pub heard: Secs,
+    pub granted_until: Secs,
+}
+
+pub(crate) struct UnresolvedGroup {
+    pub machines: BTreeSet<String>,
+    pub tasks: Vec<(String, u32)>,
+}
+
+pub struct Leader {
+    pub(crate) me: String,
+    pub(crate) setup: Setup,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) token: u64,
+    /// Token of the present epoch; 0 before the first.
+    pub(crate) epoch_token: u64,
+    /// An owner's connection broke: what was sent to it may be lost, so a new epoch is due.
+    pub(crate) epoch_broken: bool,
+    pub(crate) broken: BTreeSet<String>,
+    pub(crate) counter: u64,
+    pub(crate) started_at: Secs,
+    /// The time of the last tick.
+    pub(crate) time: Secs,
+    pub(crate) members: Vec<String>,
+    pub(crate) epoch_set: bool,
+    pub(crate) token_asked: bool,
+    pub(crate) others_start: bool,
+    pub(crate) links: BTreeMap<String, OwnerLink>,
+    pub(crate) lost_until: Secs,
+    pub(crate) types: BTreeMap<String, MachineType>,
+    pub(crate) jobs: BTreeMap<String, Job>,
+    pub(crate) machines: BTreeMap<String, Machine>,
+    /// Open jobs by creation.
+    pub(crate) by_age: BTreeSet<(u64, String)>,
+    /// Machines with room, as the pass looks at them, and those that changed since.
+    pub(crate) index: Index,
+    pub(crate) stale: BTreeSet<String>,
+    /// Machines of unknown content.
+    pub(crate) unknown: BTreeSet<String>,
+    /// No array accepted later is recorded as begun; and a new record is on its way to the store.
+    pub(crate) begun_upto: u64,
+    pub(crate) begun_asked: bool,
+    pub(crate) team_used: BTreeMap<String, Room>,
+    /// CPUs of tasks that wait for room, by owner.
+    pub(crate) ahead: BTreeMap<String, f64>,
+    pub(crate) groups: BTreeMap<u64, UnresolvedGroup>,
+    pub(crate) next_group: u64,
+    pub(crate) start_open: bool,
+    /// By team: what jobs that were cancelled so lately that their tasks may still be on unknown
+    /// machines could use together.
+    pub(crate) lately_cancelled: BTreeMap<String, Room>,
+    /// Jobs that are over, of which tasks may still run, and since when this leader knows: owners
+    /// are told, those of later epochs too.
+    pub(crate) lately_over: BTreeMap<String, Secs>,
+    pub(crate) epoch_at: Secs,
+    /// When a machine of unknown content was last reconciled.
+    pub(crate) known_at: Secs,
+    pub(crate) fleet: crate::fleet::Fleet,
+    pub(crate) actions: Vec<Action>,
+    pub(crate) wake: bool,
+    pub(crate) flushed: Secs,
+    pub(crate) chunk_bits: u32,
+    pub(crate) last_display: Vec<(String, u32)>,
+    pub(crate) display_at: Secs,
+    pub(crate) placed_at: Secs,
+    pub(crate) preempted_at: Secs,
+    pub(crate) classes: BTreeMap<String, ClassStats>,
+}
+
+/// What was learned about a class of jobs.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ClassStats {
+    pub run_s: f64,
+    pub count: u32,
+}
+
+impl Leader {
+    /// A new leader with a new token. Jobs in `jobs` may have been started by an earlier one.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        me: &str,
+        setup: Setup,
+        seed: u64,
+        token: u64,
+        value_kb: f64,
+        jobs: Vec<OpenJob>,
+        roster: &BTreeMap<String, RosterRecord>,
+        begun_upto: u64,
+        now: Secs,
+    ) -> Leader {
+        let mut l = Leader {
+            me: me.into(),
+            setup,
+            rng: fastrand::Rng::with_seed(seed),
+            token,
+            epoch_token: 0,
+            epoch_broken: false,
+            broken: BTreeSet::new(),
+            counter: 0,
+            started_at: now,
+            time: now,
+            members: Vec::new(),
+            epoch_set: false,
+            token_asked: false,
+            others_start: false,
+            links: BTreeMap::new(),
+            lost_until: now,
+            types: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            by_age: BTreeSet::new(),
+            index: Index::default(),
+            stale: BTreeSet::new(),
+            unknown: BTreeSet::new(),
+            begun_upto,
+            begun_asked: false,
+            team_used: BTreeMap::new(),
+            ahead: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            next_group: 0,
+            start_open: true,
+            lately_cancelled: BTreeMap::new(),
+            lately_over: BTreeMap::new(),
+            epoch_at: now,
+            known_at: now,
+            fleet: crate::fleet::Fleet::default(),
+            actions: Vec::new(),
+            wake: false,
+            flushed: now,
+            chunk_bits: chunk_bits(value_kb),
+            last_display: Vec::new(),
+            display_at: now,
+            placed_at: f64::MIN,
+            preempted_at: f64::MIN,
+            classes: BTreeMap::new(),
+        };
+        for j in jobs {
+            l.add_job(j);
+        }
+        for (name, r) in roster {
+            let mut m = l.new_machine(&r.kind, &r.zone, r.spot, now);
+            m.rostered = Rostered::Yes;
+            m.unknown = true;
+            l.unknown.insert(name.clone());
+            l.machines.insert(name.clone(), m);
+        }
+        l
+    }
+
+    pub fn token(&self) -> u64 {
+        self.token
+    }
+
+    pub fn members(&self) -> &[String] {
+        &self.members
+    }
+
+    /// What is to be done now.
+    pub fn drain(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    pub(crate) fn send(&mut self, to: &str, message: ToOwner) {
+        self.actions.push(Action::Send(to.to_string(), message));
+    }
+
+    /// Does what is due: `known` is the number of other controllers in the settings.
+    pub fn tick(&mut self, now: Secs, known: usize) {
+        self.time = now;
+        let remembered = self.setup.over_remembered_s();
+        self.lately_over
+            .retain(|_, since| now - *since < remembered);
+        self.review_epoch(now, known);
+        if !self.epoch_set {
+            return;
+        }
+        let late: Vec<String> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| matches!(&j.phase, Phase::Holding { until, .. } | Phase::Binding { until, .. } if now >= *until))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in late {
+            log::info!("event=hold_lapsed job={id}");
+            self.end_hold(&id, now, true);
+        }
+        self.mind_notices(now);
+        if std::mem::take(&mut self.wake)
+            || now - self.placed_at > self.setup.report_s.min(1.0) / 2.0
+        {
+            self.placed_at = now;
+            self.schedule(now);
+            self.preempt(now);
+        }
+        self.run_fleet(now);
+        // What is not recorded yet is still in the workers' reports, should this leader be lost.
+        if now - self.flushed > self.setup.lease_s / 12.0 {
+            self.flushed = now;
+            self.flush();
+        }
+        if now - self.display_at > 1.0 {
+            self.display_at = now;
+            self.display();
+        }
+    }
+
+    pub(crate) fn wake(&mut self) {
+        self.wake = true;
+    }
+
+    pub(crate) fn next_attempt(&mut self) -> u64 {
+        self.counter += 1;
+        // Unique among all leaders: the token is.
+        (self.token << 24) | (self.counter & 0xff_ffff)
+    }
+
+    pub(crate) fn cap(&self, kind: &str) -> Option<Room> {
+        self.types.get(kind).map(Room::of_type)
+    }
+
+    /// The cloud's machine types, as they are at present.
+    pub fn catalog(&mut self, types: Vec<MachineType>) {
+        let same = self.types.len() == types.len();
+        self.types = types.into_iter().map(|t| (t.name.clone(), t)).collect();
+        if !same {
+            self.index.clear();
+            self.stale.extend(self.machines.keys().cloned());
+        }
+        if !same && self.epoch_set {
+            let message = ToOwner::Catalog {
+                types: self.types.values().cloned().collect(),
+            };
+            for m in self.members.clone() {
+                self.send(&m, message.clone());
+            }
+        }
+        self.wake = true;
+    }
+}
--- /dev/null
+++ b/crates/sched/src/leader/placement.rs
@@ -0,0 +1,86 @@
+//! The record of what may be where: a task is charged to its team and its machine from the decision to
+//! start it until it is seen to be gone.
+
+use super::job::waits_at;
+use super::{Active, Leader, Phase, Place};
+use crate::place::Room;
+
+impl Leader {
+    /// What a team's tasks possibly use, as it is charged.
+    pub fn used_by(&self, team: &str) -> Room {
+        self.team_used.get(team).copied().unwrap_or_default()
+    }
+
+    pub(crate) fn set_active(&mut self, id: &str, index: u32, active: Active) {
+        self.unset_active(id, index);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let room = job.room();
+        job.ready.remove(index);
+        if let Some(owner) = waits_at(&active.place) {
+            *self.ahead.entry(owner.to_string()).or_default() += room.cpus;
+        }
+        if let Place::Given(_, name) | Place::On(name) = &active.place {
+            if let Some(m) = self.machines.get_mut(name) {
+                if m.tasks.insert((id.into(), index), active.attempt).is_none() {
+                    m.used.add(room);
+                }
+                self.stale.insert(name.clone());
+            }
+        }
+        self.team_used
+            .entry(job.spec.team.clone())
+            .or_default()
+            .add(room);
+        job.active.insert(index, active);
+    }
+
+    pub(crate) fn unset_active(&mut self, id: &str, index: u32) -> Option<Active> {
+        let job = self.jobs.get_mut(id)?;
+        let active = job.active.remove(&index)?;
+        let room = job.room();
+        if let Some(cpus) = waits_at(&active.place).and_then(|owner| self.ahead.get_mut(owner)) {
+            *cpus -= room.cpus;
+        }
+        if let Place::Given(_, name) | Place::On(name) = &active.place {
+            if let Some(m) = self.machines.get_mut(name) {
+                if m.tasks.remove(&(id.to_string(), index)).is_some() {
+                    m.used.sub(room);
+                }
+                if m.tasks.is_empty() {
+                    // Sums of decimals drift; an empty machine is empty.
+                    m.used = Room::default();
+                }
+                self.stale.insert(name.clone());
+            }
+        }
+        if let Some(u) = self.team_used.get_mut(&job.spec.team) {
+            u.sub(room);
+        }
+        Some(active)
+    }
+
+    /// A task is certainly nowhere any more and not done.
+    pub(crate) fn gone(&mut self, id: &str, index: u32) {
+        if self.unset_active(id, index).is_none() {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        self.wake = true;
+        if !job.over && !job.done.contains(index) {
+            job.ready.insert(index);
+        }
+        if job.is_gang() && !job.over && job.done.is_empty() {
+            if job.active.is_empty() {
+                job.phase = Phase::Idle;
+            } else if !job.uncertain {
+                job.phase = Phase::Ending;
+                self.stop_all(id, 0.0);
+            }
+        }
+        self.forget_if_gone(id);
+    }
+}
--- /dev/null
+++ b/crates/sched/src/leader/summary.rs
@@ -0,0 +1,134 @@
+//! What is told of the leader's state: for logs, for failed tests, and for users.
+
+use super::{Job, Leader, Machine};
+use wire::peers::ToOwner;
+
+/// Counters and lists for logs and the display.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Summary {
+    pub queued: usize,
+    pub running: usize,
+    pub machines: usize,
+    pub booting: usize,
+    pub unreconciled: usize,
+    /// CPUs of machines that are up, and what possibly runs of them: ordinary and cheap ones.
+    pub cpus: [u32; 2],
+    pub cpus_used: [u32; 2],
+    /// CPUs of tasks that are known to run, and that wait at owners for room.
+    pub cpus_running: u32,
+    pub cpus_ahead: u32,
+}
+
+impl std::fmt::Display for Summary {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(
+            f,
+            "queued={} running={} machines={} booting={} unreconciled={} cpus={} cpus_used={} spot_cpus={} spot_cpus_used={} running_cpus={} ahead_cpus={}",
+            self.queued,
+            self.running,
+            self.machines,
+            self.booting,
+            self.unreconciled,
+            self.cpus[0],
+            self.cpus_used[0],
+            self.cpus[1],
+            self.cpus_used[1],
+            self.cpus_running,
+            self.cpus_ahead
+        )
+    }
+}
+
+impl Leader {
+    pub fn summary(&self) -> Summary {
+        Summary {
+            queued: self.jobs.values().map(|j| j.ready.len() as usize).sum(),
+            running: self.jobs.values().map(|j| j.active.len()).sum(),
+            machines: self.machines.len(),
+            booting: self.fleet.booting.len(),
+            unreconciled: self.machines.values().filter(|m| !m.reconciled).count(),
+            cpus: [false, true].map(|spot| {
+                self.machines
+                    .values()
+                    .filter(|m| m.spot == spot)
+                    .map(|m| self.cap(&m.kind).map_or(0.0, |c| c.cpus))
+                    .sum::<f64>() as u32
+            }),
+            cpus_running: self
+                .jobs
+                .values()
+                .map(|j| j.active.values().filter(|a| a.running).count() as f64 * j.spec.cpus)
+                .sum::<f64>() as u32,
+            cpus_ahead: self.ahead.values().sum::<f64>() as u32,
+            cpus_used: [false, true].map(|spot| {
+                self.machines
+                    .values()
+                    .filter(|m| m.spot == spot)
+                    .map(|m| m.used.cpus)
+                    .sum::<f64>() as u32
+            }),
+        }
+    }
+
+    /// Every open job in words, for logs and failed tests.
+    pub fn explain(&self) -> String {
+        let job = |(id, j): (&String, &Job)| {
+            let at: Vec<String> = j
+                .active
+                .iter()
+                .map(|(i, a)| format!("{i}@{:?}", a.place))
+                .collect();
+            format!(
+                "{id} {:?} tasks={} cpus={} team={} ready={} done={} uncertain={} phase={:?} backoff={:.1} active=[{}]",
+                j.spec.shape,
+                j.spec.tasks,
+                j.spec.cpus,
+                j.spec.team,
+                j.ready.len(),
+                j.done.len(),
+                j.uncertain,
+                j.phase,
+                j.backoff_until,
+                at.join(" ")
+            )
+        };
+        let machine = |(n, m): (&String, &Machine)| {
+            format!(
+                "{n} {} {} spot={} owner={} reconciled={} usable={} lapsed={:?} foreign={} used={} rostered={:?} drain={} closed={} quiet={} releasing={}",
+                m.kind, m.zone, m.spot, m.owner, m.reconciled, m.usable_told, m.lapsed_at, m.foreign, m.used.cpus, m.rostered, m.drain, m.closed, m.quiet, m.releasing
+            )
+        };
+        self.jobs
+            .iter()
+            .map(job)
+            .chain(self.machines.iter().map(machine))
+            .collect::<Vec<_>>()
+            .join("\n")
+    }
+
+    pub(crate) fn display(&mut self) {
+        let running: Vec<(String, u32)> = self
+            .jobs
+            .iter()
+            .map(|(id, j)| {
+                (
+                    id.clone(),
+                    j.active.values().filter(|a| a.running).count() as u32,
+                )
+            })
+            .filter(|(_, n)| *n > 0)
+            .collect();
+        if running != self.last_display {
+            let me = self.me.clone();
+            for m in self.links.keys().cloned().chain([me]).collect::<Vec<_>>() {
+                self.send(
+                    &m,
+                    ToOwner::Display {
+                        running: running.clone(),
+                    },
+                );
+            }
+            self.last_display = running;
+        }
+    }
+}
