The leader takes more of the store's writes; a refusal by the store empties the budget

Ruled out: the followers' shares (their refusals were few, from 250 s on all were the leader's). Change: the leader may take 0.8 of the rate and keeps a fifth back; when the store refuses, the bucket is empty, so a rate that falls slows down whoever goes beyond it.

--- a/crates/ladderroute/src/accept.rs
+++ b/crates/ladderroute/src/accept.rs
@@ -5,7 +5,7 @@
 use http::server::Response;
 use std::rc::Rc;
 use store::budget::Rank;
-use store::client::{Decided, StoreError};
+use store::client::{Decided, StoreError, TOO_MANY_REQUESTS};
 use store::keys;
 use store::replica::JobEntry;
 use wire::cbor;
@@ -220,6 +220,10 @@
                 _ => later(node, "the outcome is not known yet"),
             }
         }
+        Err(StoreError::Refused(TOO_MANY_REQUESTS)) => {
+            log::debug!("event=submission_refused job={id} by=store");
+            refuse(429, "too many submissions at present").retry(1)
+        }
         Err(StoreError::Budget(s)) => {
             log::debug!("event=submission_refused job={id} again_s={s:.2}");
             refuse(429, "too many submissions at present").retry(s.ceil().clamp(1.0, 30.0) as u32)
--- a/crates/ladderroute/src/lead.rs
+++ b/crates/ladderroute/src/lead.rs
@@ -20,7 +20,7 @@
 /// in bursts, seldom at several controllers at once, and one that is refused is only made again:
 /// so the others share nearly all of them beside the leader.
 const LEADER_REQUESTS: f64 = 0.3;
-const LEADER_WRITES: f64 = 0.55;
+const LEADER_WRITES: f64 = 0.8;
 const ALL_SHARE: f64 = 0.95;
 
 /// Renewals and decisions of the leader go before the submissions that it takes itself.
@@ -28,6 +28,11 @@
     decision: 0.15,
     submission: 0.35,
 };
+/// Of the writes less is kept back: the store refuses few of them, and one that it refused is made again.
+const LEADER_WRITE_RESERVE: Reserve = Reserve {
+    decision: 0.1,
+    submission: 0.2,
+};
 /// The others write little beside submissions: only cancellations go before them.
 const FOLLOWER_RESERVE: Reserve = Reserve {
     decision: 0.0,
@@ -53,7 +58,10 @@
         },
         (_, true) => Shares {
             requests: share(LEADER_REQUESTS),
-            writes: share(LEADER_WRITES),
+            writes: Share {
+                reserve: LEADER_WRITE_RESERVE,
+                ..share(LEADER_WRITES)
+            },
         },
         (n, false) => Shares {
             requests: share((ALL_SHARE - LEADER_REQUESTS) / n as f64),
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -124,6 +124,19 @@
             .change(self.rates.writes_per_s, shares.writes, now);
     }
 
+    /// The store has refused a request for going beyond its rate: what was left of the burst is not there,
+    /// since others took it or the rate is lower than the settings say. Renewals wait for one request's
+    /// worth at most.
+    pub fn refused(&mut self, now: f64, writes: usize) {
+        let bucket = if writes > 0 {
+            &mut self.writes
+        } else {
+            &mut self.requests
+        };
+        bucket.fill(now);
+        bucket.level = bucket.level.min(0.0);
+    }
+
     /// Takes one request with `writes` writes, or says how long to wait.
     pub fn take(&mut self, now: f64, writes: usize, rank: Rank) -> Result<(), f64> {
         self.requests.fill(now);
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -8,6 +8,9 @@
 use wire::cbor;
 use wire::store::{Changes, Conflict, Item, LeaseAsk, LeaseId, Page, Revision, Txn, Value};
 
+/// The status of a request beyond the store's rate.
+pub const TOO_MANY_REQUESTS: u16 = 429;
+
 /// Why a request to the store did not give what was asked.
 #[derive(Debug, thiserror::Error, PartialEq)]
 pub enum StoreError {
@@ -137,7 +140,12 @@
             Rank::Submission => self.take(txn.writes.len(), rank)?,
             _ => self.wait(txn.writes.len(), rank, self.limit).await?,
         }
-        match self.ask("POST", "/txn", &cbor::encode(txn)).await? {
+        let answer = self.ask("POST", "/txn", &cbor::encode(txn)).await;
+        if answer == Err(StoreError::Refused(TOO_MANY_REQUESTS)) {
+            let now = self.start.elapsed().as_secs_f64();
+            self.budget.borrow_mut().refused(now, txn.writes.len());
+        }
+        match answer? {
             (200, body) => Ok(Decided::Applied(Self::read::<Revision>(&body)?.revision)),
             (409, body) => Ok(Decided::Conflict(Self::read::<Conflict>(&body)?.failed)),
             (400, body) => {
--- a/crates/store/tests/budget.rs
+++ b/crates/store/tests/budget.rs
@@ -87,3 +87,22 @@
     assert!(b.take(0.0, 1, Rank::Renewal).is_err());
     assert!(b.take(0.11, 1, Rank::Renewal).is_ok());
 }
+
+/// The rate may have fallen without notice. What was left is not used, renewals wait for no more than one
+/// request's worth, and nothing is lost for good.
+#[test]
+fn a_refusal_empties_the_bucket_and_renewals_go_first() {
+    let mut b = budget(20.0, 10.0, 1.0);
+    b.refused(0.0, 3);
+    assert!(
+        b.take(0.0, 0, Rank::Renewal).is_ok(),
+        "only writes were refused"
+    );
+    assert!(b.take(0.0, 1, Rank::Decision).is_err());
+    b.refused(0.0, 0);
+    let renewal = b.take(0.0, 0, Rank::Renewal).unwrap_err();
+    let decision = b.take(0.0, 0, Rank::Decision).unwrap_err();
+    let submission = b.take(0.0, 1, Rank::Submission).unwrap_err();
+    assert!(renewal <= 1.0 / 20.0 + 1e-9 && renewal < decision && decision < submission);
+    assert!(b.take(submission + 1e-6, 1, Rank::Submission).is_ok());
+}
