--- a/crates/ladderroute/src/writer/outcome.rs
+++ b/crates/ladderroute/src/writer/outcome.rs
@@ -58,6 +58,13 @@
         conditions: leads.chain(batch.conditions.iter().cloned()).collect(),
         writes: batch.writes.clone(),
     };
+    log::debug!(
+        "event=write decisions={} writes={} roster_pages={} progress_pages={}",
+        batch.actions.len(),
+        batch.writes.len(),
+        batch.roster.len(),
+        batch.progress.len()
+    );
     match node.store.txn(&txn, Rank::Decision).await? {
         Decided::Applied(revision) => Ok(Outcome::Written(revision)),
         Decided::Conflict(failed) if failed.iter().any(|key| Kind::of(key) == Kind::Leader) => {
--- a/crates/model/tests/knowledge.rs
+++ b/crates/model/tests/knowledge.rs
@@ -5,7 +5,6 @@
 use sched::leader::{Action, Earlier, Leader, OpenJob};
 use sched::owner::{Answer, Jobs, Owner};
 use sched::place::Room;
-use sched::ranges::Ranges;
 use sched::setup::Setup;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -312,12 +311,7 @@
         ..setup()
     };
     let spec = Rc::new(model::world::job(1, "red", Shape::Array, 4, 1.0));
-    let open = OpenJob {
-        spec,
-        revision: 1,
-        done: Ranges::default(),
-        earlier: Earlier::Anywhere,
-    };
+    let open = OpenJob::new(spec, 1, Earlier::Anywhere);
     // What it may have begun on that machine is not known yet.
     let roster = BTreeMap::from([(
         "host-1".to_string(),
--- a/crates/model/tests/leader_and_owner.rs
+++ b/crates/model/tests/leader_and_owner.rs
@@ -4,7 +4,6 @@
 use sched::leader::{Action, Earlier, Leader, OpenJob};
 use sched::owner::{Answer, Jobs, Owner};
 use sched::place::Room;
-use sched::ranges::Ranges;
 use sched::setup::{Setup, Team};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -151,12 +150,7 @@
 #[test]
 fn an_attempt_stays_charged_when_another_one_is_done() {
     let spec = array("wk-1");
-    let open = OpenJob {
-        spec,
-        revision: 1,
-        done: Ranges::default(),
-        earlier: Earlier::Anywhere,
-    };
+    let open = OpenJob::new(spec, 1, Earlier::Anywhere);
     let record = RosterRecord {
         kind: "small".into(),
         zone: "a".into(),
@@ -201,12 +195,7 @@
     let roster: BTreeMap<_, _> = ["host-1", "host-2", "host-3"]
         .map(|n| (n.to_string(), record.clone()))
         .into();
-    let open = |id: &str, revision, earlier| OpenJob {
-        spec: array(id),
-        revision,
-        done: Ranges::default(),
-        earlier,
-    };
+    let open = |id: &str, revision, earlier| OpenJob::new(array(id), revision, earlier);
     let old = open("wk-1", 1, Earlier::Anywhere);
     let mut leader = Leader::new("rung-0", setup(), 1, 1, 4.0, vec![old], &roster, 1, 0.0);
     leader.catalog(vec![small()]);
@@ -289,12 +278,7 @@
         };
         let names: Vec<String> = (0..100).map(|i| format!("host-{i}")).collect();
         let roster: BTreeMap<_, _> = names.iter().map(|n| (n.clone(), record.clone())).collect();
-        let old = OpenJob {
-            spec: array("wk-1"),
-            revision: 1,
-            done: Ranges::default(),
-            earlier: Earlier::Anywhere,
-        };
+        let old = OpenJob::new(array("wk-1"), 1, Earlier::Anywhere);
         let mut leader = Leader::new(
             "rung-0",
             Setup {
@@ -355,12 +339,7 @@
     leader.tick(0.0, 0);
     for (i, id) in ["wk-1", "wk-2", "wk-3"].iter().enumerate() {
         let earlier = Earlier::Untouched;
-        leader.add_job(OpenJob {
-            spec: array(id),
-            revision: 10 + i as u64,
-            done: Ranges::default(),
-            earlier,
-        });
+        leader.add_job(OpenJob::new(array(id), 10 + i as u64, earlier));
     }
     leader.tick(1.0, 0);
     let record = leader.drain().into_iter().find_map(|d| match d {
--- a/crates/model/tests/notices.rs
+++ b/crates/model/tests/notices.rs
@@ -2,7 +2,6 @@
 
 use model::world::{job, machine_type, machine_view, setup};
 use sched::leader::{Action, Earlier, Leader, OpenJob};
-use sched::ranges::Ranges;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use wire::peers::{TaskRef, TaskView, ToLeader, ToOwner};
@@ -24,12 +23,7 @@
         Shape::Gang => Earlier::Bound(BTreeSet::from(["host-1".into(), "host-2".into()])),
         _ => Earlier::Anywhere,
     };
-    let open = OpenJob {
-        spec: Rc::new(spec),
-        revision: 1,
-        done: Ranges::default(),
-        earlier,
-    };
+    let open = OpenJob::new(Rc::new(spec), 1, earlier);
     let record = RosterRecord {
         kind: "small".into(),
         zone: "a".into(),
--- a/crates/model/tests/plain.rs
+++ b/crates/model/tests/plain.rs
@@ -6,7 +6,6 @@
 use model::plain::*;
 use model::world::{job, machine_type, machine_view, setup};
 use sched::leader::{Action, Earlier, Leader, OpenJob};
-use sched::ranges::Ranges;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use wire::peers::{MachineView, ToLeader, ToOwner};
@@ -95,12 +94,11 @@
         jobs.sort_by(|a, b| a.id.cmp(&b.id));
         let mut l = leader(&machines, limit);
         for (i, j) in jobs.iter().enumerate() {
-            l.add_job(OpenJob {
-                spec: Rc::new(j.clone()),
-                revision: i as u64 + 1,
-                done: Ranges::default(),
-                earlier: Earlier::Untouched,
-            });
+            l.add_job(OpenJob::new(
+                Rc::new(j.clone()),
+                i as u64 + 1,
+                Earlier::Untouched,
+            ));
         }
         l.begin_result(&all_begun(jobs.len() as u64), true);
         l.tick(5.1, 0);
@@ -168,12 +166,7 @@
     for i in 0..13 {
         let (team, tasks) = if i < 3 { (0, 800) } else { (i - 3, 4) };
         let spec = Rc::new(job(i, &format!("team-{team}"), Shape::Array, tasks, 1.0));
-        l.add_job(OpenJob {
-            spec,
-            revision: u64::from(i) + 1,
-            done: Ranges::default(),
-            earlier: Earlier::Untouched,
-        });
+        l.add_job(OpenJob::new(spec, u64::from(i) + 1, Earlier::Untouched));
     }
     l.begin_result(&all_begun(13), true);
     l.tick(5.1, 0);
@@ -222,12 +215,7 @@
     l.roster_result("host-1", true, true);
     let add = |l: &mut Leader, id: u32, team: &str, tasks: u32, cpus: f64| {
         let spec = Rc::new(job(id, team, Shape::Array, tasks, cpus));
-        l.add_job(OpenJob {
-            spec,
-            revision: u64::from(id),
-            done: Ranges::default(),
-            earlier: Earlier::Untouched,
-        });
+        l.add_job(OpenJob::new(spec, u64::from(id), Earlier::Untouched));
         l.begin_result(&all_begun(u64::from(id)), true);
     };
     add(&mut l, 1, "blue", 4, 1.0);
--- a/crates/model/tests/reclaim.rs
+++ b/crates/model/tests/reclaim.rs
@@ -2,7 +2,6 @@
 
 use model::world::{job, machine_type, machine_view, setup};
 use sched::leader::{Action, Earlier, Leader, OpenJob};
-use sched::ranges::Ranges;
 use sched::setup::Setup;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -54,12 +53,7 @@
             .iter()
             .map(|host| (host.to_string(), record.clone()))
             .collect();
-        let open = |job: Job, revision, earlier| OpenJob {
-            spec: Rc::new(job),
-            revision,
-            done: Ranges::default(),
-            earlier,
-        };
+        let open = |job: Job, revision, earlier| OpenJob::new(Rc::new(job), revision, earlier);
         let mut leader = Leader::new(
             "rung-0",
             setup,
@@ -205,12 +199,9 @@
         index: 0,
         attempt: ARRAY_ATTEMPT,
     };
-    scene.leader.add_job(OpenJob {
-        spec: Rc::new(loses),
-        revision: 3,
-        done: Ranges::default(),
-        earlier: Earlier::Untouched,
-    });
+    scene
+        .leader
+        .add_job(OpenJob::new(Rc::new(loses), 3, Earlier::Untouched));
     scene.pass(20.0);
     let state = TaskState::Running;
     let task = TaskView {
@@ -222,12 +213,11 @@
     scene.tasks.insert("host-2", vec![task]);
     scene.pass(4.0);
     assert!(scene.stopped.is_empty(), "{:?}", scene.stopped);
-    scene.leader.add_job(OpenJob {
-        spec: Rc::new(job(2, "red", Shape::Array, 1, 3.0)),
-        revision: 4,
-        done: Ranges::default(),
-        earlier: Earlier::Untouched,
-    });
+    scene.leader.add_job(OpenJob::new(
+        Rc::new(job(2, "red", Shape::Array, 1, 3.0)),
+        4,
+        Earlier::Untouched,
+    ));
     scene.pass(3.0);
     let stopped: Vec<&str> = scene.stopped.iter().map(|t| t.job.as_str()).collect();
     assert_eq!(stopped, ["wk-000001"]);
@@ -239,12 +229,11 @@
 fn nothing_is_stopped_for_a_gang_behind_one_that_cannot_be_helped() {
     let mut scene = Scene::new(guest_array(), job(2, "red", Shape::Gang, 3, 2.5));
     scene.pass(12.0);
-    scene.leader.add_job(OpenJob {
-        spec: Rc::new(job(3, "red", Shape::Gang, 2, 3.0)),
-        revision: 3,
-        done: Ranges::default(),
-        earlier: Earlier::Untouched,
-    });
+    scene.leader.add_job(OpenJob::new(
+        Rc::new(job(3, "red", Shape::Gang, 2, 3.0)),
+        3,
+        Earlier::Untouched,
+    ));
     scene.rented = 0;
     scene.pass(4.0);
     assert!(scene.stopped.is_empty(), "{:?}", scene.stopped);
@@ -270,12 +259,7 @@
         spot: false,
     };
     let roster = BTreeMap::from([("host-9".to_string(), record)]);
-    let open = |job: Job, revision, earlier| OpenJob {
-        spec: Rc::new(job),
-        revision,
-        done: Ranges::default(),
-        earlier,
-    };
+    let open = |job: Job, revision, earlier| OpenJob::new(Rc::new(job), revision, earlier);
     let earlier = vec![open(large_only, 1, Earlier::Anywhere)];
     let mut leader = Leader::new("rung-0", setup, 1, 1, 4.0, earlier, &roster, 1, 0.0);
     leader.catalog(vec![
--- a/crates/model/tests/waits.rs
+++ b/crates/model/tests/waits.rs
@@ -2,7 +2,6 @@
 
 use model::world::{job, machine_view, setup, Defect, World};
 use sched::leader::{Action, Earlier, Leader, OpenJob};
-use sched::ranges::Ranges;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use wire::peers::{TaskRef, TaskView, ToLeader, ToOwner};
@@ -22,12 +21,7 @@
         ..setup()
     };
     let spec = Rc::new(job(1, "red", Shape::Array, 1, 1.0));
-    let open = OpenJob {
-        spec,
-        revision: 1,
-        done: Ranges::default(),
-        earlier: Earlier::Anywhere,
-    };
+    let open = OpenJob::new(spec, 1, Earlier::Anywhere);
     let roster = BTreeMap::from([(
         "host-1".to_string(),
         RosterRecord {
@@ -118,12 +112,7 @@
         spot: false,
     };
     let roster: BTreeMap<_, _> = hosts.iter().map(|h| (h.clone(), record.clone())).collect();
-    let open = OpenJob {
-        spec,
-        revision: 1,
-        done: Ranges::default(),
-        earlier: Earlier::Untouched,
-    };
+    let open = OpenJob::new(spec, 1, Earlier::Untouched);
     let mut leader = Leader::new("rung-0", setup(), 1, 1, 4.0, vec![open], &roster, 1, 0.0);
     leader.catalog(vec![model::world::machine_type("small", 4.0, 16.0, 0.3)]);
     members.iter().for_each(|m| leader.owner_heard(m, 0.5));
@@ -187,12 +176,7 @@
     };
     let open = |id, revision| {
         let spec = Rc::new(job(id, "red", Shape::Array, 12, 1.0));
-        OpenJob {
-            spec,
-            revision,
-            done: Ranges::default(),
-            earlier: Earlier::Anywhere,
-        }
+        OpenJob::new(spec, revision, Earlier::Anywhere)
     };
     let record = RosterRecord {
         kind: "small".into(),
@@ -291,41 +275,37 @@
     let roster: BTreeMap<_, _> = (0..4)
         .map(|i| (format!("host-{i}"), record.clone()))
         .collect();
-    let first_drained =
-        |every_s: f64| {
-            let mut leader = Leader::new("rung-0", s.clone(), 1, 1, 4.0, vec![], &roster, 1, 0.0);
-            leader.catalog(vec![model::world::machine_type("small", 4.0, 16.0, 0.3)]);
-            let (mut now, mut jobs) = (0.0, 0);
-            loop {
-                now += 0.5;
-                leader.tick(now, 0);
-                if leader.drain().iter().any(|action| {
-                    matches!(action, Action::Send(_, ToOwner::Use { usable: false, .. }))
-                }) {
-                    return now;
-                }
-                let views = roster
-                    .keys()
-                    .map(|host| machine_view(host, "small", vec![]))
-                    .collect();
-                leader.on_owner("rung-0", ToLeader::Machines(views), now);
-                if now >= f64::from(jobs + 1) * every_s {
-                    // A job of another type: it comes, and leaves these machines idle.
-                    jobs += 1;
-                    let elsewhere = Job {
-                        types: Some(vec!["large".into()]),
-                        ..job(jobs, "red", Shape::Array, 2, 4.0)
-                    };
-                    let open = OpenJob {
-                        spec: Rc::new(elsewhere),
-                        revision: u64::from(jobs),
-                        done: Ranges::default(),
-                        earlier: Earlier::Untouched,
-                    };
-                    leader.add_job(open);
-                }
+    let first_drained = |every_s: f64| {
+        let mut leader = Leader::new("rung-0", s.clone(), 1, 1, 4.0, vec![], &roster, 1, 0.0);
+        leader.catalog(vec![model::world::machine_type("small", 4.0, 16.0, 0.3)]);
+        let (mut now, mut jobs) = (0.0, 0);
+        loop {
+            now += 0.5;
+            leader.tick(now, 0);
+            if leader
+                .drain()
+                .iter()
+                .any(|action| matches!(action, Action::Send(_, ToOwner::Use { usable: false, .. })))
+            {
+                return now;
             }
-        };
+            let views = roster
+                .keys()
+                .map(|host| machine_view(host, "small", vec![]))
+                .collect();
+            leader.on_owner("rung-0", ToLeader::Machines(views), now);
+            if now >= f64::from(jobs + 1) * every_s {
+                // A job of another type: it comes, and leaves these machines idle.
+                jobs += 1;
+                let elsewhere = Job {
+                    types: Some(vec!["large".into()]),
+                    ..job(jobs, "red", Shape::Array, 2, 4.0)
+                };
+                let open = OpenJob::new(Rc::new(elsewhere), u64::from(jobs), Earlier::Untouched);
+                leader.add_job(open);
+            }
+        }
+    };
     let (busy, quiet) = (first_drained(5.0), first_drained(1e9));
     assert!((55.0..70.0).contains(&busy), "{busy}: 20 boot times of 3 s");
     assert!((14.0..20.0).contains(&quiet), "{quiet}: a quarter of that");
@@ -337,12 +317,7 @@
 fn only_the_machine_of_a_failure_is_blamed_for_it() {
     let open = |id, revision| {
         let spec = Rc::new(job(id, "red", Shape::Array, 6, 1.0));
-        OpenJob {
-            spec,
-            revision,
-            done: Ranges::default(),
-            earlier: Earlier::Anywhere,
-        }
+        OpenJob::new(spec, revision, Earlier::Anywhere)
     };
     let record = RosterRecord {
         kind: "small".into(),
--- a/crates/sched/src/leader/job.rs
+++ b/crates/sched/src/leader/job.rs
@@ -137,6 +137,18 @@
     pub earlier: Earlier,
 }
 
+impl OpenJob {
+    /// A job of which no task is done.
+    pub fn new(spec: Rc<Spec>, revision: u64, earlier: Earlier) -> OpenJob {
+        OpenJob {
+            spec,
+            revision,
+            done: Ranges::default(),
+            earlier,
+        }
+    }
+}
+
 /// What earlier leaders may have done with a job, as the store shows it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Earlier {
