--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -125,6 +125,13 @@
         (cpus * DEMAND_COVER / idle_cpus.max(1.0)).clamp(LEAST_KEPT, 1.0)
     }
 
+    /// CPUs of the tasks that came in a second, over some time.
+    fn arrival_rate(&self, now: Secs, over_s: Secs) -> f64 {
+        let arrived = self.arrivals.iter().rev();
+        let lately = arrived.take_while(|(at, _)| now - at <= over_s);
+        lately.map(|(_, cpus)| cpus).sum::<f64>() / over_s.max(1.0)
+    }
+
     /// Forgets arrivals before an instant.
     fn forget_arrivals(&mut self, before: Secs) {
         while self.arrivals.front().is_some_and(|(at, _)| *at < before) {
@@ -151,6 +158,11 @@
             .get(offer)
             .is_none_or(|(until, _)| now >= *until)
     }
+
+    /// Whether the cloud had fewer machines of an offer than were last asked for.
+    fn is_exhausted(&self, offer: &Offer) -> bool {
+        self.refused.contains_key(offer)
+    }
 }
 
 /// How many times cheaper than an ordinary machine one of this type and kind is.
@@ -259,11 +271,7 @@
         // Running tasks free their room again and again while a machine boots.
         let turnover = self.turnover();
         let mut ahead = 0.0;
-        let gang_waits = self
-            .fleet
-            .unmet
-            .iter()
-            .any(|(id, _)| self.jobs.get(id).is_some_and(|j| j.is_gang()));
+        let gang_waits = self.waits_for_scarce(scarce);
         let mut busy: Option<Busy> = None;
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
         self.fleet.kept.clear();
@@ -295,7 +303,7 @@
                     &wanted,
                     now,
                 );
-                if found.is_none() && !gang_waits && !self.any_offer(&needs, now) {
+                if found.is_none() && !gang_waits && self.all_exhausted(&needs) {
                     // Types kept for gangs, while none waits and the others are used up.
                     found =
                         self.cheapest(&all.kinds, needs.zone.as_deref(), room, left, &wanted, now);
@@ -305,7 +313,9 @@
                     .types
                     .get(&offer.0)
                     .map_or(LEAST_CHARGE_S, |t| t.boot_s);
-                let served = ((turnover * boot - ahead) / room.cpus.max(0.01))
+                // New jobs take a part of what becomes free meanwhile.
+                let net = (turnover - self.fleet.arrival_rate(now, boot)).max(0.0);
+                let served = ((net * boot - ahead) / room.cpus.max(0.01))
                     .floor()
                     .clamp(0.0, f64::from(left));
                 ahead += served * room.cpus;
@@ -364,11 +374,21 @@
 
     /// Whether any offer on which these tasks may run was not refused lately.
     fn any_offer(&self, needs: &Needs, now: Secs) -> bool {
-        needs.kinds.iter().any(|a| {
+        self.offers(needs).any(|o| self.fleet.available(&o, now))
+    }
+
+    /// Whether the cloud refused every offer on which these tasks may run when it was last asked for.
+    fn all_exhausted(&self, needs: &Needs) -> bool {
+        self.offers(needs).all(|o| self.fleet.is_exhausted(&o))
+    }
+
+    /// The offers on which these tasks may run.
+    fn offers<'a>(&'a self, needs: &'a Needs) -> impl Iterator<Item = Offer> + 'a {
+        let offers = needs.kinds.iter().flat_map(|a| {
             let zones = self.types.get(&a.kind).map_or(&[][..], |t| &t.zones);
-            let mut offers = zones.iter().map(|z| (a.kind.clone(), z.clone(), a.spot));
-            offers.any(|o| allows(needs, &needs.zone, &o) && self.fleet.available(&o, now))
-        })
+            zones.iter().map(|z| (a.kind.clone(), z.clone(), a.spot))
+        });
+        offers.filter(|o| allows(needs, &needs.zone, o))
     }
 
     /// How many more machines of an offer may be asked for at present: what is refused shows
@@ -381,7 +401,13 @@
             .filter(|h| (&h.kind, &h.zone, h.spot) == (&offer.0, &offer.1, offer.2));
         let sum: u32 =
             asked.map(|h| h.count).sum::<u32>() + wanted.get(offer).copied().unwrap_or(0);
-        (MOST_AT_ONCE * 2).saturating_sub(sum)
+        // One machine shows whether there are some again.
+        let most = if self.fleet.is_exhausted(offer) {
+            1
+        } else {
+            MOST_AT_ONCE * 2
+        };
+        most.saturating_sub(sum)
     }
 
     /// Rents what a whole gang lacks. If its job wants one zone, that is the one which lacks
@@ -623,7 +649,9 @@
                 let offer = (kind.clone(), z.clone(), *spot);
                 // A little noise spreads machines over zones of the same price.
                 let price = price * (1.0 + 0.01 * self.rng.f64());
-                if !self.fleet.available(&offer, now) {
+                let is_probed =
+                    self.fleet.is_exhausted(&offer) && self.most_wanted(&offer, wanted) == 0;
+                if !self.fleet.available(&offer, now) || is_probed {
                     continue;
                 }
                 least = least.min(price);
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -56,12 +56,8 @@
             .map(|(id, j)| (!j.within, j.priority, j.revision, id.clone()))
             .collect();
         order.sort_unstable();
-        // Machines kept for gangs take array tasks, last of all, while no gang waits for room.
-        let gang_waits = self
-            .fleet
-            .unmet
-            .iter()
-            .any(|(id, _)| self.jobs.get(id).is_some_and(|j| j.is_gang()));
+        // Machines kept for gangs take array tasks, last of all, while no such gang waits for room.
+        let gang_waits = self.waits_for_scarce(&scarce);
         self.fleet.unmet.clear();
         for (_, _, _, id) in order {
             let Some(job) = self.jobs.get(&id) else {
@@ -278,6 +274,13 @@
         }
     }
 
+    /// Whether a gang that fits no other machine types waits for these.
+    pub(crate) fn waits_for_scarce(&self, scarce: &BTreeSet<(String, bool)>) -> bool {
+        let unmet = self.fleet.unmet.iter();
+        let mut gangs = unmet.filter_map(|(id, _)| self.jobs.get(id).filter(|j| j.is_gang()));
+        gangs.any(|job| self.needs(job, Some(scarce)).kinds.is_empty())
+    }
+
     /// The same without scarce machine types, unless the job has no other.
     pub(crate) fn needs_sparing(&self, job: &Job, scarce: &BTreeSet<(String, bool)>) -> Needs {
         let needs = self.needs(job, Some(scarce));
