--- /dev/null
+++ b/crates/model/tests/renting.rs
@@ -0,0 +1,170 @@
+//! Which machines are rented for a queue, when some types are kept for gangs and the cloud refuses.
+
+use model::world::{job, machine_type, machine_view, setup};
+use sched::leader::{Action, Earlier, Leader, OpenJob};
+use sched::setup::{Setup, Team};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use wire::cloud::Hire;
+use wire::peers::ToLeader;
+use wire::store::RosterRecord;
+use wire::users::{Job, Shape};
+
+/// A leader alone, and the hires that it asked for.
+struct Scene {
+    leader: Leader,
+    now: f64,
+    hires: Vec<(f64, Hire)>,
+    machines: Vec<String>,
+}
+
+impl Scene {
+    fn new(machines: usize) -> Scene {
+        let wide = Team {
+            cpus: 0.0,
+            cpus_max: 1e6,
+            gpus: 0.0,
+            gpus_max: 0.0,
+        };
+        let settings = Setup {
+            teams: BTreeMap::from([("red".to_string(), wide)]),
+            keep_boots: 1e6,
+            ..setup()
+        };
+        let record = RosterRecord {
+            kind: "small".into(),
+            zone: "a".into(),
+            spot: false,
+        };
+        let machines: Vec<String> = (0..machines).map(|n| format!("host-{n}")).collect();
+        let roster = machines
+            .iter()
+            .map(|m| (m.clone(), record.clone()))
+            .collect();
+        let mut leader = Leader::new("rung-0", settings, 1, 1, 4.0, vec![], &roster, 0, 0.0);
+        leader.catalog(vec![
+            machine_type("small", 4.0, 16.0, 0.3),
+            machine_type("large", 16.0, 64.0, 1.1),
+        ]);
+        let mut scene = Scene {
+            leader,
+            now: 0.0,
+            hires: Vec::new(),
+            machines,
+        };
+        scene.pass(1.0);
+        scene
+    }
+
+    /// A gang that fits only on `large` has come and is over: that type is kept for its class.
+    fn large_gang_was_seen(&mut self) {
+        let gang = Job {
+            class: "large-gang".into(),
+            spot: false,
+            ..job(1, "red", Shape::Gang, 2, 14.0)
+        };
+        let id = gang.id.clone();
+        self.accept(gang);
+        self.leader.job_over(&id);
+    }
+
+    fn accept(&mut self, job: Job) {
+        let job = Rc::new(Job { spot: false, ..job });
+        self.leader
+            .add_job(OpenJob::new(job, 1, Earlier::Untouched));
+    }
+
+    /// Time passes; the cloud has no machines at all, and the store takes what is written.
+    fn pass(&mut self, seconds: f64) {
+        let end = self.now + seconds;
+        while self.now < end {
+            self.now += 0.25;
+            let views = self.machines.iter();
+            let views = views.map(|m| machine_view(m, "small", vec![])).collect();
+            if self.hires.is_empty() {
+                self.leader
+                    .on_owner("rung-0", ToLeader::Machines(views), self.now);
+            }
+            self.leader.tick(self.now, 0);
+            for action in self.leader.drain() {
+                match action {
+                    Action::Hire(hire) => {
+                        self.hires.push((self.now, hire.clone()));
+                        self.leader.hired(&hire.name, Some(Vec::new()), self.now);
+                    }
+                    Action::NewToken => self.leader.token_result(Some(2), self.now),
+                    Action::Begin(record) => self.leader.begin_result(&record, true),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn asked_for(&self, kind: &str) -> impl Iterator<Item = &Hire> {
+        let hires = self.hires.iter().map(|(_, hire)| hire);
+        let kind = kind.to_string();
+        hires.filter(move |hire| hire.kind == kind)
+    }
+}
+
+/// Of several offers one was always out of its back-off and was asked for in full again, so that arrays
+/// waited for a minute beside 53 machines of the type kept for gangs that the cloud had left.
+#[test]
+fn what_was_refused_is_asked_for_one_machine_at_a_time() {
+    let mut scene = Scene::new(0);
+    scene.large_gang_was_seen();
+    scene.accept(job(2, "red", Shape::Array, 400, 1.0));
+    scene.pass(20.0);
+    let mut first_asked: BTreeMap<&str, f64> = BTreeMap::new();
+    let mut probes = 0;
+    for (at, hire) in scene.hires.iter().filter(|(_, hire)| hire.kind == "small") {
+        let first = *first_asked.entry(&hire.zone).or_insert(*at);
+        if *at > first {
+            assert_eq!(hire.count, 1, "asked again in full after {at} s");
+            probes += 1;
+        }
+    }
+    assert!(probes > 1, "nothing was tried again");
+    let (first, _) = scene
+        .hires
+        .iter()
+        .find(|(_, hire)| hire.kind == "large")
+        .expect("a large machine");
+    assert!(*first < 6.0, "only after {first} s");
+}
+
+/// A small gang that fits on any machine waits. Arrays may have the type kept for large gangs all the
+/// same: in pipelines some small gang waits at nearly all times.
+#[test]
+fn a_small_gang_does_not_keep_arrays_off_the_type_kept_for_large_ones() {
+    for (tasks, cpus, expected) in [(2, 1.0, true), (2, 14.0, false)] {
+        let mut scene = Scene::new(0);
+        scene.large_gang_was_seen();
+        scene.accept(Job {
+            class: "gang".into(),
+            ..job(3, "red", Shape::Gang, tasks, cpus)
+        });
+        scene.accept(job(2, "red", Shape::Array, 400, 1.0));
+        scene.pass(20.0);
+        // Of a gang's own two machines there is no more than a few tries.
+        let for_arrays = scene.asked_for("large").any(|hire| hire.count > 2);
+        assert_eq!(for_arrays, expected, "a gang of {cpus} CPUs a task waits");
+    }
+}
+
+/// What running tasks free while a machine boots was counted as the queue's, though new jobs took it: the
+/// queue only grew. Once no more jobs come, the rest of the queue is left to the running machines.
+#[test]
+fn machines_are_rented_for_a_queue_that_grows_as_fast_as_room_becomes_free() {
+    let mut scene = Scene::new(10);
+    scene.accept(job(1, "red", Shape::Array, 40, 1.0));
+    scene.pass(2.0);
+    assert!(scene.hires.is_empty(), "all of it runs");
+    // Forty tasks of 3 s free some 40 CPUs while a machine boots for 3 s.
+    let arrived = scene.now;
+    scene.accept(job(2, "red", Shape::Array, 30, 1.0));
+    scene.pass(12.0);
+    let times: Vec<f64> = scene.hires.iter().map(|(at, _)| at - arrived).collect();
+    assert!(times.first().is_some_and(|at| *at < 1.0), "{times:?}");
+    assert!(times.iter().all(|at| *at < 5.0), "{times:?}");
+}
