--- a/crates/model/tests/plain.rs
+++ b/crates/model/tests/plain.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use wire::peers::{MachineView, ToLeader, ToOwner};
-use wire::users::{Job, Shape};
+use wire::users::{Job, Priority, Shape};
 
 /// A leader that is its only owner, with empty machines that are known and rostered.
 fn leader(machines: &[(&str, &str)], limit: f64) -> Leader {
@@ -203,6 +203,16 @@
 
 /// Tasks of blue that a guaranteed job of red has stopped, by blue's guarantee.
 fn stopped_for_red(blue_guarantee: f64) -> usize {
+    let inherited = BTreeMap::new();
+    stopped_by_priority(blue_guarantee, Priority::Standard, &inherited)
+}
+
+/// The same where red's job has a priority of its own, and jobs are treated with others.
+fn stopped_by_priority(
+    blue_guarantee: f64,
+    red: Priority,
+    inherited: &BTreeMap<&str, Priority>,
+) -> usize {
     let mut s = setup();
     s.teams.get_mut("blue").unwrap().cpus = blue_guarantee;
     let mut l = Leader::new("rung-0", s, 1, 1, 4.0, Vec::new(), &BTreeMap::new(), 0, 0.0);
@@ -213,12 +223,15 @@
     };
     l.on_owner("rung-0", view(Vec::new()), 5.0);
     l.roster_result("host-1", true, true);
-    let add = |l: &mut Leader, id: u32, team: &str, tasks: u32, cpus: f64| {
-        let spec = Rc::new(job(id, team, Shape::Array, tasks, cpus));
-        l.add_job(OpenJob::new(spec, u64::from(id), Earlier::Untouched));
-        l.begin_result(&all_begun(u64::from(id)), true);
+    let add = |l: &mut Leader, spec: Job, revision: u64| {
+        let id = spec.id.clone();
+        l.add_job(OpenJob::new(Rc::new(spec), revision, Earlier::Untouched));
+        if let Some(priority) = inherited.get(id.as_str()) {
+            l.set_priority(&id, *priority);
+        }
+        l.begin_result(&all_begun(revision), true);
     };
-    add(&mut l, 1, "blue", 4, 1.0);
+    add(&mut l, job(1, "blue", Shape::Array, 4, 1.0), 1);
     l.tick(6.0, 0);
     let given = l.drain().into_iter().find_map(|d| match d {
         Action::Send(_, ToOwner::Give { attempt, .. }) => Some(attempt),
@@ -235,7 +248,11 @@
         saved: false,
     });
     l.on_owner("rung-0", view(running.collect()), 6.5);
-    add(&mut l, 2, "red", 1, 2.0);
+    let urgent = Job {
+        priority: red,
+        ..job(2, "red", Shape::Array, 1, 2.0)
+    };
+    add(&mut l, urgent, 2);
     l.tick(7.0, 0);
     l.tick(9.0, 0);
     l.drain()
@@ -255,3 +272,17 @@
         "work within its guarantee was stopped"
     );
 }
+
+/// First stages of pipelines, best effort, inherited `high` and stopped arrays of others by the thousand:
+/// what is stopped for a job goes by its own priority, what it is spared by the inherited one.
+#[test]
+fn an_inherited_priority_stops_nothing() {
+    let within = 12.0;
+    let high = |id: &'static str| BTreeMap::from([(id, Priority::High)]);
+    let nobody = BTreeMap::new();
+    assert_eq!(stopped_by_priority(within, Priority::High, &nobody), 2);
+    let heir = high("wk-000002");
+    assert_eq!(stopped_by_priority(within, Priority::Standard, &heir), 0);
+    let spared = high("wk-000001");
+    assert_eq!(stopped_by_priority(within, Priority::High, &spared), 0);
+}
