Arrivals over a minute at least; a refusal for size ends in writes that fit, tested

Cause of the first: one large array counted as a stream for the boot time of its machines. Cause of the second: an entry that was put again made its page dirty again, so that a split which takes several transactions never ended; found by the new test.

--- a/crates/ladderroute/src/writer/batch.rs
+++ b/crates/ladderroute/src/writer/batch.rs
@@ -112,6 +112,28 @@
     pub value_kb: f64,
 }
 
+/// Values are made no smaller than this many KiB, whatever the store refuses.
+const LEAST_VALUE_KB: f64 = 0.5;
+
+impl TxnLimits {
+    /// The limits to keep to once the store has called a transaction malformed that held so many writes,
+    /// the largest value of so many bytes: first fewer writes, so that what is too large stands alone and
+    /// the rest is written, then smaller values.
+    pub fn lowered(self, writes: usize, largest_bytes: usize) -> TxnLimits {
+        if writes > 1 {
+            return TxnLimits {
+                operations: writes / 2,
+                ..self
+            };
+        }
+        let half_kb = largest_bytes as f64 / 2048.0;
+        TxnLimits {
+            value_kb: half_kb.clamp(LEAST_VALUE_KB, self.value_kb.max(LEAST_VALUE_KB)),
+            ..self
+        }
+    }
+}
+
 /// What became of a decision that was to join a batch.
 enum Joined {
     /// It is part of the batch.
--- a/crates/ladderroute/src/writer/outcome.rs
+++ b/crates/ladderroute/src/writer/outcome.rs
@@ -11,9 +11,6 @@
 use store::leadership::{next_token, still_leader, LeadershipLease};
 use wire::store::{value_bytes, LeaderRecord, Txn, Write};
 
-/// Values are made no smaller than this many KiB, whatever the store refuses.
-const LEAST_VALUE_KB: f64 = 0.5;
-
 /// What the store decided.
 pub enum Outcome {
     /// Written, at this revision.
@@ -140,12 +137,8 @@
     };
     let writes = batch.writes.len();
     log::error!("event=write_refused key={key} bytes={bytes} writes={writes}");
-    if writes > 1 {
-        lead.limits.operations = writes / 2;
-    } else {
-        lead.limits.value_kb = (bytes as f64 / 2048.0).max(LEAST_VALUE_KB);
-        lead.records.shrink(lead.limits.value_kb);
-    }
+    lead.limits = lead.limits.lowered(writes, bytes);
+    lead.records.shrink(lead.limits.value_kb);
 }
 
 /// Ends the lease, so that the renewal finds it gone and the next leader can come.
--- a/crates/ladderroute/tests/batches.rs
+++ b/crates/ladderroute/tests/batches.rs
@@ -414,3 +414,47 @@
         machines
     );
 }
+
+/// The store refuses what it was said to take. Transactions become smaller until what is too large stands
+/// alone, then pages do; whatever else waits is written meanwhile.
+#[test]
+fn a_refusal_for_size_leads_to_smaller_writes_and_blocks_no_others() {
+    let mut limits = TxnLimits {
+        operations: 12,
+        value_kb: 4.0,
+    };
+    let mut scene = Scene::new([]);
+    scene
+        .waiting
+        .extend((0..150).map(|n| machine(&format!("host-{n:06}"))));
+    const TRUE_BYTES: usize = 512;
+    let truth = LOWER;
+    let mut refusals = 0;
+    for _ in 0..150 {
+        scene.limits = limits;
+        let batch = scene.next();
+        if batch.is_empty() {
+            break;
+        }
+        let sizes = batch.writes.iter().map(|write| match write {
+            Write::Put { value, .. } => value_bytes(value),
+            Write::Drop { .. } => 0,
+        });
+        let largest = sizes.max().unwrap_or(0);
+        let fits = batch.writes.len() <= truth.operations && largest <= TRUE_BYTES;
+        if fits {
+            scene.records.written(&batch.roster, &batch.progress);
+        } else {
+            refusals += 1;
+            limits = limits.lowered(batch.writes.len(), largest);
+            scene.records.shrink(limits.value_kb);
+            scene.waiting.extend(batch.actions);
+        }
+    }
+    assert!((1..8).contains(&refusals), "{refusals} refusals");
+    assert!(
+        scene.next().is_empty() && scene.waiting.is_empty(),
+        "all is written"
+    );
+    assert!(limits.operations >= 1 && limits.value_kb >= 0.5);
+}
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -314,7 +314,8 @@
                     .get(&offer.0)
                     .map_or(LEAST_CHARGE_S, |t| t.boot_s);
                 // New jobs take a part of what becomes free meanwhile.
-                let net = (turnover - self.fleet.arrival_rate(now, boot)).max(0.0);
+                let net =
+                    (turnover - self.fleet.arrival_rate(now, boot.max(LEAST_CHARGE_S))).max(0.0);
                 let served = ((net * boot - ahead) / room.cpus.max(0.01))
                     .floor()
                     .clamp(0.0, f64::from(left));
--- a/crates/store/src/pages.rs
+++ b/crates/store/src/pages.rs
@@ -24,7 +24,7 @@
     page.values().map(|(size, _)| size).sum()
 }
 
-impl<K: Ord + Clone, V> Pages<K, V> {
+impl<K: Ord + Clone, V: PartialEq> Pages<K, V> {
     /// No page's entries take more than `limit` bytes together, as far as their sizes are told.
     pub fn new(limit: usize) -> Pages<K, V> {
         Pages {
@@ -53,8 +53,12 @@
             .insert(key, (size, value));
     }
 
-    /// Puts an entry where it was, or else on the first page with room; says where.
+    /// Puts an entry where it was, or else on the first page with room; says where. What is there already
+    /// makes no page dirty: a decision that has to wait is put again and again.
     pub fn put(&mut self, key: K, size: usize, value: V) -> u32 {
+        if let Some(page) = self.at.get(&key).filter(|_| self.get(&key) == Some(&value)) {
+            return *page;
+        }
         let fits = |p: &BTreeMap<K, (usize, V)>| bytes(p) + size <= self.limit;
         let page = match self.at.get(&key) {
             Some(page) => *page,
