Failing tests: a chain's state is told from a view that stayed behind

Cause, by reading: submit answers a repeated or read-back submission from the record it reads directly, which says nothing of the job's ancestors; their state is as old as the controller's last read. look_up would have read first: a check in one path and not in its twin. A controller whose writes are carried out while the changes do not reach it calls new dependents of a cancelled job queued for as long as that lasts (orphaned).

--- /dev/null
+++ b/crates/ladderroute/tests/stale_view.rs
@@ -0,0 +1,126 @@
+//! What users are told by a controller whose view of the store has stayed behind: never an older state
+//! than another controller has told. The record of a job that is read directly says nothing of the jobs
+//! that it needs.
+
+// The helpers of these tests unwrap as the tests do.
+#![allow(clippy::unwrap_used)]
+
+mod stand_in;
+
+use http::server::Response;
+use ladderroute::accept::{cancel, query, submit};
+use ladderroute::node::Node;
+use stand_in::requests::{accepted, body, finish, told, with_fronts};
+use stand_in::{Fate, Front};
+use std::rc::Rc;
+use std::time::Duration;
+use wire::store::Value;
+use wire::users::JobState;
+
+fn body_after(id: &str, needed: &[&str]) -> Vec<u8> {
+    let names = needed.iter().map(|id| Value::Text((*id).into())).collect();
+    body(id, |fields| {
+        fields.push((Value::Text("awaits".into()), Value::Array(names)))
+    })
+}
+
+async fn accept(node: &Rc<Node>, id: &str, needed: &[&str]) {
+    let answer = submit(node, &body_after(id, needed)).await;
+    assert_eq!(accepted(&answer), (201, JobState::Queued), "{id}");
+}
+
+async fn cancel_confirmed(node: &Rc<Node>, id: &str) {
+    let answer = cancel(node, id).await;
+    assert_eq!(accepted(&answer), (200, JobState::Cancelled), "{id}");
+}
+
+/// The changes of the store do not reach a controller any more, once it has seen those so far.
+async fn fall_behind(node: &Rc<Node>, front: &Front) {
+    assert!(ladderroute::fresh::freshen(node).await);
+    front.refuses_changes.set(true);
+    // A request that was under way is refused, too, once one sent later was.
+    let asked = front.changes_asked.get();
+    while front.changes_asked.get() < asked + 2 {
+        smol::Timer::after(Duration::from_millis(2)).await;
+    }
+}
+
+fn is_told_to_come_back(answer: &Response) -> bool {
+    answer.status == 503 && answer.retry_after_s.is_some()
+}
+
+/// Seen on a day at production size: `went_back`, cancelled and then queued.
+#[test]
+fn a_repeated_submission_is_told_no_older_state_of_its_chain() {
+    with_fronts(|_, [a, b], [_, front_b]| async move {
+        accept(&a, "wk-1", &[]).await;
+        fall_behind(&b, &front_b).await;
+        accept(&a, "wk-2", &["wk-1"]).await;
+        cancel_confirmed(&a, "wk-1").await;
+        assert_eq!(told(&query(&a, "wk-2").await), (200, JobState::Cancelled));
+        // The record of wk-2 is open, and so is wk-1 as far as this controller knows.
+        let again = body_after("wk-2", &["wk-1"]);
+        assert!(is_told_to_come_back(&submit(&b, &again).await));
+        front_b.refuses_changes.set(false);
+        let answer = submit(&b, &again).await;
+        assert_eq!(accepted(&answer), (200, JobState::Cancelled));
+    });
+}
+
+/// The same by the way of a transaction whose answer was lost.
+#[test]
+fn a_submission_that_is_read_back_is_told_no_older_state_of_its_chain() {
+    with_fronts(|store, [a, b], [_, front_b]| async move {
+        accept(&a, "wk-1", &[]).await;
+        fall_behind(&b, &front_b).await;
+        cancel_confirmed(&a, "wk-1").await;
+        store.fate.set(Fate::AnswerLost);
+        let late = body_after("wk-2", &["wk-1"]);
+        assert!(is_told_to_come_back(&submit(&b, &late).await));
+        assert_eq!(told(&query(&a, "wk-2").await), (200, JobState::Cancelled));
+        front_b.refuses_changes.set(false);
+        assert_eq!(
+            accepted(&submit(&b, &late).await),
+            (200, JobState::Cancelled)
+        );
+    });
+}
+
+/// `orphaned`: a controller whose writes are carried out, while the changes do not reach it, would go on
+/// calling new dependents of a cancelled job queued.
+#[test]
+fn a_new_dependent_is_not_called_queued_from_a_view_that_stayed_behind() {
+    with_fronts(|_, [a, b], [_, front_b]| async move {
+        accept(&a, "wk-1", &[]).await;
+        fall_behind(&b, &front_b).await;
+        cancel_confirmed(&a, "wk-1").await;
+        b.lock().shared.looked -= b.setup.start_knowledge_s();
+        let late = body_after("wk-2", &["wk-1"]);
+        assert!(is_told_to_come_back(&submit(&b, &late).await));
+        // One that needs no other is accepted all the same: its own record says all.
+        accept(&b, "wk-3", &[]).await;
+        front_b.refuses_changes.set(false);
+        assert_eq!(
+            accepted(&submit(&b, &late).await),
+            (200, JobState::Cancelled)
+        );
+    });
+}
+
+/// What is terminal is told from memory, also by the ways above; what a repetition names counts for
+/// nothing.
+#[test]
+fn a_terminal_record_is_told_from_a_view_that_stayed_behind() {
+    with_fronts(|store, [a, b], [_, front_b]| async move {
+        accept(&a, "wk-1", &[]).await;
+        fall_behind(&b, &front_b).await;
+        accept(&a, "wk-2", &["wk-1"]).await;
+        accept(&a, "wk-3", &["wk-1"]).await;
+        cancel_confirmed(&a, "wk-2").await;
+        assert_eq!(finish(&store, "wk-3"), 200);
+        for (id, state) in [("wk-2", JobState::Cancelled), ("wk-3", JobState::Done)] {
+            let answer = submit(&b, &body_after(id, &["wk-1"])).await;
+            assert_eq!(accepted(&answer), (200, state), "{id}");
+        }
+    });
+}
--- a/crates/ladderroute/tests/stand_in/mod.rs
+++ b/crates/ladderroute/tests/stand_in/mod.rs
@@ -11,8 +11,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use store::replica::JobEntry;
 use wire::cbor;
-use wire::store::{Change, Changes, Conflict, Item, Page, Revision, Txn, Value, Write};
+use wire::store::{Change, Changes, Conflict, Item, LeaseId, Page, Revision, Txn, Value, Write};
 
 /// What becomes of the next transaction.
 // Not every test uses all of them.
@@ -30,21 +31,57 @@
     keys: RefCell<BTreeMap<String, (Value, u64)>>,
     log: RefCell<Vec<Change>>,
     revision: Cell<u64>,
+    /// Changes up to this revision are not kept any more.
+    forgotten: Cell<u64>,
+    leases: Cell<u64>,
+    /// Most items of a page.
+    pub page_items: Cell<usize>,
     pub fate: Cell<Fate>,
     pub refuses: Cell<bool>,
     kept: RefCell<Vec<Txn>>,
 }
 
+/// One controller's way to the store, with troubles that only this controller has.
+// Not every test uses all of them.
+#[allow(dead_code)]
+#[derive(Default)]
+pub struct Front {
+    /// Requests for changes are refused.
+    pub refuses_changes: Cell<bool>,
+    /// Requests for changes that were answered or refused.
+    pub changes_asked: Cell<u32>,
+    /// Pages are read, and their answers wait.
+    pub holds_pages: Cell<bool>,
+    /// Of so many pages that are asked for, the last is refused; none if 0.
+    pub refuses_every_page: Cell<u32>,
+    /// Pages that were asked for.
+    pub pages_asked: Cell<u32>,
+}
+
+const REFUSED: u16 = 503;
+const TOO_OLD: u16 = 410;
+
 impl Store {
-    pub async fn start(ex: &Rc<smol::LocalExecutor<'static>>) -> (Rc<Store>, SocketAddr) {
-        let store = Rc::new(Store {
+    pub fn new() -> Rc<Store> {
+        Rc::new(Store {
             keys: RefCell::default(),
             log: RefCell::default(),
             revision: Cell::new(0),
+            forgotten: Cell::new(0),
+            leases: Cell::new(0),
+            page_items: Cell::new(usize::MAX),
             fate: Cell::new(Fate::Served),
             refuses: Cell::new(false),
             kept: RefCell::default(),
-        });
+        })
+    }
+
+    /// Opens a way to the store.
+    pub async fn open(
+        self: &Rc<Store>,
+        ex: &Rc<smol::LocalExecutor<'static>>,
+    ) -> (Rc<Front>, SocketAddr) {
+        let front = Rc::new(Front::default());
         let listener = smol::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         let minute = Duration::from_secs(60);
@@ -55,17 +92,17 @@
             request: minute,
             idle: minute,
         };
-        let served = store.clone();
+        let (store, served) = (self.clone(), front.clone());
         let handler = Rc::new(move |request: Request| {
-            let store = served.clone();
-            async move { store.handle(request).await }
+            let (store, front) = (store.clone(), served.clone());
+            async move { store.handle(&front, request).await }
         });
         ex.spawn(http::server::serve(ex.clone(), listener, limits, handler))
             .detach();
-        (store, addr)
+        (front, addr)
     }
 
-    async fn handle(&self, request: Request) -> Response {
+    async fn handle(&self, front: &Front, request: Request) -> Response {
         if self.refuses.get() {
             return Response::new(503, Vec::new());
         }
@@ -79,45 +116,16 @@
         match path {
             "/txn" => self.take(cbor::decode(&request.body).unwrap()).await,
             "/follow" => {
-                let since: u64 = field("since").parse().unwrap();
-                if field("wait_ms") != "0" && since >= self.revision.get() {
-                    smol::Timer::after(Duration::from_millis(20)).await;
-                }
-                let changes = self
-                    .log
-                    .borrow()
-                    .iter()
-                    .filter(|c| c.version > since)
-                    .cloned()
-                    .collect();
-                Response::new(
-                    200,
-                    cbor::encode(&Changes {
-                        revision: self.revision.get(),
-                        changes,
-                    }),
-                )
+                let since = field("since").parse().unwrap();
+                self.changes(front, since, field("wait_ms") != "0").await
             }
-            "/store" => {
-                let items = self
-                    .keys
-                    .borrow()
-                    .iter()
-                    .map(|(k, (v, n))| Item {
-                        key: k.clone(),
-                        value: v.clone(),
-                        version: *n,
-                    })
-                    .collect();
-                Response::new(
-                    200,
-                    cbor::encode(&Page {
-                        items,
-                        more: false,
-                        revision: self.revision.get(),
-                    }),
-                )
+            "/store" => self.page(front, field("since")).await,
+            "/grants" => {
+                self.leases.set(self.leases.get() + 1);
+                let lease = self.leases.get();
+                Response::new(200, cbor::encode(&LeaseId { lease }))
             }
+            _ if path.starts_with("/grants/") => Response::new(200, Vec::new()),
             _ => match self.get(path.strip_prefix("/store/").unwrap_or("")) {
                 Some(item) => Response::new(200, cbor::encode(&item)),
                 None => Response::new(
@@ -130,6 +138,62 @@
         }
     }
 
+    async fn changes(&self, front: &Front, since: u64, may_wait: bool) -> Response {
+        front.changes_asked.set(front.changes_asked.get() + 1);
+        if front.refuses_changes.get() {
+            return Response::new(REFUSED, Vec::new());
+        }
+        if may_wait && since >= self.revision.get() {
+            smol::Timer::after(Duration::from_millis(20)).await;
+        }
+        if since < self.forgotten.get() {
+            return Response::new(TOO_OLD, Vec::new());
+        }
+        let log = self.log.borrow();
+        let newer = log.iter().filter(|change| change.version > since);
+        let changes = Changes {
+            revision: self.revision.get(),
+            changes: newer.cloned().collect(),
+        };
+        Response::new(200, cbor::encode(&changes))
+    }
+
+    async fn page(&self, front: &Front, since: &str) -> Response {
+        front.pages_asked.set(front.pages_asked.get() + 1);
+        let every = front.refuses_every_page.get();
+        if every > 0 && front.pages_asked.get().is_multiple_of(every) {
+            return Response::new(REFUSED, Vec::new());
+        }
+        let page = self.items_after(since);
+        while front.holds_pages.get() {
+            smol::Timer::after(Duration::from_millis(2)).await;
+        }
+        Response::new(200, cbor::encode(&page))
+    }
+
+    fn items_after(&self, since: &str) -> Page {
+        let keys = self.keys.borrow();
+        let mut rest = keys.iter().filter(|(key, _)| key.as_str() > since);
+        let items = rest.by_ref().take(self.page_items.get());
+        let items = items.map(|(key, (value, version))| Item {
+            key: key.clone(),
+            value: value.clone(),
+            version: *version,
+        });
+        Page {
+            items: items.collect(),
+            more: rest.next().is_some(),
+            revision: self.revision.get(),
+        }
+    }
+
+    /// Forgets all changes so far: who does not know them has to read the keys again.
+    // Not every test uses it.
+    #[allow(dead_code)]
+    pub fn forget_changes(&self) {
+        self.forgotten.set(self.revision.get());
+    }
+
     pub fn get(&self, key: &str) -> Option<Item> {
         self.keys.borrow().get(key).map(|(v, n)| Item {
             key: key.into(),
@@ -153,6 +217,8 @@
     }
 
     /// Carries out what was kept; says with which status.
+    // Not every test uses it.
+    #[allow(dead_code)]
     pub fn carry_out_kept(&self) -> Vec<u16> {
         let kept = self.kept.take();
         kept.iter().map(|t| self.apply(t).status).collect()
@@ -228,8 +294,20 @@
         zones: vec!["a".into(), "b".into()],
     }]);
     ex.spawn(ladderroute::fresh::follow(node.clone())).detach();
-    while !node.lock().shared.loaded {
+    while !is_loaded(&node) {
         smol::Timer::after(Duration::from_millis(5)).await;
     }
     node
 }
+
+/// Whether a controller has read all keys.
+pub fn is_loaded(node: &Node) -> bool {
+    node.lock().shared.loaded
+}
+
+/// What a controller's view holds of a job.
+// Not every test uses it.
+#[allow(dead_code)]
+pub fn job_entry(node: &Node, id: &str) -> Option<JobEntry> {
+    node.lock().shared.replica.jobs.get(id).cloned()
+}
--- a/crates/ladderroute/tests/stand_in/requests.rs
+++ b/crates/ladderroute/tests/stand_in/requests.rs
@@ -3,7 +3,7 @@
 // Not every test uses all of them.
 #![allow(dead_code)]
 
-use super::{controller, Store};
+use super::{controller, Front, Store};
 use http::server::Response;
 use ladderroute::node::Node;
 use std::future::Future;
@@ -14,14 +14,23 @@
 
 /// Runs a test with a store and two controllers.
 pub fn with<F: Future<Output = ()>>(test: impl FnOnce(Rc<Store>, [Rc<Node>; 2]) -> F) {
+    with_fronts(|store, nodes, _| test(store, nodes));
+}
+
+/// Runs a test with a store, two controllers, and the way of each to the store.
+pub fn with_fronts<F: Future<Output = ()>>(
+    test: impl FnOnce(Rc<Store>, [Rc<Node>; 2], [Rc<Front>; 2]) -> F,
+) {
     let ex = Rc::new(smol::LocalExecutor::new());
     smol::block_on(ex.clone().run(async move {
-        let (store, addr) = Store::start(&ex).await;
+        let store = Store::new();
+        let (front_a, addr_a) = store.open(&ex).await;
+        let (front_b, addr_b) = store.open(&ex).await;
         let nodes = [
-            controller(&ex, 0, addr).await,
-            controller(&ex, 1, addr).await,
+            controller(&ex, 0, addr_a).await,
+            controller(&ex, 1, addr_b).await,
         ];
-        test(store, nodes).await;
+        test(store, nodes, [front_a, front_b]).await;
     }));
 }
 
@@ -72,14 +81,16 @@
 
 /// Writes the end of a job as a leader does.
 pub fn finish(store: &Store, id: &str) -> u16 {
+    end(store, id, Recorded::Done)
+}
+
+/// Writes the end of a job.
+pub fn end(store: &Store, id: &str, state: Recorded) -> u16 {
     let item = store.get(&store::keys::job(id)).unwrap();
     let record: JobRecord = from_value(&item.value).unwrap();
     let put = Write::Put {
         key: item.key.clone(),
-        value: to_value(&JobRecord {
-            state: Recorded::Done,
-            ..record
-        }),
+        value: to_value(&JobRecord { state, ..record }),
         lease: None,
     };
     store
