--- a/crates/ladderroute/src/accept.rs
+++ b/crates/ladderroute/src/accept.rs
@@ -1,17 +1,17 @@
 //! Users' requests: submit, query, cancel.
 
 use crate::fresh::freshen;
+use crate::job_state::{accepted, entry, look_up, state_of, tell_created, tell_read};
 use crate::node::Node;
 use http::server::Response;
 use std::rc::Rc;
 use store::budget::Rank;
 use store::client::{Decided, StoreError, TOO_MANY_REQUESTS};
 use store::keys;
-use store::replica::JobEntry;
 use wire::cbor;
 use wire::peers::{frame, ToLeader};
 use wire::store::{from_value, to_value, Condition, JobRecord, Recorded, Txn, Write};
-use wire::users::{Accepted, Job, JobState, Progress, Refusal, Shape};
+use wire::users::{Job, JobState, Progress, Refusal, Shape};
 
 /// What a job's record takes beside the job, at most.
 const RECORD_BYTES: usize = 64;
@@ -37,48 +37,10 @@
     }
 }
 
-fn state_of(node: &Node, id: &str, e: &JobEntry) -> JobState {
-    match e.state {
-        Recorded::Done => JobState::Done,
-        Recorded::Cancelled => JobState::Cancelled,
-        Recorded::Open if node.lock().shared.running.get(id).is_some_and(|n| *n > 0) => {
-            JobState::Running
-        }
-        Recorded::Open => JobState::Queued,
-    }
-}
-
-fn accepted(status: u16, id: &str, state: JobState) -> Response {
-    Response::new(
-        status,
-        cbor::encode(&Accepted {
-            id: id.into(),
-            state,
-        }),
-    )
-}
-
-fn entry(node: &Node, id: &str) -> Option<JobEntry> {
-    node.lock().shared.replica.jobs.get(id).cloned()
-}
-
 fn loaded(node: &Node) -> bool {
     node.lock().shared.loaded
 }
 
-/// What the replica says once it is fresh enough: final states always are.
-async fn look_up(node: &Rc<Node>, id: &str) -> Result<Option<JobEntry>, Response> {
-    if let Some(e) = entry(node, id) {
-        if e.state != Recorded::Open {
-            return Ok(Some(e));
-        }
-    }
-    if !loaded(node) || !freshen(node).await {
-        return Err(later(node, "the state service does not answer"));
-    }
-    Ok(entry(node, id))
-}
-
 #[derive(serde::Deserialize)]
 struct OnlyId {
     #[serde(rename = "name_id")]
@@ -201,8 +163,7 @@
             );
             node.learn_job(&mut node.lock(), &id, record, version);
             // One that needs a cancelled job is accepted all the same, and cancelled with it.
-            let state = entry(node, &id).map(|e| state_of(node, &id, &e));
-            accepted(201, &id, state.unwrap_or(JobState::Queued))
+            tell_created(node, &id).await
         }
         Ok(Decided::Conflict(_)) | Err(StoreError::Unknown(_)) => {
             match node.store.get(&key, Rank::Decision).await {
@@ -210,10 +171,7 @@
                 Ok(Some(item)) => match from_value::<JobRecord>(&item.value) {
                     Some(r) => {
                         node.learn_job(&mut node.lock(), &id, r, item.version);
-                        match entry(node, &id) {
-                            Some(e) => accepted(200, &id, state_of(node, &id, &e)),
-                            None => later(node, "not ready yet"),
-                        }
+                        tell_read(node, &id).await
                     }
                     None => later(node, "the record can't be read"),
                 },
--- /dev/null
+++ b/crates/ladderroute/src/job_state.rs
@@ -0,0 +1,92 @@
+//! The one gate for saying a job's state to a user.
+//!
+//! No controller may tell an older state than another one has told. A terminal state is final and told from
+//! memory. Whether an open job is cancelled with one that it needs is derived from other records than its
+//! own, so its own record, however new, does not say so: an open job's state is told only from a view that
+//! was read since the request arrived. Two cases need no such read:
+//!
+//! - A job that needs no other, and whose record was read or written for this very request: it has no
+//!   ancestors.
+//! - A job that this request has just created: nobody has been told of it before. Its dependents are held
+//!   back all the same, and a view as fresh as the leadership calls no job queued whose ancestor's
+//!   cancellation was confirmed long ago.
+
+use crate::accept::later;
+use crate::fresh::freshen;
+use crate::node::Node;
+use http::server::Response;
+use std::rc::Rc;
+use store::replica::JobEntry;
+use wire::cbor;
+use wire::store::Recorded;
+use wire::users::{Accepted, JobState};
+
+/// What the view holds of a job, whatever its age.
+pub fn entry(node: &Node, id: &str) -> Option<JobEntry> {
+    node.lock().shared.replica.jobs.get(id).cloned()
+}
+
+/// What may be said of a job now; none if it was never accepted. An error is the answer to give instead.
+pub async fn look_up(node: &Rc<Node>, id: &str) -> Result<Option<JobEntry>, Response> {
+    if let Some(terminal) = entry(node, id).filter(is_terminal) {
+        return Ok(Some(terminal));
+    }
+    if !freshen(node).await {
+        return Err(later(node, "the state service does not answer"));
+    }
+    Ok(entry(node, id))
+}
+
+/// Answers with the state of a job whose record was read directly for this request.
+pub async fn tell_read(node: &Rc<Node>, id: &str) -> Response {
+    if let Some(own) = entry(node, id).filter(has_no_ancestors) {
+        return accepted(200, id, state_of(node, id, &own));
+    }
+    tell(node, 200, id).await
+}
+
+/// Answers with the state of a job whose record was written for this request.
+pub async fn tell_created(node: &Rc<Node>, id: &str) -> Response {
+    let is_fresh = node.view_age() <= node.setup.start_knowledge_s();
+    let created = entry(node, id).filter(|entry| is_fresh || has_no_ancestors(entry));
+    if let Some(created) = created {
+        return accepted(201, id, state_of(node, id, &created));
+    }
+    tell(node, 201, id).await
+}
+
+async fn tell(node: &Rc<Node>, status: u16, id: &str) -> Response {
+    match look_up(node, id).await {
+        Ok(Some(entry)) => accepted(status, id, state_of(node, id, &entry)),
+        Ok(None) => later(node, "not ready yet"),
+        Err(answer) => answer,
+    }
+}
+
+fn is_terminal(entry: &JobEntry) -> bool {
+    entry.state != Recorded::Open
+}
+
+/// Whether the job's own record says all: it is terminal, or the job needs no other.
+fn has_no_ancestors(entry: &JobEntry) -> bool {
+    let spec = entry.job.as_ref();
+    spec.is_none_or(|spec| spec.dependencies.is_empty())
+}
+
+/// An entry of the view in the users' words.
+pub fn state_of(node: &Node, id: &str, entry: &JobEntry) -> JobState {
+    match entry.state {
+        Recorded::Done => JobState::Done,
+        Recorded::Cancelled => JobState::Cancelled,
+        Recorded::Open if node.lock().shared.running.get(id).is_some_and(|n| *n > 0) => {
+            JobState::Running
+        }
+        Recorded::Open => JobState::Queued,
+    }
+}
+
+/// The answer to a submission or a cancellation.
+pub fn accepted(status: u16, id: &str, state: JobState) -> Response {
+    let id = id.into();
+    Response::new(status, cbor::encode(&Accepted { id, state }))
+}
--- a/crates/ladderroute/src/lib.rs
+++ b/crates/ladderroute/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod api;
 pub mod fresh;
 pub mod job_changes;
+pub mod job_state;
 pub mod lead;
 pub mod logging;
 pub mod node;
--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -128,6 +128,11 @@
         t.saturating_duration_since(self.began).as_secs_f64()
     }
 
+    /// For how long the view has not been proved to hold all that the store holds, in seconds.
+    pub fn view_age(&self) -> f64 {
+        self.now() - self.lock().shared.looked
+    }
+
     /// A queue for a connection to another controller.
     pub fn outbox(&self) -> Outbox {
         Outbox::new(
