Failing tests: a reload takes the view back, or never ends

A reload after 410 replaces the replica with its pages, whatever came in meanwhile by own writes and direct reads: a job that ended is open again, what was cancelled with it too, and the leader is given both anew. One refused page begins the reload from the start. An answer with more than 8 MiB of changes is never taken, and the same is asked for until the store has forgotten them; the controller goes on accepting meanwhile.

--- /dev/null
+++ b/crates/ladderroute/tests/reload.rs
@@ -0,0 +1,138 @@
+//! A controller whose view is too old for the changes that the store keeps reads all keys again, in
+//! pages, while other ways go on bringing records.
+
+// The helpers of these tests unwrap as the tests do.
+#![allow(clippy::unwrap_used)]
+
+mod stand_in;
+
+use ladderroute::accept::submit;
+use ladderroute::node::Node;
+use stand_in::requests::{accepted, body, end, with_fronts};
+use stand_in::{is_loaded, job_entry, Front, Store};
+use std::rc::Rc;
+use std::time::Duration;
+use wire::store::{from_value, JobRecord, Recorded, Txn, Value, Write};
+use wire::users::JobState;
+
+async fn accept(node: &Rc<Node>, id: &str, needed: &[&str]) {
+    let names = needed.iter().map(|id| Value::Text((*id).into())).collect();
+    let sent = body(id, |fields| {
+        fields.push((Value::Text("awaits".into()), Value::Array(names)))
+    });
+    let answer = submit(node, &sent).await;
+    assert_eq!(accepted(&answer), (201, JobState::Queued), "{id}");
+}
+
+async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        smol::Timer::after(Duration::from_millis(2)).await;
+    }
+}
+
+/// Changes that a controller misses, and that the store does not keep: the controller finds its view
+/// too old with its next request.
+async fn miss_changes(store: &Store, front: &Front, missed: impl std::future::Future<Output = ()>) {
+    front.refuses_changes.set(true);
+    let asked = front.changes_asked.get();
+    until(|| front.changes_asked.get() > asked + 1).await;
+    missed.await;
+    store.forget_changes();
+    front.refuses_changes.set(false);
+}
+
+fn state(node: &Node, id: &str) -> Option<Recorded> {
+    job_entry(node, id).map(|entry| entry.state)
+}
+
+fn leader_knows(node: &Node, id: &str) -> bool {
+    let state = node.lock();
+    let lead = state.shared.lead.as_ref();
+    lead.is_some_and(|lead| lead.leader.knows(id))
+}
+
+/// A job ends while the keys are read again, by a write of this controller that was under way: the pages
+/// still hold it as open. It stays terminal, and so does what was cancelled with it; the leader does not
+/// get it back.
+#[test]
+fn what_ends_during_a_reload_stays_terminal() {
+    with_fronts(|store, [a, b], [front, _]| async move {
+        a.ex.spawn(ladderroute::lead::campaign(a.clone())).detach();
+        until(|| a.lock().shared.lead.is_some()).await;
+        for id in ["wk-1", "wk-2", "wk-3"] {
+            accept(&a, id, &[]).await;
+        }
+        accept(&a, "wk-4", &["wk-1"]).await;
+        accept(&a, "wk-5", &["wk-2"]).await;
+        assert!(leader_knows(&a, "wk-1") && !leader_knows(&a, "wk-4"));
+        front.holds_pages.set(true);
+        miss_changes(&store, &front, accept(&b, "wk-6", &[])).await;
+        let pages = front.pages_asked.get();
+        until(|| front.pages_asked.get() > pages || !is_loaded(&a)).await;
+        until(|| front.pages_asked.get() > pages).await;
+        for (id, ended) in [("wk-1", Recorded::Cancelled), ("wk-2", Recorded::Done)] {
+            assert_eq!(end(&store, id, ended), 200);
+            let item = store.get(&store::keys::job(id)).unwrap();
+            let record: JobRecord = from_value(&item.value).unwrap();
+            a.learn_job(&mut a.lock(), id, record, item.version);
+        }
+        assert!(!leader_knows(&a, "wk-1") && leader_knows(&a, "wk-5"));
+        // Nothing that comes after the reload mends it.
+        front.refuses_changes.set(true);
+        front.holds_pages.set(false);
+        until(|| is_loaded(&a)).await;
+        assert_eq!(state(&a, "wk-6"), Some(Recorded::Open), "the missed one");
+        for (id, expected, known) in [
+            ("wk-1", Recorded::Cancelled, false),
+            ("wk-2", Recorded::Done, false),
+            ("wk-3", Recorded::Open, true),
+            ("wk-4", Recorded::Cancelled, false),
+            ("wk-5", Recorded::Open, true),
+            ("wk-6", Recorded::Open, true),
+        ] {
+            assert_eq!(state(&a, id), Some(expected), "{id}");
+            assert_eq!(leader_knows(&a, id), known, "{id}");
+        }
+    });
+}
+
+/// One request in two is refused: a reload that begins anew each time never ends.
+#[test]
+fn a_reload_goes_on_after_a_page_was_refused() {
+    with_fronts(|store, [a, b], [front, _]| async move {
+        for n in 0..20 {
+            accept(&a, &format!("wk-{n}"), &[]).await;
+        }
+        store.page_items.set(2);
+        front.refuses_every_page.set(2);
+        miss_changes(&store, &front, accept(&b, "wk-missed", &[])).await;
+        until(|| !is_loaded(&a)).await;
+        until(|| is_loaded(&a) || front.pages_asked.get() > 100).await;
+        assert!(is_loaded(&a), "pages asked: {}", front.pages_asked.get());
+        assert_eq!(state(&a, "wk-missed"), Some(Recorded::Open));
+    });
+}
+
+/// The answer with all changes has no limit of size; a controller that takes no answer of such size would
+/// never get beyond it.
+#[test]
+fn more_changes_than_one_answer_may_hold_are_read_in_pages() {
+    with_fronts(|store, [a, b], [front, _]| async move {
+        front.refuses_changes.set(true);
+        accept(&b, "wk-missed", &[]).await;
+        let put = |key: &str| Write::Put {
+            key: key.into(),
+            value: Value::Text("x".repeat(4096)),
+            lease: None,
+        };
+        for n in 0..2500 {
+            let writes = vec![put(&format!("lr/other/{}", n % 10))];
+            let conditions = Vec::new();
+            assert_eq!(store.apply(&Txn { conditions, writes }).status, 200);
+        }
+        front.refuses_changes.set(false);
+        let asked = front.changes_asked.get();
+        until(|| state(&a, "wk-missed").is_some() || front.changes_asked.get() > asked + 10).await;
+        assert_eq!(state(&a, "wk-missed"), Some(Recorded::Open));
+    });
+}
