A cluster view that never goes back owns its records and the instant of its proof

Cause: a reload replaced the replica with its pages while own writes and direct reads had brought newer records; view and read_at were changed apart; one refused page began the reload anew; an answer with more changes than are taken was asked for again and again. Change: view::ClusterView owns replica, dependencies and read_at. A reload keeps, for each key, what is newer (store::reload), terminal states for good; it goes on after a refused page; a read sent before a reload began is dropped; an answer too large leads to a reload in pages. Counters and log lines of it.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -14,6 +14,9 @@
     /// The request certainly did not reach the server.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// The answer is larger than this client takes.
+    #[error("the answer of {0} bytes is too large")]
+    TooLarge(usize),
     /// The server may have carried the request out, or may still do so.
     #[error("no answer: {0}")]
     Unknown(String),
@@ -82,7 +85,7 @@
                     // A kept connection that the server had closed: the others are old as well.
                     self.forget();
                 }
-                Err(Failed::Unknown(e))
+                Err(e)
             }
             None => {
                 self.forget();
@@ -107,7 +110,7 @@
         method: &str,
         path: &str,
         body: &[u8],
-    ) -> Result<Answer, String> {
+    ) -> Result<Answer, Failed> {
         let mut out = Vec::with_capacity(160 + body.len());
         out.extend_from_slice(
             format!(
@@ -122,11 +125,11 @@
         }
         out.extend_from_slice(b"\r\n");
         out.extend_from_slice(body);
-        stream.write_all(&out).await.map_err(|e| e.to_string())?;
+        stream.write_all(&out).await.map_err(unknown)?;
         let mut buf = Vec::with_capacity(1024);
         let mut chunk = [0u8; 8192];
         let head = loop {
-            match parse::response(&buf).map_err(|_| "malformed response".to_string())? {
+            match parse::response(&buf).map_err(|_| unknown("malformed response"))? {
                 Some(head) if head.status == 100 => {
                     buf.drain(..head.head_len);
                     continue;
@@ -134,37 +137,37 @@
                 Some(head) => break head,
                 None => {}
             }
-            let n = stream.read(&mut chunk).await.map_err(|e| e.to_string())?;
+            let n = stream.read(&mut chunk).await.map_err(unknown)?;
             if n == 0 {
-                return Err("closed".into());
+                return Err(unknown("closed"));
             }
             buf.extend_from_slice(&chunk[..n]);
         };
         if head.chunked {
-            return Err("a chunked response is not expected here".into());
+            return Err(unknown("a chunked response is not expected here"));
         }
         let mut close = head.close;
         if let Some(length) = head.length {
             if length > self.most_body {
-                return Err("response too large".into());
+                return Err(Failed::TooLarge(length));
             }
             while buf.len() < head.head_len + length {
-                let n = stream.read(&mut chunk).await.map_err(|e| e.to_string())?;
+                let n = stream.read(&mut chunk).await.map_err(unknown)?;
                 if n == 0 {
-                    return Err("closed".into());
+                    return Err(unknown("closed"));
                 }
                 buf.extend_from_slice(&chunk[..n]);
             }
         } else if !matches!(head.status, 204 | 304) {
             close = true;
             loop {
-                let n = stream.read(&mut chunk).await.map_err(|e| e.to_string())?;
+                let n = stream.read(&mut chunk).await.map_err(unknown)?;
                 if n == 0 {
                     break;
                 }
                 buf.extend_from_slice(&chunk[..n]);
                 if buf.len() > self.most_body {
-                    return Err("response too large".into());
+                    return Err(Failed::TooLarge(buf.len()));
                 }
             }
         }
@@ -179,3 +182,7 @@
         })
     }
 }
+
+fn unknown(error: impl ToString) -> Failed {
+    Failed::Unknown(error.to_string())
+}
--- a/crates/ladderroute/src/accept.rs
+++ b/crates/ladderroute/src/accept.rs
@@ -38,7 +38,7 @@
 }
 
 fn loaded(node: &Node) -> bool {
-    node.lock().shared.loaded
+    node.lock().shared.view.is_complete()
 }
 
 #[derive(serde::Deserialize)]
@@ -109,7 +109,7 @@
 async fn dependencies_known(node: &Rc<Node>, job: &Job) -> Result<(), Response> {
     let unknown = || {
         let state = node.lock();
-        let jobs = &state.shared.replica.jobs;
+        let jobs = &state.shared.view.replica().jobs;
         let missing = |id: &&String| !jobs.contains_key(*id);
         job.dependencies.iter().find(missing).cloned()
     };
--- a/crates/ladderroute/src/api.rs
+++ b/crates/ladderroute/src/api.rs
@@ -129,7 +129,7 @@
             .map(|l| (l.links.len(), node.settings.known.len())),
         authority: s.owner.has_authority(now),
     };
-    if s.shared.loaded && s.shared.catalog.is_some() && !others_fare_better(standing) {
+    if s.shared.view.is_complete() && s.shared.catalog.is_some() && !others_fare_better(standing) {
         Response::new(200, Vec::new())
     } else {
         drop(s);
@@ -151,7 +151,7 @@
     let state = &mut *guard;
     let answer = state
         .owner
-        .on_report(&report, now, &JobRooms(&state.shared.replica));
+        .on_report(&report, now, &JobRooms(state.shared.view.replica()));
     log::debug!(
         "event=report machine={} session={} seq={} token={} tasks={} answer={answer:?}",
         report.machine,
--- /dev/null
+++ b/crates/ladderroute/src/counters.rs
@@ -0,0 +1,76 @@
+//! Counters that tell, after the fact, how close decisions came to the age of what they rest on.
+
+use std::cell::Cell;
+use std::fmt;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// The running summary of one process.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Reloads of the view that ended.
+    pub reloads: Cell<u64>,
+    /// Reads of changes that were dropped because a reload had begun since they were sent.
+    pub reads_dropped: Cell<u64>,
+    /// Workers' reports that were not answered for lack of authority or of a fresh view.
+    pub reports_refused: Cell<u64>,
+    /// Users' requests that were told to come back because the view could not be refreshed.
+    pub answers_refused: Cell<u64>,
+    /// The least time that authority had left when a report was answered, in seconds.
+    least_margin_s: Cell<Option<f64>>,
+    /// The longest time between a check and the moment when the answer was written to its connection.
+    longest_effect: Rc<Cell<Duration>>,
+}
+
+/// When what an answer rests on was checked, to be held against the moment when the answer is written.
+#[derive(Clone, Debug)]
+pub struct Checked {
+    at: Instant,
+    longest: Rc<Cell<Duration>>,
+}
+
+impl Checked {
+    /// The answer was written.
+    pub fn written(&self) {
+        self.longest.set(self.longest.get().max(self.at.elapsed()));
+    }
+}
+
+impl Counters {
+    /// One more.
+    pub fn count(counter: &Cell<u64>) {
+        counter.set(counter.get() + 1);
+    }
+
+    /// A report was answered while authority had so much time left.
+    pub fn margin(&self, margin_s: f64) {
+        let least = self.least_margin_s.get().unwrap_or(f64::MAX);
+        self.least_margin_s.set(Some(least.min(margin_s)));
+    }
+
+    /// What an answer rests on is checked now.
+    pub fn checked(&self) -> Checked {
+        Checked {
+            at: Instant::now(),
+            longest: self.longest_effect.clone(),
+        }
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            out,
+            "reloads={} reads_dropped={} reports_refused={} answers_refused={}",
+            self.reloads.get(),
+            self.reads_dropped.get(),
+            self.reports_refused.get(),
+            self.answers_refused.get()
+        )?;
+        if let Some(margin_s) = self.least_margin_s.get() {
+            write!(out, " least_margin_s={margin_s:.2}")?;
+        }
+        let longest_s = self.longest_effect.get().as_secs_f64();
+        write!(out, " longest_effect_s={longest_s:.2}")
+    }
+}
--- a/crates/ladderroute/src/fresh.rs
+++ b/crates/ladderroute/src/fresh.rs
@@ -1,7 +1,10 @@
-//! Keeping the replica current: one long watch, and quick looks before answers that must not
-//! be old. One quick look serves every query that was waiting when it was sent.
+//! Keeping the view current: one long watch, quick freshness reads before answers that must not be old,
+//! and a reload of all keys where the store does not keep the changes any more. One freshness read serves
+//! every query that was waiting when it was sent.
 
+use crate::counters::Counters;
 use crate::node::Node;
+use crate::view::{Read, ViewReload};
 use smol::channel::Sender;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -9,37 +12,41 @@
 use store::budget::Rank;
 use store::client::StoreError;
 use store::keys;
+use wire::store::Changes;
 
-/// Quick looks of all controllers take at most this part of the request rate.
-const LOOKS_SHARE: f64 = 0.35;
+/// Freshness reads of all controllers take at most this part of the request rate.
+const READS_SHARE: f64 = 0.35;
 /// The long watches take at most this part: each returns with the first change, and under load
 /// there is always one.
 const WATCH_SHARE: f64 = 0.2;
 
+/// Freshness reads of this controller.
 #[derive(Default)]
 pub struct Fresh {
     waiting: RefCell<Vec<Sender<bool>>>,
     busy: Cell<bool>,
-    /// When the newest quick look was answered.
+    /// When the newest freshness read was answered.
     answered: Cell<Option<Instant>>,
 }
 
 impl Fresh {
-    /// Whether quick looks follow each other at least this closely, as when many users ask.
-    fn looks_every(&self, interval: Duration) -> bool {
+    /// Whether freshness reads follow each other at least this closely, as when many users ask.
+    fn reads_every(&self, interval: Duration) -> bool {
         self.answered
             .get()
             .is_some_and(|at| at.elapsed() < interval)
     }
 }
 
-/// Brings the replica up to the store's present state; false if that can't be done now.
+/// Brings the view up to the store's present state; false if that can't be done now.
 pub async fn freshen(node: &Rc<Node>) -> bool {
     let (done, result) = smol::channel::bounded(1);
     node.fresh.waiting.borrow_mut().push(done);
     if !node.fresh.busy.replace(true) {
         let n = node.clone();
-        node.ex.spawn(async move { look(n).await }).detach();
+        node.ex
+            .spawn(async move { serve_waiting(n).await })
+            .detach();
     }
     result.recv().await.unwrap_or(false)
 }
@@ -49,8 +56,8 @@
     Duration::from_secs_f64((node.settings.known.len() + 1) as f64 / (node.limits.rps * share))
 }
 
-async fn look(node: Rc<Node>) {
-    let pace = pace(&node, LOOKS_SHARE);
+async fn serve_waiting(node: Rc<Node>) {
+    let pace = pace(&node, READS_SHARE);
     loop {
         let waiting = node.fresh.waiting.take();
         if waiting.is_empty() {
@@ -65,34 +72,24 @@
     }
 }
 
-/// One quick look.
+/// One freshness read; false if the view is not up to date after it.
 pub async fn once(node: &Rc<Node>) -> bool {
-    let (since, loaded) = {
-        let s = node.lock();
-        (s.shared.replica.revision, s.shared.loaded)
-    };
-    if !loaded {
+    let Some(read) = begin_read(node) else {
         return false;
-    }
-    let sent = Instant::now();
-    match node
-        .store
-        .follow(keys::ALL, since, Duration::ZERO, Rank::Decision)
-        .await
-    {
+    };
+    match ask(node, read, Duration::ZERO).await {
         Ok(changes) => {
-            node.take_changes(&changes, sent);
+            let taken = node.take_changes(&changes, read);
             node.store_ok(true);
             node.fresh.answered.set(Some(Instant::now()));
-            true
+            taken
         }
         Err(StoreError::TooOld) => {
-            // The long watch finds the same and reads everything again.
-            node.lock().shared.loaded = false;
+            too_old(node, read, &StoreError::TooOld);
             false
         }
         Err(e) => {
-            log::debug!("event=look_failed error=\"{e}\"");
+            log::debug!("event=read_failed since={} error=\"{e}\"", read.since);
             if !matches!(e, StoreError::Budget(_)) {
                 node.store_ok(false);
             }
@@ -101,91 +98,130 @@
     }
 }
 
-/// Loads the replica and keeps it current for as long as the process lives.
+fn begin_read(node: &Node) -> Option<Read> {
+    node.lock().shared.view.begin_read(node.now())
+}
+
+async fn ask(node: &Node, read: Read, wait: Duration) -> Result<Changes, StoreError> {
+    node.store
+        .follow(keys::ALL, read.since, wait, Rank::Decision)
+        .await
+}
+
+/// Changes can't bring the view up to date any more.
+fn too_old(node: &Node, read: Read, error: &StoreError) {
+    log::info!("event=view_too_old since={} error=\"{error}\"", read.since);
+    node.lock().shared.view.too_old(read);
+}
+
+/// Loads the view and keeps it current for as long as the process lives.
 pub async fn follow(node: Rc<Node>) {
-    let wait = Duration::from_secs_f64(wire::ANSWER_DROPPED_S);
     let pause = Duration::from_secs_f64(node.setup.report_s.min(1.0) / 5.0);
-    let pace = pace(&node, WATCH_SHARE);
+    let mut reload = None;
     loop {
-        if !node.lock().shared.loaded {
-            match load(&node).await {
-                Ok(()) => node.store_ok(true),
-                Err(e) => {
-                    // Once is enough for people; it is tried again and again.
-                    let level = if node.lock().shared.store_bad_since.is_none() {
-                        log::Level::Info
-                    } else {
-                        log::Level::Debug
-                    };
-                    log::log!(level, "event=load_failed error=\"{e}\"");
-                    node.store_ok(false);
-                    smol::Timer::after(pause).await;
-                    continue;
-                }
-            }
+        if let Some(read) = begin_read(&node) {
+            watch(&node, read, pause).await;
+        } else if let Err(e) = go_on_with_reload(&node, &mut reload).await {
+            // Once is enough for people; it is tried again and again.
+            let level = if node.lock().shared.store_bad_since.is_none() {
+                log::Level::Info
+            } else {
+                log::Level::Debug
+            };
+            let pages = reload.as_ref().map_or(0, ViewReload::pages);
+            log::log!(level, "event=load_failed pages={pages} error=\"{e}\"");
+            node.store_ok(false);
+            smol::Timer::after(pause).await;
         }
-        let since = node.lock().shared.replica.revision;
-        let sent = Instant::now();
-        match node
-            .store
-            .follow(keys::ALL, since, wait, Rank::Decision)
-            .await
-        {
-            Ok(changes) => {
-                node.take_changes(&changes, sent);
-                node.store_ok(true);
-                // More changes gather meanwhile; the next request brings them together.
-                smol::Timer::after(pace).await;
-                // Quick looks bring the same; the requests are better spent on submissions.
-                while node.fresh.looks_every(pace) {
-                    smol::Timer::after(pace / 2).await;
-                }
-            }
-            Err(StoreError::TooOld) => node.lock().shared.loaded = false,
-            Err(e) => {
-                log::debug!("event=follow_failed error=\"{e}\"");
-                node.store_ok(false);
-                smol::Timer::after(pause).await;
+    }
+}
+
+/// One long watch, and a while in which more changes gather: the next brings them together.
+async fn watch(node: &Rc<Node>, read: Read, pause: Duration) {
+    let wait = Duration::from_secs_f64(wire::ANSWER_DROPPED_S);
+    let pace = pace(node, WATCH_SHARE);
+    match ask(node, read, wait).await {
+        Ok(changes) => {
+            node.take_changes(&changes, read);
+            node.store_ok(true);
+            smol::Timer::after(pace).await;
+            // Freshness reads bring the same; the requests are better spent on submissions.
+            while node.fresh.reads_every(pace) {
+                smol::Timer::after(pace / 2).await;
             }
         }
+        // An answer with more than is taken would only grow: the keys themselves are read in pages.
+        Err(e @ (StoreError::TooOld | StoreError::TooLarge(_))) => too_old(node, read, &e),
+        Err(e) => {
+            log::debug!("event=follow_failed since={} error=\"{e}\"", read.since);
+            node.store_ok(false);
+            smol::Timer::after(pause).await;
+        }
     }
 }
 
-async fn load(node: &Rc<Node>) -> Result<(), StoreError> {
-    let chunk_bits = sched::leader::chunk_bits(node.settings.settings.state.value_kb);
-    let mut replica = store::replica::Replica::new(chunk_bits);
-    let (mut since, mut first) = (None::<String>, true);
-    let sent = Instant::now();
+/// Reads all keys, from where an earlier try got to, and takes them into the view.
+async fn go_on_with_reload(
+    node: &Rc<Node>,
+    under_way: &mut Option<ViewReload>,
+) -> Result<(), StoreError> {
+    let mut reload = match under_way.take() {
+        Some(reload) => reload,
+        None => node.lock().shared.view.begin_reload(node.now()),
+    };
     loop {
         let page = node
             .store
-            .range(keys::ALL, since.as_deref(), Rank::Decision)
-            .await?;
-        replica.load(&page, first);
-        first = false;
-        since = page.items.last().map(|i| i.key.clone());
-        if !page.more || since.is_none() {
-            break;
+            .range(keys::ALL, reload.last_key(), Rank::Decision)
+            .await;
+        match page {
+            Ok(page) if reload.take(&page) => break,
+            Ok(_) => {}
+            Err(e) => {
+                *under_way = Some(reload);
+                return Err(e);
+            }
         }
     }
-    let mut guard = node.lock();
-    let state = &mut *guard;
-    log::info!(
-        "event=loaded jobs={} revision={}",
-        replica.jobs.len(),
-        replica.revision
-    );
-    state.shared.replace_replica(replica);
-    state.shared.loaded = true;
-    let ids: Vec<String> = if state.shared.lead.is_some() {
-        state.shared.replica.jobs.keys().cloned().collect()
-    } else {
-        Vec::new()
-    };
-    for id in ids {
-        node.tell_leader(&mut state.shared, &id);
-    }
-    node.pump(state);
-    state.learn(node.at(sent));
+    node.finish_reload(reload);
+    node.store_ok(true);
     Ok(())
 }
+
+impl Node {
+    /// Takes the changes that a read has brought into the view, and what follows; false if the view was
+    /// read anew since the read was sent.
+    pub fn take_changes(&self, changes: &Changes, read: Read) -> bool {
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        let Some(news) = state.shared.view.apply(read, changes) else {
+            Counters::count(&self.counters.reads_dropped);
+            log::info!("event=read_dropped since={}", read.since);
+            return false;
+        };
+        self.tell_changes(&mut state.shared, news);
+        self.act_on_view(state);
+        true
+    }
+
+    /// Takes all keys as they were read into the view, and what follows.
+    fn finish_reload(&self, reload: ViewReload) {
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        let (pages, took_s) = (reload.pages(), self.now() - reload.sent());
+        state.shared.view.finish_reload(reload);
+        Counters::count(&self.counters.reloads);
+        let replica = state.shared.view.replica();
+        let (jobs, revision) = (replica.jobs.len(), replica.revision);
+        log::info!("event=loaded jobs={jobs} revision={revision} pages={pages} took_s={took_s:.2}");
+        self.tell_all_jobs(&mut state.shared);
+        self.act_on_view(state);
+    }
+
+    /// What was cancelled is stopped before any report is answered on the strength of the view.
+    fn act_on_view(&self, state: &mut crate::node::State) {
+        self.pump(state);
+        let read_at = state.shared.view.read_at();
+        state.owner.authority.learn(read_at);
+    }
+}
--- a/crates/ladderroute/src/job_state.rs
+++ b/crates/ladderroute/src/job_state.rs
@@ -23,7 +23,7 @@
 
 /// What the view holds of a job, whatever its age.
 pub fn entry(node: &Node, id: &str) -> Option<JobEntry> {
-    node.lock().shared.replica.jobs.get(id).cloned()
+    node.lock().shared.view.replica().jobs.get(id).cloned()
 }
 
 /// What may be said of a job now; none if it was never accepted. An error is the answer to give instead.
--- a/crates/ladderroute/src/lead.rs
+++ b/crates/ladderroute/src/lead.rs
@@ -83,7 +83,7 @@
         smol::Timer::after(pause).await;
         let free = {
             let s = node.lock();
-            s.shared.loaded && s.shared.replica.leader.is_none()
+            s.shared.view.is_complete() && s.shared.view.replica().leader.is_none()
         };
         if !free {
             continue;
@@ -117,8 +117,9 @@
     // nothing is started on the strength of an old one.
     let behind = |node: &Node| {
         let (s, now) = (node.lock(), node.now());
-        s.shared.replica.revision < leadership.version
-            || now - s.shared.looked > ttl.as_secs_f64() / 2.0
+        let view = &s.shared.view;
+        view.replica().revision < leadership.version
+            || now - view.read_at() > ttl.as_secs_f64() / 2.0
     };
     while behind(node) {
         if Instant::now() > leadership.until {
@@ -148,23 +149,15 @@
         }
     }
     log::info!("event=leader_ended member={}", node.settings.member);
-    if state
-        .shared
-        .replica
-        .leader
-        .as_ref()
-        .is_some_and(|(l, _)| l.member == node.settings.member)
-    {
-        state.shared.replica.leader = None;
-    }
+    state.shared.view.leader_ended(&node.settings.member);
 }
 
 fn begin(node: &Rc<Node>, leadership: &LeadershipLease) {
     let mut guard = node.lock();
     let state = &mut *guard;
-    let replica = &state.shared.replica;
+    let replica = state.shared.view.replica();
     let value_kb = node.limits.value_kb;
-    let dependencies = &state.shared.dependencies;
+    let dependencies = state.shared.view.dependencies();
     let earlier = |spec: &wire::users::Job, version: u64| match (
         spec.shape,
         replica.bound_machines(&spec.id),
@@ -234,7 +227,7 @@
     // The book of earlier epochs must not answer on this leadership's authority.
     state.owner = Owner::new(&node.settings.member, node.setup.clone());
     state.owner.authority.set(node.at(leadership.until));
-    state.owner.authority.learn(state.shared.looked);
+    state.owner.authority.learn(state.shared.view.read_at());
     let records = RecordPages::load(replica, value_kb);
     state.shared.lead = Some(Lead {
         leader,
@@ -292,7 +285,7 @@
 /// a busy day users' questions and the watch do it.
 async fn keep_looking(node: Rc<Node>, every: Duration) {
     loop {
-        let age = node.now() - node.lock().shared.looked;
+        let age = node.view_age();
         if age >= every.as_secs_f64() {
             crate::fresh::once(&node).await;
             smol::Timer::after(every / 2).await;
--- a/crates/ladderroute/src/lib.rs
+++ b/crates/ladderroute/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod accept;
 pub mod api;
+pub mod counters;
 pub mod fresh;
 pub mod job_changes;
 pub mod job_state;
@@ -13,4 +14,5 @@
 pub mod peers;
 pub mod renting;
 pub mod settings;
+pub mod view;
 pub mod writer;
--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -1,10 +1,11 @@
 //! One controller: its shared state and how the pieces are started.
 
+use crate::counters::Counters;
 use crate::operator::Tuning;
 use crate::outbox::Outbox;
 use crate::settings::{Settings, StateLimits};
+use crate::view::ClusterView;
 use crate::writer::batch::TxnLimits;
-use sched::dependencies::Dependencies;
 use sched::leader::{Action, Leader};
 use sched::owner::{Jobs, Owner};
 use sched::place::Room;
@@ -18,7 +19,7 @@
 use store::budget::Rates;
 use store::client::Store;
 use store::leadership::LeadershipLease;
-use store::replica::{Changed, Replica};
+use store::replica::Replica;
 use wire::cloud::MachineType;
 use wire::peers::{frame, ToOwner};
 use wire::store::Recorded;
@@ -48,14 +49,10 @@
     pub count: u64,
 }
 
-#[derive(Default)]
+/// What the tasks of this process share beside the owner's state.
 pub struct Shared {
-    pub replica: Replica,
-    /// The dependencies between the jobs of the replica.
-    pub dependencies: Dependencies,
-    pub loaded: bool,
-    /// When the last look at the store that brought the replica up to date was sent.
-    pub looked: f64,
+    /// What this controller knows of the store.
+    pub view: ClusterView,
     pub catalog: Option<Vec<MachineType>>,
     pub lead: Option<Lead>,
     /// Running tasks by job, as the leader last told.
@@ -71,11 +68,16 @@
     pub shared: Shared,
 }
 
-impl State {
-    /// The replica holds all that the store held at `at`, and what follows of it was done.
-    pub fn learn(&mut self, at: f64) {
-        self.shared.looked = self.shared.looked.max(at);
-        self.owner.authority.learn(at);
+impl Shared {
+    fn new(view: ClusterView) -> Shared {
+        Shared {
+            view,
+            catalog: None,
+            lead: None,
+            running: HashMap::new(),
+            to_leader: None,
+            store_bad_since: None,
+        }
     }
 }
 
@@ -90,6 +92,7 @@
     pub began: Instant,
     pub state: Mutex<State>,
     pub fresh: crate::fresh::Fresh,
+    pub counters: Counters,
     pub to_write: (Sender<()>, smol::channel::Receiver<()>),
     pub to_rent: (Sender<()>, smol::channel::Receiver<()>),
     pub seed: Cell<u64>,
@@ -130,7 +133,7 @@
 
     /// For how long the view has not been proved to hold all that the store holds, in seconds.
     pub fn view_age(&self) -> f64 {
-        self.now() - self.lock().shared.looked
+        self.now() - self.lock().shared.view.read_at()
     }
 
     /// A queue for a connection to another controller.
@@ -182,7 +185,7 @@
                         if let ToOwner::Display { running } = message {
                             shared.running = running.into_iter().collect();
                         } else {
-                            owner.on_leader(message, now, &JobRooms(&shared.replica));
+                            owner.on_leader(message, now, &JobRooms(shared.view.replica()));
                         }
                     }
                     Action::Send(to, message) => {
@@ -205,21 +208,6 @@
             }
         }
     }
-
-    /// Takes changes of the store's keys, as a look sent at `sent` found them, into the replica and
-    /// tells the leader.
-    pub fn take_changes(&self, changes: &wire::store::Changes, sent: Instant) {
-        let mut guard = self.lock();
-        let state = &mut *guard;
-        for changed in state.shared.replica.apply(changes) {
-            if let Changed::Job(id) = changed {
-                self.job_changed(&mut state.shared, &id);
-            }
-        }
-        // What was cancelled is stopped before any report is answered on the strength of this look.
-        self.pump(state);
-        state.learn(self.at(sent));
-    }
 }
 
 /// A controller that has not begun to run.
@@ -232,10 +220,8 @@
         requests_per_s: limits.rps,
         writes_per_s: limits.write_rps,
     };
-    let shared = Shared {
-        replica: Replica::new(sched::leader::chunk_bits(p.state.value_kb)),
-        ..Shared::default()
-    };
+    let chunk_bits = sched::leader::chunk_bits(p.state.value_kb);
+    let shared = Shared::new(ClusterView::new(chunk_bits));
     let limit = Duration::from_secs_f64((setup.lease_s * 0.1).clamp(0.5, 1.5));
     Rc::new(Node {
         store: Store::new(settings.services.state, rates, shares, limit),
@@ -247,6 +233,7 @@
             shared,
         }),
         fresh: crate::fresh::Fresh::default(),
+        counters: Counters::default(),
         to_write: smol::channel::bounded(1),
         to_rent: smol::channel::bounded(1),
         seed: Cell::new(fastrand::u64(..)),
--- a/crates/ladderroute/src/peers.rs
+++ b/crates/ladderroute/src/peers.rs
@@ -224,7 +224,8 @@
         let leader = node
             .lock()
             .shared
-            .replica
+            .view
+            .replica()
             .leader
             .clone()
             .map(|(l, _)| l.member);
@@ -286,7 +287,8 @@
         let still = node
             .lock()
             .shared
-            .replica
+            .view
+            .replica()
             .leader
             .as_ref()
             .is_some_and(|(l, _)| l.member == leader);
@@ -332,7 +334,7 @@
                 }
                 state
                     .owner
-                    .on_leader(message, now, &JobRooms(&state.shared.replica));
+                    .on_leader(message, now, &JobRooms(state.shared.view.replica()));
                 node.pump(state);
             }
         }
--- a/crates/ladderroute/src/writer/mod.rs
+++ b/crates/ladderroute/src/writer/mod.rs
@@ -72,7 +72,7 @@
     let batch = batch::next_batch(
         &mut lead.writes,
         &mut lead.records,
-        &shared.replica,
+        shared.view.replica(),
         &mut lead.leader,
         lead.limits,
     );
--- a/crates/ladderroute/src/writer/outcome.rs
+++ b/crates/ladderroute/src/writer/outcome.rs
@@ -88,7 +88,7 @@
         keep_to_less(lead, &batch);
     }
     if let Ok(Outcome::Written(revision)) = result {
-        shared.replica.versions.applied(&batch.writes, revision);
+        shared.view.written(&batch.writes, revision);
         lead.records.written(&batch.roster, &batch.progress);
         if let Some(part) = batch.binding {
             lead.records
@@ -99,7 +99,9 @@
         lead.leadership.token = token;
         lead.leadership.version = version;
         let member = node.settings.member.clone();
-        shared.replica.leader = Some((LeaderRecord { member, token }, version));
+        shared
+            .view
+            .set_leader(LeaderRecord { member, token }, version);
     }
     let finished: Vec<String> = batch.actions.iter().filter_map(finished_job).collect();
     for action in batch.actions {
@@ -111,8 +113,8 @@
     if let Ok(Outcome::Written(revision)) = result {
         // What waited for these jobs may start now, without waiting for the watch.
         for id in finished {
-            shared.replica.job_done(&id, revision);
-            node.job_changed(shared, &id);
+            let changes = shared.view.job_done(&id, revision);
+            node.tell_changes(shared, changes);
         }
     }
     node.pump(state);
--- a/crates/ladderroute/tests/chains.rs
+++ b/crates/ladderroute/tests/chains.rs
@@ -8,7 +8,7 @@
 use ladderroute::accept::{cancel, query, submit};
 use ladderroute::node::Node;
 use stand_in::requests::{accepted, body, finish, told, with};
-use stand_in::Fate;
+use stand_in::{is_loaded, job_entry, Fate};
 use std::rc::Rc;
 use wire::store::{JobRecord, Recorded, Value};
 use wire::users::{Job, JobState};
@@ -31,7 +31,7 @@
 }
 
 fn is_blocked(node: &Node, id: &str) -> bool {
-    node.lock().shared.dependencies.is_blocked(id)
+    node.lock().shared.view.dependencies().is_blocked(id)
 }
 
 #[test]
@@ -150,11 +150,7 @@
         accept(&b, "wk-9", &[]).await;
         accept(&a, "wk-1", &["wk-9", "wk-9"]).await;
         assert_eq!(
-            a.lock().shared.replica.jobs["wk-1"]
-                .job
-                .as_ref()
-                .unwrap()
-                .dependencies,
+            job_entry(&a, "wk-1").unwrap().job.unwrap().dependencies,
             ["wk-9"]
         );
         // Naming itself in a repetition changes nothing.
@@ -290,8 +286,14 @@
             (200, JobState::Cancelled)
         );
         assert_eq!(finish(&store, "wk-8"), 200);
-        b.lock().shared.loaded = false;
-        while !b.lock().shared.loaded {
+        let reads_all = {
+            let view = &mut b.lock().shared.view;
+            let read = view.begin_read(b.now()).unwrap();
+            view.too_old(read);
+            !view.is_complete()
+        };
+        assert!(reads_all);
+        while !is_loaded(&b) {
             smol::Timer::after(std::time::Duration::from_millis(5)).await;
         }
         for (id, state, blocked) in [
--- a/crates/ladderroute/tests/stale_view.rs
+++ b/crates/ladderroute/tests/stale_view.rs
@@ -11,7 +11,7 @@
 use ladderroute::accept::{cancel, query, submit};
 use ladderroute::node::Node;
 use stand_in::requests::{accepted, body, finish, told, with_fronts};
-use stand_in::{Fate, Front};
+use stand_in::{Fate, Front, Store};
 use std::rc::Rc;
 use std::time::Duration;
 use wire::store::Value;
@@ -45,6 +45,14 @@
     }
 }
 
+/// The view of a controller is from so long ago that it proves nothing any more.
+fn read_long_ago(node: &Node, store: &Store) {
+    let view = &mut node.lock().shared.view;
+    let mut reload = view.begin_reload(node.now() - node.setup.start_knowledge_s());
+    assert!(reload.take(&store.items_after("")));
+    view.finish_reload(reload);
+}
+
 fn is_told_to_come_back(answer: &Response) -> bool {
     answer.status == 503 && answer.retry_after_s.is_some()
 }
@@ -90,11 +98,11 @@
 /// calling new dependents of a cancelled job queued.
 #[test]
 fn a_new_dependent_is_not_called_queued_from_a_view_that_stayed_behind() {
-    with_fronts(|_, [a, b], [_, front_b]| async move {
+    with_fronts(|store, [a, b], [_, front_b]| async move {
         accept(&a, "wk-1", &[]).await;
         fall_behind(&b, &front_b).await;
+        read_long_ago(&b, &store);
         cancel_confirmed(&a, "wk-1").await;
-        b.lock().shared.looked -= b.setup.start_knowledge_s();
         let late = body_after("wk-2", &["wk-1"]);
         assert!(is_told_to_come_back(&submit(&b, &late).await));
         // One that needs no other is accepted all the same: its own record says all.
--- a/crates/ladderroute/tests/stand_in/mod.rs
+++ b/crates/ladderroute/tests/stand_in/mod.rs
@@ -171,7 +171,8 @@
         Response::new(200, cbor::encode(&page))
     }
 
-    fn items_after(&self, since: &str) -> Page {
+    /// A page of the items after a key.
+    pub fn items_after(&self, since: &str) -> Page {
         let keys = self.keys.borrow();
         let mut rest = keys.iter().filter(|(key, _)| key.as_str() > since);
         let items = rest.by_ref().take(self.page_items.get());
@@ -302,12 +303,12 @@
 
 /// Whether a controller has read all keys.
 pub fn is_loaded(node: &Node) -> bool {
-    node.lock().shared.loaded
+    node.lock().shared.view.is_complete()
 }
 
 /// What a controller's view holds of a job.
 // Not every test uses it.
 #[allow(dead_code)]
 pub fn job_entry(node: &Node, id: &str) -> Option<JobEntry> {
-    node.lock().shared.replica.jobs.get(id).cloned()
+    node.lock().shared.view.replica().jobs.get(id).cloned()
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -20,6 +20,8 @@
     Budget(f64),
     #[error("outcome unknown: {0}")]
     Unknown(String),
+    #[error("the answer of {0} bytes is larger than is taken")]
+    TooLarge(usize),
     #[error("no such lease")]
     NoLease,
     #[error("the revision asked for is too old")]
@@ -92,8 +94,7 @@
         match self.quick.ask(method, path, body, self.limit).await {
             Ok(a) if a.status == 429 || a.status >= 500 => Err(StoreError::Refused(a.status)),
             Ok(a) => Ok((a.status, a.body)),
-            Err(Failed::NotSent(_)) => Err(StoreError::Refused(0)),
-            Err(Failed::Unknown(e)) => Err(StoreError::Unknown(e)),
+            Err(e) => Err(failed(e)),
         }
     }
 
@@ -221,7 +222,16 @@
             Ok(a) if a.status == 200 => Self::read(&a.body),
             Ok(a) if a.status == 410 => Err(StoreError::TooOld),
             Ok(a) => Err(StoreError::Refused(a.status)),
-            Err(e) => Err(StoreError::Unknown(e.to_string())),
+            Err(Failed::NotSent(e)) => Err(StoreError::Unknown(e)),
+            Err(e) => Err(failed(e)),
         }
     }
 }
+
+fn failed(error: Failed) -> StoreError {
+    match error {
+        Failed::NotSent(_) => StoreError::Refused(0),
+        Failed::TooLarge(bytes) => StoreError::TooLarge(bytes),
+        Failed::Unknown(e) => StoreError::Unknown(e),
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod keys;
 pub mod leadership;
 pub mod pages;
+pub mod reload;
 pub mod replica;
 pub mod versions;
--- a/crates/store/src/replica.rs
+++ b/crates/store/src/replica.rs
@@ -56,6 +56,19 @@
 }
 
 impl JobEntry {
+    /// Takes what another entry of the same job holds that is newer. A state that is terminal stays so, also
+    /// one that does not stand in the record but follows from that of another job.
+    fn take_newer(&mut self, other: JobEntry) {
+        let is_terminal = |entry: &JobEntry| entry.state != Recorded::Open;
+        if other.version > self.version || is_terminal(&other) && !is_terminal(self) {
+            *self = other;
+        } else if is_terminal(&other) {
+            self.over_since = other.over_since;
+        } else if !is_terminal(self) {
+            self.progress.join(0, other.progress.bytes());
+        }
+    }
+
     pub fn done_tasks(&self) -> u32 {
         match self.state {
             Recorded::Done => self.tasks,
@@ -146,6 +159,28 @@
         }
     }
 
+    /// Takes what another replica holds that is newer than what this one has just read.
+    pub(crate) fn take_newer(&mut self, other: Replica) {
+        for (id, entry) in other.jobs {
+            match self.jobs.get_mut(&id) {
+                Some(known) => known.take_newer(entry),
+                None => {
+                    self.jobs.insert(id, entry);
+                }
+            }
+        }
+        let known = self.leader.as_ref().map(|(_, version)| *version);
+        let known = known.unwrap_or(self.revision);
+        self.leader = other
+            .leader
+            .filter(|(_, version)| *version > known)
+            .or(self.leader.take());
+        if other.term.1 > self.term.1 {
+            self.term = other.term;
+        }
+        self.versions.take_newer(other.versions, self.revision);
+    }
+
     /// Applies changes that are newer than what is known; says what they were about.
     pub fn apply(&mut self, changes: &Changes) -> Vec<Changed> {
         let mut out = Vec::new();
@@ -285,10 +320,12 @@
 
     /// Takes a job's record, also one that was read directly and is not yet in the replica.
     pub fn put_job(&mut self, id: &str, r: JobRecord, version: u64) {
-        if self.jobs.get(id).is_some_and(|e| e.version >= version) {
+        let open = r.state == Recorded::Open;
+        let is_newer =
+            |known: &JobEntry| known.version < version && !(open && known.state != Recorded::Open);
+        if !self.jobs.get(id).is_none_or(is_newer) {
             return;
         }
-        let open = r.state == Recorded::Open;
         let progress = if open {
             self.early.remove(id).unwrap_or_default()
         } else {
--- a/crates/store/src/versions.rs
+++ b/crates/store/src/versions.rs
@@ -26,6 +26,15 @@
         }
     }
 
+    /// Takes what others know of later changes. What they know of changes up to `read_at` does not count:
+    /// at that revision all keys were read.
+    pub fn take_newer(&mut self, others: Versions, read_at: u64) {
+        let later = others.at.into_iter().filter(|(_, known)| known.0 > read_at);
+        for (key, (revision, exists)) in later {
+            self.changed(&key, revision, exists);
+        }
+    }
+
     /// A watch has shown that a key is gone: nothing older of it can come any more.
     pub fn seen_dropped(&mut self, key: &str, revision: u64) {
         if self.at.get(key).is_some_and(|known| known.0 <= revision) {
