The view against a plain store with all its history, reloads and late answers

Random histories: few changes kept, pages at several revisions, own writes and direct reads in between, answers late, out of order and lost. Checked after each step: nothing goes back, all that the store held at read_at is in the view, no dependent of a cancelled job is open, none is unblocked too early. Two planted defects are noticed: pages that replace the view, and a view that claims to be as of the reload's end.

--- /dev/null
+++ b/crates/ladderroute/tests/view.rs
@@ -0,0 +1,404 @@
+//! The cluster view against a plain store with all its history: a store that keeps few changes, pages
+//! that are read at several revisions, answers that are late, out of order or lost, own writes and direct
+//! reads in between.
+
+// The helpers of these tests unwrap as the tests do.
+#![allow(clippy::unwrap_used)]
+
+use ladderroute::view::{ClusterView, Read, ViewReload};
+use std::collections::BTreeMap;
+use store::keys;
+use wire::store::{
+    to_value, Change, Changes, Item, JobRecord, Page, Recorded, RosterPage, RosterRecord, Value,
+    Write,
+};
+use wire::users::{Job, Priority, Shape};
+
+const STEPS: u32 = 400;
+const PAGE_ITEMS: usize = 3;
+const KEPT_CHANGES: usize = 6;
+const ROSTER_PAGES: u32 = 3;
+const CHUNK_BITS: u32 = 8;
+
+/// What the view under test does with a reload.
+#[derive(Clone, Copy, PartialEq)]
+enum Reloads {
+    /// As the program does.
+    Merged,
+    /// Planted: the pages replace the view, whatever came in meanwhile.
+    Replaced,
+    /// Planted: the view claims to be as of the reload's end, not of its first page.
+    StampedAtItsEnd,
+}
+
+struct PlainStore {
+    now: f64,
+    revision: u64,
+    keys: BTreeMap<String, (Value, u64)>,
+    log: Vec<Change>,
+    /// State of each job by when it was written.
+    jobs: BTreeMap<String, Vec<(f64, Recorded)>>,
+    records: BTreeMap<String, JobRecord>,
+}
+
+impl PlainStore {
+    fn put(&mut self, key: String, value: Value) -> u64 {
+        self.revision += 1;
+        self.keys
+            .insert(key.clone(), (value.clone(), self.revision));
+        self.log.push(Change {
+            put: Some(key),
+            dropped: None,
+            value: Some(value),
+            version: self.revision,
+        });
+        self.revision
+    }
+
+    fn put_job(&mut self, record: JobRecord) -> (JobRecord, u64) {
+        let id = record.job.id.clone();
+        let states = self.jobs.entry(id.clone()).or_default();
+        states.push((self.now, record.state));
+        self.records.insert(id.clone(), record.clone());
+        let version = self.put(keys::job(&id), to_value(&record));
+        (record, version)
+    }
+
+    /// The state of a job as it was at an instant.
+    fn state_at(&self, id: &str, at: f64) -> Option<Recorded> {
+        let mut states = self.jobs.get(id)?.iter().rev();
+        states.find(|(since, _)| *since <= at).map(|(_, s)| *s)
+    }
+
+    /// Whether a job or one that it needs, directly or through others, was cancelled at an instant.
+    fn is_cancelled_at(&self, id: &str, at: f64) -> bool {
+        let needs = || self.records[id].job.dependencies.iter();
+        self.state_at(id, at) == Some(Recorded::Cancelled)
+            || needs().any(|needed| self.is_cancelled_at(needed, at))
+    }
+
+    fn may_start(&self, id: &str) -> bool {
+        let needs = &self.records[id].job.dependencies;
+        let is_done = |id: &String| self.state_at(id, self.now) == Some(Recorded::Done);
+        needs.iter().all(is_done)
+    }
+
+    fn changes(&self, since: u64) -> Option<Changes> {
+        let kept = &self.log[self.log.len().saturating_sub(KEPT_CHANGES)..];
+        let first_kept = kept.first().map_or(1, |change| change.version);
+        if since + 1 < first_kept {
+            return None;
+        }
+        let newer = kept.iter().filter(|change| change.version > since);
+        Some(Changes {
+            revision: self.revision,
+            changes: newer.cloned().collect(),
+        })
+    }
+
+    fn page(&self, after: Option<&str>) -> Page {
+        let mut rest = self
+            .keys
+            .iter()
+            .filter(|(key, _)| Some(key.as_str()) > after);
+        let items = rest.by_ref().take(PAGE_ITEMS);
+        let items = items.map(|(key, (value, version))| Item {
+            key: key.clone(),
+            value: value.clone(),
+            version: *version,
+        });
+        Page {
+            items: items.collect(),
+            more: rest.next().is_some(),
+            revision: self.revision,
+        }
+    }
+}
+
+/// What is on its way to the controller.
+enum Answer {
+    Changes(Read, Changes),
+    TooOld(Read),
+    Job(Box<JobRecord>, u64),
+    OwnEnd(String, u64),
+    OwnWrite(Vec<Write>, u64),
+}
+
+struct Controller {
+    view: ClusterView,
+    reloads: Reloads,
+    reload: Option<ViewReload>,
+    /// The pages that it has read.
+    pages: Vec<Page>,
+    answers: Vec<Answer>,
+    versions: BTreeMap<String, u64>,
+    reloaded: u32,
+}
+
+impl Controller {
+    fn take(&mut self, answer: Answer) {
+        match answer {
+            Answer::Changes(read, changes) => {
+                self.view.apply(read, &changes);
+            }
+            Answer::TooOld(read) => self.view.too_old(read),
+            Answer::Job(record, version) => {
+                let id = record.job.id.clone();
+                self.view.learn_job(&id, *record, version);
+            }
+            Answer::OwnEnd(id, version) => {
+                self.view.job_done(&id, version);
+            }
+            Answer::OwnWrite(writes, revision) => self.view.written(&writes, revision),
+        }
+    }
+
+    fn read_a_page(&mut self, store: &PlainStore) {
+        let mut reload = match self.reload.take() {
+            Some(reload) => reload,
+            None => self.view.begin_reload(store.now),
+        };
+        let page = store.page(reload.last_key());
+        let is_last = reload.take(&page);
+        self.pages.push(page);
+        if !is_last {
+            self.reload = Some(reload);
+            return;
+        }
+        self.reloaded += 1;
+        let pages = std::mem::take(&mut self.pages);
+        if self.reloads == Reloads::Replaced {
+            self.view = ClusterView::new(CHUNK_BITS);
+        }
+        if self.reloads == Reloads::StampedAtItsEnd {
+            reload = self.view.begin_reload(store.now);
+            for page in &pages {
+                reload.take(page);
+            }
+        }
+        self.view.finish_reload(reload);
+    }
+
+    /// What is wrong with the view, if anything is.
+    fn fault(&mut self, store: &PlainStore) -> Option<String> {
+        let read_at = self.view.read_at();
+        let replica = self.view.replica();
+        for id in store.jobs.keys() {
+            let entry = replica.jobs.get(id);
+            let held = entry.map(|entry| entry.state);
+            let was = store.state_at(id, read_at);
+            if was.is_some() && held.is_none() {
+                return Some(format!("{id} is missing, read at {read_at}"));
+            }
+            let is_open = held == Some(Recorded::Open);
+            if is_open && (was != Some(Recorded::Open) && was.is_some()) {
+                return Some(format!(
+                    "{id} is open, though it had ended when it was read"
+                ));
+            }
+            if is_open && store.is_cancelled_at(id, read_at) && was.is_some() {
+                return Some(format!("{id} is open, though an ancestor was cancelled"));
+            }
+            let is_blocked = self.view.dependencies().is_blocked(id);
+            if is_open && !is_blocked && !store.may_start(id) {
+                return Some(format!(
+                    "{id} may start, though one that it needs is not done"
+                ));
+            }
+        }
+        let jobs = replica.jobs.iter();
+        let mut known: BTreeMap<String, u64> = jobs
+            .map(|(id, entry)| (id.clone(), entry.version))
+            .collect();
+        let ended = replica.jobs.iter();
+        let ended = ended.filter(|(_, entry)| entry.state != Recorded::Open);
+        known.extend(ended.map(|(id, _)| (format!("{id} terminal"), 1)));
+        for page in 0..ROSTER_PAGES {
+            let key = keys::roster(page);
+            known.insert(key.clone(), replica.versions.condition(&key).version);
+        }
+        for (key, before) in &self.versions {
+            if known.get(key) < Some(before) {
+                return Some(format!("{key} went back"));
+            }
+        }
+        self.versions = known;
+        None
+    }
+}
+
+fn job(rng: &mut fastrand::Rng, n: u32, ids: &[String]) -> JobRecord {
+    let needed = (0..rng.usize(0..3)).filter_map(|_| rng.choice(ids).cloned());
+    let mut dependencies: Vec<String> = needed.collect();
+    dependencies.sort();
+    dependencies.dedup();
+    JobRecord {
+        state: Recorded::Open,
+        created_ms: 0,
+        job: Job {
+            // Ids come in no order.
+            id: format!("wk-{:02}-{n}", rng.u32(0..100)),
+            class: "c".into(),
+            team: "t".into(),
+            shape: Shape::Array,
+            priority: Priority::Standard,
+            tasks: 1,
+            cpus: 1.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: "i".into(),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s: 1.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+            dependencies,
+        },
+    }
+}
+
+fn roster(n: u32) -> Value {
+    let record = RosterRecord {
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: false,
+    };
+    to_value(&RosterPage {
+        groups: vec![(record, vec![format!("host-{n}")])],
+    })
+}
+
+/// Something happens in the store, by this controller or another one; what this controller hears of it
+/// at once, if it is its own doing.
+fn happen(store: &mut PlainStore, rng: &mut fastrand::Rng, step: u32) -> Option<Answer> {
+    let ids: Vec<String> = store.jobs.keys().cloned().collect();
+    let is_own = rng.bool();
+    if rng.u32(0..3) == 0 || ids.is_empty() {
+        let (record, version) = store.put_job(job(rng, step, &ids));
+        return is_own.then_some(Answer::Job(Box::new(record), version));
+    }
+    if rng.u32(0..3) == 0 {
+        let key = keys::roster(rng.u32(0..ROSTER_PAGES));
+        let value = roster(step);
+        let revision = store.put(key.clone(), value.clone());
+        let lease = None;
+        return Some(Answer::OwnWrite(
+            vec![Write::Put { key, value, lease }],
+            revision,
+        ));
+    }
+    let id = rng.choice(&ids)?.clone();
+    let is_open = store.state_at(&id, store.now) == Some(Recorded::Open);
+    // Only what runs is ended as done.
+    let is_done = rng.bool() && store.may_start(&id);
+    if !is_open || store.is_cancelled_at(&id, store.now) {
+        return None;
+    }
+    let state = if is_done {
+        Recorded::Done
+    } else {
+        Recorded::Cancelled
+    };
+    let record = JobRecord {
+        state,
+        ..store.records[&id].clone()
+    };
+    let (record, version) = store.put_job(record);
+    is_own.then_some(match state {
+        Recorded::Done => Answer::OwnEnd(id, version),
+        _ => Answer::Job(Box::new(record), version),
+    })
+}
+
+/// Lives through a random history; the first fault, and how many reloads there were.
+fn live(seed: u64, reloads: Reloads) -> (Option<String>, u32) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut store = PlainStore {
+        now: 0.0,
+        revision: 0,
+        keys: BTreeMap::new(),
+        log: Vec::new(),
+        jobs: BTreeMap::new(),
+        records: BTreeMap::new(),
+    };
+    let mut controller = Controller {
+        view: ClusterView::new(CHUNK_BITS),
+        reloads,
+        reload: None,
+        pages: Vec::new(),
+        answers: Vec::new(),
+        versions: BTreeMap::new(),
+        reloaded: 0,
+    };
+    for step in 0..STEPS {
+        store.now += 1.0;
+        if rng.u32(0..3) == 0 {
+            controller
+                .answers
+                .extend(happen(&mut store, &mut rng, step));
+        }
+        // Another controller's direct read of a record, or this one's after a lost answer.
+        if rng.u32(0..12) == 0 {
+            let ids: Vec<&String> = store.records.keys().collect();
+            if let Some(id) = rng.choice(ids) {
+                let version = store.keys[&keys::job(id)].1;
+                let record = store.records[id].clone();
+                controller
+                    .answers
+                    .push(Answer::Job(Box::new(record), version));
+            }
+        }
+        match controller.view.begin_read(store.now) {
+            Some(read) if rng.u32(0..8) == 0 => controller.answers.push(
+                store
+                    .changes(read.since)
+                    .map_or(Answer::TooOld(read), |c| Answer::Changes(read, c)),
+            ),
+            None if rng.u32(0..3) == 0 => controller.read_a_page(&store),
+            _ => {}
+        }
+        // Late, out of order, or lost.
+        if !controller.answers.is_empty() && rng.u32(0..3) == 0 {
+            let at = rng.usize(0..controller.answers.len());
+            let answer = controller.answers.swap_remove(at);
+            if rng.u32(0..20) > 0 {
+                controller.take(answer);
+            }
+        }
+        if let Some(fault) = controller.fault(&store) {
+            return (Some(format!("seed {seed}, step {step}: {fault}")), 0);
+        }
+    }
+    (None, controller.reloaded)
+}
+
+#[test]
+fn the_view_never_goes_back_and_holds_what_it_claims() {
+    let mut reloads = 0;
+    for seed in 0..400 {
+        let (fault, reloaded) = live(seed, Reloads::Merged);
+        assert_eq!(fault, None);
+        reloads += reloaded;
+    }
+    assert!(reloads > 1000, "reloads: {reloads}");
+}
+
+/// The check notices a view that a reload takes back, and a stamp that a reload does not prove.
+#[test]
+fn a_reload_that_replaces_the_view_is_noticed() {
+    let noticed = |reloads| {
+        let faults = (0..400).filter_map(|seed| live(seed, reloads).0);
+        faults.collect::<Vec<_>>()
+    };
+    let replaced = noticed(Reloads::Replaced);
+    assert!(replaced.len() > 20, "{}", replaced.len());
+    assert!(replaced.iter().any(|fault| fault.ends_with("went back")));
+    let stamped = noticed(Reloads::StampedAtItsEnd);
+    assert!(stamped.len() > 20, "{}", stamped.len());
+    assert!(!stamped.iter().any(|fault| fault.ends_with("went back")));
+}
