Logs and counters that tell why a start, a stop, a renewal or an answer was allowed

Changes of authority (event=authority, joined_leader), reloads and dropped reads at info; each report, order and user's answer at debug with token, revision, age of what is known and the margin left; event=health sums up reloads, refusals for staleness, the least margin and the longest time between a check and the moment when its answer was written.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -7,6 +7,7 @@
 use smol::io::{AsyncRead, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use std::cell::RefCell;
+use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -21,6 +22,22 @@
     pub body: Vec<u8>,
 }
 
+/// What is to be done once a response was written to its connection.
+pub struct OnWritten(Box<dyn FnOnce()>);
+
+impl OnWritten {
+    /// Calls a function then.
+    pub fn new(call: impl FnOnce() + 'static) -> OnWritten {
+        OnWritten(Box::new(call))
+    }
+}
+
+impl fmt::Debug for OnWritten {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str("OnWritten")
+    }
+}
+
 /// A response; `retry_after_s` becomes the header of that name.
 #[derive(Debug)]
 pub struct Response {
@@ -30,6 +47,8 @@
     pub close: bool,
     /// What the connection is for.
     pub rank: Rank,
+    /// What is to be done once it was written; nothing if it can't be.
+    pub on_written: Option<OnWritten>,
 }
 
 impl Response {
@@ -40,6 +59,7 @@
             retry_after_s: None,
             close: false,
             rank: Rank::User,
+            on_written: None,
         }
     }
 
@@ -184,13 +204,19 @@
                 Some(Err(Bad(status))) => return self.refuse(status).await,
                 None => return self.refuse(408).await,
             };
-            let response = handler(request).await;
+            let mut response = handler(request).await;
             let close = close || response.close || self.server.pool.short(response.rank);
             let out = response.written(close);
-            match within(limit, self.stream.write_all(&out)).await {
-                Some(Ok(())) if !close => self.server.pool.idle(self.id, response.rank),
-                _ => return Ok(()),
+            let Some(Ok(())) = within(limit, self.stream.write_all(&out)).await else {
+                return Ok(());
+            };
+            if let Some(OnWritten(call)) = response.on_written.take() {
+                call();
+            }
+            if close {
+                return Ok(());
             }
+            self.server.pool.idle(self.id, response.rank);
         }
     }
 
--- a/crates/ladderroute/src/accept.rs
+++ b/crates/ladderroute/src/accept.rs
@@ -1,7 +1,7 @@
 //! Users' requests: submit, query, cancel.
 
 use crate::fresh::freshen;
-use crate::job_state::{accepted, entry, look_up, state_of, tell_created, tell_read};
+use crate::job_state::{accepted, entry, log_told, look_up, state_of, tell_created, tell_read};
 use crate::node::Node;
 use http::server::Response;
 use std::rc::Rc;
@@ -55,7 +55,7 @@
     if let Ok(OnlyId { id }) = cbor::decode::<OnlyId>(body) {
         if entry(node, &id).is_some() {
             return match look_up(node, &id).await {
-                Ok(Some(e)) => accepted(200, &id, state_of(node, &id, &e)),
+                Ok(Some(e)) => accepted(node, 200, &id, &e),
                 Ok(None) => later(node, "not ready yet"),
                 Err(r) => r,
             };
@@ -84,7 +84,7 @@
         // Known to the store perhaps, through another controller: then it is a repeat.
         Some(Err(why)) => {
             return match look_up(node, &job.id).await {
-                Ok(Some(e)) => accepted(200, &job.id, state_of(node, &job.id, &e)),
+                Ok(Some(e)) => accepted(node, 200, &job.id, &e),
                 Ok(None) => {
                     log::info!(
                         "event=never_runs job={} team={} error=\"{why}\"",
@@ -123,7 +123,7 @@
         None => Ok(()),
         // Accepted meanwhile through another controller: then this is a repeat.
         Some(id) => match entry(node, &job.id) {
-            Some(e) => Err(accepted(200, &job.id, state_of(node, &job.id, &e))),
+            Some(e) => Err(accepted(node, 200, &job.id, &e)),
             None => Err(refuse(422, format!("awaits: no job {id} was accepted"))),
         },
     }
@@ -156,7 +156,7 @@
         Ok(Decided::Applied(version)) => {
             node.store_ok(true);
             log::info!(
-                "event=accepted job={id} class={} tasks={} team={}",
+                "event=accepted job={id} class={} tasks={} team={} revision={version}",
                 record.job.class,
                 record.job.tasks,
                 record.job.team
@@ -241,6 +241,7 @@
     match look_up(node, id).await {
         Ok(Some(e)) => {
             let state = state_of(node, id, &e);
+            log_told(node, 200, id, state);
             let running = match state {
                 JobState::Running => node.lock().shared.running.get(id).copied().unwrap_or(0),
                 _ => 0,
@@ -260,6 +261,17 @@
     }
 }
 
+/// The cancellation of a job is in the store.
+fn confirm_cancellation(node: &Node, id: &str, record: JobRecord, version: u64) {
+    let mut guard = node.lock();
+    let state = &mut *guard;
+    node.learn_job(state, id, record, version);
+    if let Some(leader) = &state.shared.to_leader {
+        // The shorter way only: the leader's own read of the store is the proof.
+        leader.send(frame(&ToLeader::Cancelled { job: id.into() }));
+    }
+}
+
 pub async fn cancel(node: &Rc<Node>, id: &str) -> Response {
     let mut found = match look_up(node, id).await {
         Ok(Some(e)) => e,
@@ -269,7 +281,7 @@
     let key = keys::job(id);
     for _ in 0..3 {
         let Some(job) = found.job.clone().filter(|_| found.state == Recorded::Open) else {
-            return accepted(200, id, state_of(node, id, &found));
+            return accepted(node, 200, id, &found);
         };
         let record = JobRecord::terminal(Recorded::Cancelled, found.created_ms, &job);
         let txn = Txn {
@@ -285,15 +297,10 @@
         };
         match node.store.txn(&txn, Rank::Decision).await {
             Ok(Decided::Applied(version)) => {
-                log::info!("event=cancelled job={id}");
-                let mut guard = node.lock();
-                let state = &mut *guard;
-                node.learn_job(state, id, record, version);
-                if let Some(leader) = &state.shared.to_leader {
-                    // The shorter way only: the leader's own look at the store is the proof.
-                    leader.send(frame(&ToLeader::Cancelled { job: id.into() }));
-                }
-                return accepted(200, id, JobState::Cancelled);
+                log::info!("event=cancelled job={id} revision={version}");
+                confirm_cancellation(node, id, record, version);
+                found.state = Recorded::Cancelled;
+                return accepted(node, 200, id, &found);
             }
             Ok(Decided::Conflict(_)) | Err(StoreError::Unknown(_)) => {
                 match node.store.get(&key, Rank::Decision).await {
--- a/crates/ladderroute/src/api.rs
+++ b/crates/ladderroute/src/api.rs
@@ -1,14 +1,15 @@
 //! The port for users, workers and health checks.
 
 use crate::accept::{cancel, later, query, refuse, submit};
-use crate::node::{JobRooms, Node};
+use crate::counters::Counters;
+use crate::node::{JobRooms, Node, State};
 use http::pool::Rank;
-use http::server::{Limits, Request, Response};
+use http::server::{Limits, OnWritten, Request, Response};
 use sched::owner::Answer;
 use std::rc::Rc;
 use std::time::Duration;
 use wire::cbor;
-use wire::workers::{Report, ReportTo};
+use wire::workers::{Orders, Report, ReportTo};
 
 /// Part of the sockets left for connections from outside that is not used: a socket that was
 /// closed is counted a little longer.
@@ -146,36 +147,26 @@
             return refuse(400, e.to_string());
         }
     };
+    let checked = node.counters.checked();
     let now = node.now();
     let mut guard = node.lock();
     let state = &mut *guard;
-    let answer = state
-        .owner
-        .on_report(&report, now, &JobRooms(state.shared.view.replica()));
-    log::debug!(
-        "event=report machine={} session={} seq={} token={} tasks={} answer={answer:?}",
-        report.machine,
-        report.session,
-        report.seq,
-        report.token,
-        report.tasks.len()
-    );
+    let jobs = JobRooms(state.shared.view.replica());
+    let answer = state.owner.on_report(&report, now, &jobs);
+    let margin_s = state.owner.authority.answers_until() - now;
+    let basis = Basis::of(state, now);
+    log_report(&report, &answer, &basis);
     node.pump(state);
     match answer {
         Answer::Orders(orders) => {
             if !state.owner.has_authority(node.now()) {
-                return refuse(503, "no authority at present");
-            }
-            if !orders.orders.is_empty() {
-                log::debug!(
-                    "event=orders machine={} session={} seq={} orders={:?}",
-                    report.machine,
-                    report.session,
-                    report.seq,
-                    orders.orders
-                );
+                return no_authority(node);
             }
-            Response::new(200, cbor::encode(&orders))
+            log_orders(&report, &orders, &basis);
+            node.counters.margin(margin_s);
+            let mut response = Response::new(200, cbor::encode(&orders));
+            response.on_written = Some(OnWritten::new(move || checked.written()));
+            response
         }
         Answer::Elsewhere(member) => Response::new(
             421,
@@ -183,7 +174,69 @@
                 member: Some(member),
             }),
         ),
-        Answer::NotNow => refuse(503, "no authority at present"),
+        Answer::NotNow => no_authority(node),
+    }
+}
+
+fn no_authority(node: &Node) -> Response {
+    Counters::count(&node.counters.reports_refused);
+    refuse(503, "no authority at present")
+}
+
+/// What an answer to a worker rests on, for the logs.
+struct Basis {
+    token: u64,
+    revision: u64,
+    /// The age of the view, and of what the leader knew when it last said so, whichever is newer.
+    known_age_s: f64,
+    /// For how long authority lasts, and for how long the age of what is known allows answers.
+    authority_s: f64,
+    margin_s: f64,
+}
+
+impl Basis {
+    fn of(state: &State, now: f64) -> Basis {
+        let authority = &state.owner.authority;
+        Basis {
+            token: state.owner.token(),
+            revision: state.shared.view.replica().revision,
+            known_age_s: now - authority.known(),
+            authority_s: authority.until() - now,
+            margin_s: authority.answers_until() - now,
+        }
+    }
+}
+
+impl std::fmt::Display for Basis {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            out,
+            "token={} revision={} known_age_s={:.2} authority_s={:.2} margin_s={:.2}",
+            self.token, self.revision, self.known_age_s, self.authority_s, self.margin_s
+        )
+    }
+}
+
+fn log_report(report: &Report, answer: &Answer, basis: &Basis) {
+    log::debug!(
+        "event=report machine={} session={} seq={} seen_token={} tasks={} {basis} answer={answer:?}",
+        report.machine,
+        report.session,
+        report.seq,
+        report.token,
+        report.tasks.len()
+    );
+}
+
+fn log_orders(report: &Report, orders: &Orders, basis: &Basis) {
+    if !orders.orders.is_empty() {
+        log::debug!(
+            "event=orders machine={} session={} seq={} {basis} orders={:?}",
+            report.machine,
+            report.session,
+            report.seq,
+            orders.orders
+        );
     }
 }
 
--- a/crates/ladderroute/src/job_state.rs
+++ b/crates/ladderroute/src/job_state.rs
@@ -12,6 +12,7 @@
 //!   cancellation was confirmed long ago.
 
 use crate::accept::later;
+use crate::counters::Counters;
 use crate::fresh::freshen;
 use crate::node::Node;
 use http::server::Response;
@@ -32,6 +33,7 @@
         return Ok(Some(terminal));
     }
     if !freshen(node).await {
+        Counters::count(&node.counters.answers_refused);
         return Err(later(node, "the state service does not answer"));
     }
     Ok(entry(node, id))
@@ -40,7 +42,7 @@
 /// Answers with the state of a job whose record was read directly for this request.
 pub async fn tell_read(node: &Rc<Node>, id: &str) -> Response {
     if let Some(own) = entry(node, id).filter(has_no_ancestors) {
-        return accepted(200, id, state_of(node, id, &own));
+        return accepted(node, 200, id, &own);
     }
     tell(node, 200, id).await
 }
@@ -50,14 +52,14 @@
     let is_fresh = node.view_age() <= node.setup.start_knowledge_s();
     let created = entry(node, id).filter(|entry| is_fresh || has_no_ancestors(entry));
     if let Some(created) = created {
-        return accepted(201, id, state_of(node, id, &created));
+        return accepted(node, 201, id, &created);
     }
     tell(node, 201, id).await
 }
 
 async fn tell(node: &Rc<Node>, status: u16, id: &str) -> Response {
     match look_up(node, id).await {
-        Ok(Some(entry)) => accepted(status, id, state_of(node, id, &entry)),
+        Ok(Some(entry)) => accepted(node, status, id, &entry),
         Ok(None) => later(node, "not ready yet"),
         Err(answer) => answer,
     }
@@ -85,8 +87,22 @@
     }
 }
 
-/// The answer to a submission or a cancellation.
-pub fn accepted(status: u16, id: &str, state: JobState) -> Response {
+/// The answer to a submission or a cancellation, from an entry of the view.
+pub fn accepted(node: &Node, status: u16, id: &str, entry: &JobEntry) -> Response {
+    let state = state_of(node, id, entry);
+    log_told(node, status, id, state);
     let id = id.into();
     Response::new(status, cbor::encode(&Accepted { id, state }))
 }
+
+/// Logs what a user is told, and what it rests on.
+pub fn log_told(node: &Node, status: u16, id: &str, state: JobState) {
+    if !log::log_enabled!(log::Level::Debug) {
+        return;
+    }
+    let age_s = node.view_age();
+    let revision = node.lock().shared.view.replica().revision;
+    log::debug!(
+        "event=told job={id} status={status} state={state:?} revision={revision} view_age_s={age_s:.2}"
+    );
+}
--- a/crates/ladderroute/src/lead.rs
+++ b/crates/ladderroute/src/lead.rs
@@ -109,11 +109,13 @@
 /// Leads until the lease is lost.
 async fn lead(node: &Rc<Node>, leadership: LeadershipLease, ttl: Duration) {
     log::info!(
-        "event=leader member={} token={}",
+        "event=leader member={} token={} version={} authority_s={:.2}",
         node.settings.member,
-        leadership.token
+        leadership.token,
+        leadership.version,
+        node.at(leadership.until) - node.now()
     );
-    // The picture must hold all that was accepted and recorded before this leadership, and be fresh:
+    // The view must hold all that was accepted and recorded before this leadership, and be fresh:
     // nothing is started on the strength of an old one.
     let behind = |node: &Node| {
         let (s, now) = (node.lock(), node.now());
--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -278,14 +278,50 @@
     }))
 }
 
-/// Lets time pass for the owner's book.
+/// Lets time pass for the owner's state.
 async fn tick(node: Rc<Node>) {
     let step = Duration::from_secs_f64((node.setup.report_s / 20.0).clamp(0.05, 0.1));
+    let mut log = StandingLog::default();
     loop {
         smol::Timer::after(step).await;
         let now = node.now();
         let mut state = node.lock();
         state.owner.tick(now);
+        log.look_at(&node, &state, now);
         node.pump(&mut state);
     }
 }
+
+/// Logs changes of authority and the running summary.
+#[derive(Default)]
+struct StandingLog {
+    has_authority: bool,
+    summary: String,
+    summed_up_at: f64,
+}
+
+impl StandingLog {
+    fn look_at(&mut self, node: &Node, state: &State, now: f64) {
+        let has_authority = state.owner.has_authority(now);
+        if std::mem::replace(&mut self.has_authority, has_authority) != has_authority {
+            let authority = &state.owner.authority;
+            log::info!(
+                "event=authority held={has_authority} token={} lasts_s={:.2} known_age_s={:.2} view_age_s={:.2}",
+                state.owner.token(),
+                authority.until() - now,
+                now - authority.known(),
+                now - state.shared.view.read_at()
+            );
+        }
+        let is_due = now - self.summed_up_at >= node.setup.lease_s;
+        if !is_due || !log::log_enabled!(log::Level::Info) {
+            return;
+        }
+        self.summed_up_at = now;
+        let summary = node.counters.to_string();
+        if summary != self.summary {
+            log::info!("event=health {summary}");
+            self.summary = summary;
+        }
+    }
+}
--- a/crates/ladderroute/src/peers.rs
+++ b/crates/ladderroute/src/peers.rs
@@ -327,6 +327,7 @@
                     if !joined {
                         // Authority from an earlier leader is not authority under this one.
                         joined = true;
+                        log::info!("event=joined_leader member={leader}");
                         state.owner.authority.set(f64::MIN);
                         state.shared.to_leader = Some(sender.clone());
                     }
--- a/crates/sched/src/authority.rs
+++ b/crates/sched/src/authority.rs
@@ -54,6 +54,11 @@
         self.known = self.known.max(at);
     }
 
+    /// Until when authority lasts, whatever is known of the store.
+    pub fn until(&self) -> Secs {
+        self.until
+    }
+
     pub fn known(&self) -> Secs {
         self.known
     }
