Simulated world: reloads of all records, tasks of jobs that are done, starts after the end

A controller may read all records anew, for as long as the test says, while it leads and writes. Two checks: started_done (a start of a task whose job is done) and orphaned for a task that goes on though no controller knows its job as open any more. Each notices a planted defect: a reload that takes ends back (with an outage right after it, as a read mends it at once), and controllers that never see that a job is done.

--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -45,6 +45,10 @@
     IgnoreCancel,
     /// A job is called done when half of its tasks are.
     HalfDone,
+    /// The same, and no controller gets to see that the job is done.
+    HalfDoneUnseen,
+    /// A controller that reads all records anew takes them for the newest, beside its own writes.
+    ReloadReplaces,
     /// A new leader does not learn of half of the open jobs.
     LoseJobs,
     /// The leader never gets to know the largest gangs.
@@ -141,6 +145,8 @@
     seen: f64,
     /// A look that is under way: when it was sent and when its answer comes.
     look: Option<(f64, f64)>,
+    /// All records are being read anew: since when, and until when.
+    reload: Option<(f64, f64)>,
 }
 
 struct JobState {
@@ -154,6 +160,8 @@
     over: Option<f64>,
     /// Since when its own record says that it is over.
     own_end: Option<f64>,
+    /// The controller that wrote that end.
+    ended_by: Option<usize>,
     /// Since when all jobs that it needs are done.
     ready_at: Option<f64>,
     cancelled: bool,
@@ -334,6 +342,7 @@
             done: Ranges::default(),
             over: None,
             own_end: None,
+            ended_by: None,
             ready_at: None,
             cancelled: false,
             earlier: Earlier::Untouched,
@@ -365,6 +374,7 @@
         };
         j.over = Some(now);
         j.own_end = Some(now);
+        j.ended_by = Some(by);
         j.cancelled = true;
         self.cancelled += 1;
         self.cancel_descendants();
--- a/crates/model/src/world/chains.rs
+++ b/crates/model/src/world/chains.rs
@@ -95,10 +95,40 @@
         self.controllers[i].chains = view;
     }
 
+    /// A controller has read all records anew, as they were at an instant. The ends that it wrote itself
+    /// since then it knows all the same.
+    pub(super) fn finish_reload(&mut self, i: usize, read_at: f64) {
+        let now = self.now;
+        let mut view = std::mem::take(&mut self.controllers[i].chains);
+        view.reload(&self.jobs, read_at);
+        let replaces = self.defect == Defect::ReloadReplaces;
+        let wrote = |job: &JobState| job.ended_by == Some(i) && !replaces;
+        let own = self.jobs.values().filter(|job| wrote(job));
+        let own: Vec<String> = own.map(|job| job.spec.id.clone()).collect();
+        for id in &own {
+            view.update(&self.jobs, id, now);
+        }
+        if let Some((me, mut leader, id)) = self.leader.take() {
+            if me == i {
+                let read = self.jobs.values().filter(|job| job.accepted <= read_at);
+                for job in read {
+                    let known_at = if wrote(job) { now } else { read_at };
+                    self.tell_leader(&mut leader, &view, &job.spec.id, known_at);
+                }
+            }
+            self.leader = Some((me, leader, id));
+        }
+        self.check_orphaned(&view, read_at);
+        let controller = &mut self.controllers[i];
+        controller.chains = view;
+        controller.seen = read_at;
+        controller.owner.authority.learn(read_at);
+    }
+
     fn tell_leader(&self, leader: &mut Leader, view: &ChainView, id: &str, read_at: f64) {
         let job = &self.jobs[id];
         if job.own_end.is_some_and(|at| at <= read_at) {
-            if self.defect != Defect::IgnoreCancel {
+            if !matches!(self.defect, Defect::IgnoreCancel | Defect::HalfDoneUnseen) {
                 leader.job_over(id);
             }
         } else if self.may_be_told(view, job) {
--- a/crates/model/src/world/controllers.rs
+++ b/crates/model/src/world/controllers.rs
@@ -32,7 +32,7 @@
         let now = self.now;
         let led = self.leader.as_ref().map(|(i, _, _)| *i);
         let trusting = self.defect == Defect::TrustOldPicture;
-        let ignorant = matches!(self.defect, Defect::IgnoreCancel | Defect::ForgetCancelled);
+        let ignorant = self.sees_no_ends();
         for i in 0..self.controllers.len() {
             if now < self.controllers[i].down_until || self.is_frozen(i) {
                 continue;
@@ -275,6 +275,7 @@
         self.known_versions = self.versions.clone();
         // What changes at this very instant comes with the next look.
         (c.seen, c.look, c.chains) = (now - STEP / 10.0, None, chains);
+        c.reload = None;
         for c in &mut self.controllers {
             disconnect(c, now + 0.1);
         }
@@ -315,6 +316,7 @@
         chains: ChainView::default(),
         seen: f64::MIN,
         look: None,
+        reload: None,
     }
 }
 
--- a/crates/model/src/world/rules.rs
+++ b/crates/model/src/world/rules.rs
@@ -22,6 +22,10 @@
         {
             broken.push("started_cancelled");
         }
+        let is_done = |j: &JobState| j.own_end.is_some() && !j.cancelled;
+        if self.jobs.get(job).is_some_and(is_done) {
+            broken.push("started_done");
+        }
         if self
             .workers
             .values()
@@ -59,8 +63,13 @@
                     continue;
                 };
                 *used.entry(j.spec.team.as_str()).or_default() += j.spec.cpus;
-                if j.cancelled && j.over.is_some_and(|at| self.now > at + self.setup.cancel_s) {
-                    broken.push("ran_cancelled");
+                if j.over.is_some_and(|at| self.now > at + self.setup.cancel_s) {
+                    // Of a job that is done, no controller knows the task any more.
+                    broken.push(if j.cancelled {
+                        "ran_cancelled"
+                    } else {
+                        "orphaned"
+                    });
                 }
             }
         }
--- a/crates/model/src/world/script.rs
+++ b/crates/model/src/world/script.rs
@@ -32,6 +32,14 @@
         self.cut_link(i, for_s);
     }
 
+    /// A controller finds its view too old, and reads all records anew for so long.
+    pub fn reload(&mut self, i: usize, for_s: f64) {
+        let now = self.now;
+        let controller = &mut self.controllers[i];
+        controller.look = None;
+        controller.reload.get_or_insert((now, now + for_s));
+    }
+
     /// A controller's connections to the others break.
     pub fn cut(&mut self, i: usize, for_s: f64) {
         self.cut_link(i, for_s);
--- a/crates/model/src/world/store.rs
+++ b/crates/model/src/world/store.rs
@@ -31,6 +31,13 @@
     pub(super) fn run_looks(&mut self) {
         let now = self.now;
         for i in 0..self.controllers.len() {
+            if let Some((sent, until)) = self.controllers[i].reload {
+                if now >= until && self.reaches_store(i) {
+                    self.controllers[i].reload = None;
+                    self.finish_reload(i, sent);
+                }
+                continue;
+            }
             if let Some((sent, _)) = self.controllers[i].look.filter(|(_, at)| now >= *at) {
                 self.controllers[i].look = None;
                 if self.reaches_store(i) {
@@ -50,12 +57,20 @@
 
     /// Up to when a controller's replica shows what is over.
     pub(super) fn known_to(&self, i: usize) -> f64 {
-        if matches!(self.defect, Defect::IgnoreCancel | Defect::ForgetCancelled) {
+        if self.sees_no_ends() {
             return f64::MIN;
         }
         self.controllers[i].seen
     }
 
+    /// Whether, by a defect, controllers do not see by their own reads what is over.
+    pub(super) fn sees_no_ends(&self) -> bool {
+        matches!(
+            self.defect,
+            Defect::IgnoreCancel | Defect::ForgetCancelled | Defect::HalfDoneUnseen
+        )
+    }
+
     pub(super) fn learn(&mut self, i: usize, sent: f64) {
         let before = std::mem::replace(&mut self.controllers[i].seen, sent);
         self.read_jobs(i, before, sent);
@@ -120,6 +135,7 @@
         let told = ok && self.rng.u32(0..100) >= 2;
         if ok {
             self.moved(&write.action);
+            self.note_writer(me, &write.action);
         }
         if told || reached && !ok {
             // It was carried out, or refused and then looked at.
@@ -131,6 +147,16 @@
         self.carry_out(leader, write.action, ok, told);
     }
 
+    /// An end that a leader writes is known at its controller from then on.
+    fn note_writer(&mut self, me: usize, action: &Action) {
+        let Action::Finish { job } = action else {
+            return;
+        };
+        if let Some(job) = self.jobs.get_mut(job).filter(|job| job.over.is_none()) {
+            job.ended_by = Some(me);
+        }
+    }
+
     /// The leader has taken it for not done long ago; only the store changes.
     pub(super) fn carry_out_late(&mut self, leader: &mut Leader, write: Pending) {
         if self.now < self.store_down_until || !self.admits(&write) {
@@ -252,7 +278,7 @@
             }
             Action::Send(..) => {}
         }
-        if self.defect == Defect::HalfDone {
+        if matches!(self.defect, Defect::HalfDone | Defect::HalfDoneUnseen) {
             let half: Vec<String> = self
                 .jobs
                 .iter()
--- a/crates/model/src/world/tests.rs
+++ b/crates/model/src/world/tests.rs
@@ -297,3 +297,68 @@
 fn calling_half_a_job_done_is_noticed() {
     trips(Defect::HalfDone, "not_done");
 }
+
+#[test]
+fn a_task_that_goes_on_though_its_job_is_done_is_noticed() {
+    let lives = |defect| {
+        let mut w = World::new(3, defect);
+        // More tasks than its team may run at a time: some begin when the others are done.
+        w.submit(Job {
+            estimate_s: 60.0,
+            ..job(1, "red", Shape::Array, 8, 4.0)
+        });
+        w.pass(300.0);
+        w.broken
+    };
+    assert_eq!(lives(Defect::HalfDone), BTreeSet::from(["not_done".into()]));
+    let broken = lives(Defect::HalfDoneUnseen);
+    assert!(broken.contains("orphaned"), "{broken:?}");
+}
+
+/// Days on which controllers, the leader mostly, read all records anew again and again.
+fn reloaded_day(seed: u64, defect: Defect) -> World {
+    let mut w = World::new(seed, defect);
+    w.chained = 50;
+    for round in 0..12 {
+        w.live(6.0, 0.0);
+        (0..3).for_each(|n| {
+            w.submit(Job {
+                estimate_s: 1.0,
+                ..job(700 + 3 * round + n, "red", Shape::Array, 2, 1.0)
+            })
+        });
+        w.pass(2.0);
+        let leader = w.leader_at().unwrap_or(0);
+        w.reload((leader + 1) % 3, 3.0);
+        w.reload(leader, 0.6);
+        w.pass(0.7);
+        // What the reload has left is not mended by a read at once.
+        w.outage(1.2);
+        w.pass(1.5);
+    }
+    w.calm(300.0);
+    w
+}
+
+#[test]
+fn rules_hold_while_controllers_read_all_records_anew() {
+    for seed in 0..30 {
+        let w = reloaded_day(seed, Defect::None);
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+        assert_eq!(
+            w.open_jobs(),
+            Vec::<String>::new(),
+            "seed {seed}\n{}",
+            w.explain()
+        );
+    }
+}
+
+#[test]
+fn a_reload_that_takes_ends_back_is_noticed() {
+    let notices = |seed| {
+        let broken = reloaded_day(seed, Defect::ReloadReplaces).broken;
+        broken.contains("started_done")
+    };
+    assert!((0..30).any(notices), "it went unnoticed");
+}
