--- /dev/null
+++ b/crates/sched/src/fleet/mod.rs
@@ -0,0 +1,260 @@
+//! Fleet: which machines to rent and which to return.
+
+mod patience;
+mod renting;
+mod returning;
+
+use crate::leader::{Action, Leader};
+use crate::place::Room;
+use crate::Secs;
+use returning::MOST_RELEASED;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use wire::cloud::{Hire, Listed, ListedMachine, MachineType};
+use wire::peers::Needs;
+use wire::users::{Job as Spec, Shape};
+
+/// The cloud charges at least this long for a machine (a figure of the protocol).
+const LEAST_CHARGE_S: f64 = 60.0;
+
+/// Idle capacity of up to so many times what the jobs need that came lately is worth keeping.
+const DEMAND_COVER: f64 = 4.0;
+
+/// Part of the time that idle machines are kept where no jobs came lately: they may come again.
+const LEAST_KEPT: f64 = 0.25;
+
+/// Type, zone and kind (spot or ordinary).
+type Offer = (String, String, bool);
+
+pub(crate) struct Boot {
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub hired_at: Secs,
+}
+
+/// What one task of a class takes, to know which machine types it needs.
+#[derive(Clone, Debug)]
+pub(crate) struct ClassShape {
+    room: Room,
+    types: Option<Vec<String>>,
+    pub spot: bool,
+    gang: bool,
+}
+
+impl ClassShape {
+    pub fn fits(&self, t: &MachineType) -> bool {
+        self.types.as_ref().is_none_or(|l| l.contains(&t.name)) && Room::of_type(t).holds(self.room)
+    }
+}
+
+#[derive(Default)]
+pub(crate) struct Fleet {
+    pub booting: BTreeMap<String, Boot>,
+    pub unmet: Vec<(String, u32)>,
+    pub shapes: BTreeMap<String, ClassShape>,
+    asked: BTreeMap<String, Hire>,
+    refused: BTreeMap<Offer, (Secs, u32)>,
+    /// The zone that each waiting gang's machines are rented in.
+    gang_zones: BTreeMap<String, Option<String>>,
+    /// Machines that are there for waiting gangs: not returned meanwhile.
+    kept: BTreeSet<String>,
+    released: BTreeSet<String>,
+    releasing: BTreeSet<String>,
+    counter: u64,
+    last: Secs,
+    /// When jobs came, and the CPUs of all their tasks together.
+    arrivals: VecDeque<(Secs, f64)>,
+}
+
+/// Whether an offer is of a type and kind that tasks may use, and in a zone if one is given.
+fn allows(needs: &Needs, zone: &Option<String>, o: &Offer) -> bool {
+    needs.kinds.iter().any(|a| a.kind == o.0 && a.spot == o.2)
+        && zone.as_ref().is_none_or(|z| *z == o.1)
+}
+
+impl Fleet {
+    pub fn gang_zone(&self, id: &str) -> Option<&String> {
+        self.gang_zones.get(id)?.as_ref()
+    }
+
+    pub fn forget_job(&mut self, id: &str) {
+        self.gang_zones.remove(id);
+    }
+
+    pub fn arrived(&mut self, job: &Spec, now: Secs) {
+        self.arrivals
+            .push_back((now, job.cpus * f64::from(job.tasks)));
+        let room = Room {
+            cpus: job.cpus,
+            gpus: job.gpus,
+            memory_gb: job.memory_gb,
+        };
+        let shape = self
+            .shapes
+            .entry(job.class.clone())
+            .or_insert_with(|| ClassShape {
+                room,
+                types: job.types.clone(),
+                spot: job.spot,
+                gang: job.shape == Shape::Gang,
+            });
+        // The largest task seen stands for its class.
+        if room.cpus > shape.room.cpus {
+            shape.room = room;
+        }
+    }
+
+    /// How much of idle capacity the jobs that came after an instant make worth keeping. It waits for jobs
+    /// still to come: when hardly any came for as long as it is kept, it is returned sooner.
+    fn demand_share(&self, since: Secs, idle_cpus: f64) -> f64 {
+        let arrived = self
+            .arrivals
+            .iter()
+            .rev()
+            .take_while(|(at, _)| *at >= since);
+        let cpus: f64 = arrived.map(|(_, cpus)| cpus).sum();
+        (cpus * DEMAND_COVER / idle_cpus.max(1.0)).clamp(LEAST_KEPT, 1.0)
+    }
+
+    /// CPUs of the tasks that came in a second, over some time.
+    fn arrival_rate(&self, now: Secs, over_s: Secs) -> f64 {
+        let arrived = self.arrivals.iter().rev();
+        let lately = arrived.take_while(|(at, _)| now - at <= over_s);
+        lately.map(|(_, cpus)| cpus).sum::<f64>() / over_s.max(1.0)
+    }
+
+    /// Forgets arrivals before an instant.
+    fn forget_arrivals(&mut self, before: Secs) {
+        while self.arrivals.front().is_some_and(|(at, _)| *at < before) {
+            self.arrivals.pop_front();
+        }
+    }
+
+    pub fn booted(&mut self, name: &str, now: Secs) {
+        if let Some(b) = self.booting.remove(name) {
+            log::info!(
+                "event=booted machine={name} kind={} after_s={:.1}",
+                b.kind,
+                now - b.hired_at
+            );
+        }
+    }
+
+    pub fn is_released(&self, name: &str) -> bool {
+        self.released.contains(name)
+    }
+
+    fn available(&self, offer: &Offer, now: Secs) -> bool {
+        self.refused
+            .get(offer)
+            .is_none_or(|(until, _)| now >= *until)
+    }
+
+    /// Whether the cloud had fewer machines of an offer than were last asked for.
+    fn is_exhausted(&self, offer: &Offer) -> bool {
+        self.refused.contains_key(offer)
+    }
+}
+
+impl Leader {
+    /// Rents for what does not fit, and returns what is idle. Paced by the report interval, but
+    /// sooner when the cloud has answered all that was asked.
+    pub(crate) fn run_fleet(&mut self, now: Secs) {
+        let pace = self.setup.report_s.min(1.0);
+        let soon = self.fleet.asked.is_empty()
+            && !self.fleet.unmet.is_empty()
+            && now - self.fleet.last >= pace / 4.0;
+        if now - self.fleet.last < pace && !soon || self.types.is_empty() {
+            return;
+        }
+        self.fleet.last = now;
+        let scarce = self.scarce();
+        self.rent(&scarce, now);
+        self.return_idle(&scarce, now);
+    }
+
+    /// The cloud's answer to a hire: machines, or none for no capacity. `None`: it was not
+    /// carried out or its outcome stays unknown; what came of it will be listed or report.
+    pub fn hired(&mut self, name: &str, machines: Option<Vec<String>>, now: Secs) {
+        let Some(hire) = self.fleet.asked.remove(name) else {
+            return;
+        };
+        let offer = (hire.kind.clone(), hire.zone.clone(), hire.spot);
+        let got = machines.as_ref().map_or(0, Vec::len) as u32;
+        if got < hire.count {
+            let n = self.fleet.refused.get(&offer).map_or(0, |(_, n)| *n);
+            let base = self.setup.list_lag_s / 2.0;
+            let wait = if machines.is_some() {
+                base * f64::from(1u32 << n.min(2)) * (0.75 + 0.5 * self.rng.f64())
+            } else {
+                base / 4.0
+            };
+            self.fleet.refused.insert(offer, (now + wait, n + 1));
+        } else {
+            self.fleet.refused.remove(&offer);
+        }
+        for m in machines.unwrap_or_default() {
+            if !self.machines.contains_key(&m) {
+                self.fleet.booting.insert(
+                    m,
+                    Boot {
+                        kind: hire.kind.clone(),
+                        zone: hire.zone.clone(),
+                        spot: hire.spot,
+                        hired_at: now,
+                    },
+                );
+            }
+        }
+    }
+
+    /// The cloud has carried out a release, or it has to be asked again.
+    pub fn released(&mut self, names: &[String], ok: bool) {
+        for name in names {
+            self.fleet.releasing.remove(name);
+            if ok {
+                self.fleet.released.insert(name.clone());
+                self.fleet.booting.remove(name);
+                self.forget_machine(name);
+            } else if let Some(m) = self.machines.get_mut(name) {
+                m.releasing = false;
+            }
+        }
+    }
+
+    /// A list of the cloud's machines: adopts what is not known, returns what has failed.
+    pub fn listed(&mut self, list: &[ListedMachine], now: Secs) {
+        let mut failed = Vec::new();
+        for l in list {
+            if self.fleet.is_released(&l.name) || self.machines.contains_key(&l.name) {
+                continue;
+            }
+            if l.state == Listed::Failed {
+                if self.fleet.releasing.insert(l.name.clone()) {
+                    failed.push(l.name.clone());
+                }
+                continue;
+            }
+            if !self.fleet.booting.contains_key(&l.name) {
+                log::info!("event=adopt machine={} kind={}", l.name, l.kind);
+                let hired_at = if l.state == Listed::Booting {
+                    now - l.age_s
+                } else {
+                    now - self.types.get(&l.kind).map_or(0.0, |t| t.boot_s)
+                };
+                self.fleet.booting.insert(
+                    l.name.clone(),
+                    Boot {
+                        kind: l.kind.clone(),
+                        zone: l.zone.clone(),
+                        spot: l.spot,
+                        hired_at,
+                    },
+                );
+            }
+        }
+        for names in failed.chunks(MOST_RELEASED) {
+            self.actions.push(Action::Release(names.to_vec()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/fleet/patience.rs
@@ -0,0 +1,117 @@
+//! Whether work may wait for a machine in use rather than have one rented, and how long tasks run.
+
+use crate::leader::{Job, Leader};
+use crate::place::tier;
+use crate::Secs;
+use std::collections::BTreeMap;
+use wire::peers::Needs;
+use wire::users::Shape;
+
+/// What a slow boot takes of the nominal time, with the start of the gang's tasks.
+pub(super) const SLOW_BOOT: f64 = 1.25;
+
+/// When machines in use are expected to be empty, the earliest first.
+pub(super) type Busy = Vec<(Secs, String)>;
+
+impl Leader {
+    /// Whether a gang has waited so long that machines are set aside for it.
+    pub(crate) fn waits_long(&self, id: &str, now: Secs) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let within = self
+            .setup
+            .wait_s
+            .get(&job.spec.class)
+            .copied()
+            .unwrap_or(self.setup.guarantee_s * 4.0);
+        now - job.seen > within * self.setup.patience
+    }
+
+    /// When machines on which these tasks may run are expected to be empty, the earliest first.
+    pub(super) fn busy_until(&self, needs: &Needs, now: Secs) -> Busy {
+        let mut out: Busy = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.open() && tier(needs, &m.kind, &m.zone, m.spot).is_some())
+            .map(|(name, m)| {
+                let ends = m.tasks.keys().filter_map(|(id, i)| {
+                    let job = self.jobs.get(id)?;
+                    let a = job.active.get(i)?;
+                    let run = self.run_s(job);
+                    Some(if a.running {
+                        (a.since + run).max(now + run * 0.25)
+                    } else {
+                        now + run
+                    })
+                });
+                (ends.fold(now, f64::max), name.clone())
+            })
+            .collect();
+        out.sort_by(|a, b| a.0.total_cmp(&b.0));
+        out
+    }
+
+    /// How long a task of a job runs, as far as was learned of its class.
+    pub(crate) fn run_s(&self, job: &Job) -> f64 {
+        self.classes
+            .get(&job.spec.class)
+            .map_or(job.spec.estimate_s, |c| c.run_s)
+            .max(1.0)
+    }
+
+    /// Whether a gang is expected to get machines that are in use early enough for its class's
+    /// objective; those machines are then taken.
+    pub(super) fn can_wait(&self, id: &str, needs: &Needs, busy: &mut Busy, now: Secs) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let Some(within) = self.setup.wait_s.get(&job.spec.class) else {
+            return false;
+        };
+        // What is rented at once must still be up in time, slow boots included.
+        let boot = needs
+            .kinds
+            .iter()
+            .filter_map(|a| self.types.get(&a.kind))
+            .map(|t| t.boot_s)
+            .fold(f64::MAX, f64::min);
+        let latest = job.seen + (within * self.setup.patience).min(within - boot * SLOW_BOOT);
+        let mut slots: BTreeMap<&str, (u32, Vec<usize>)> = BTreeMap::new();
+        let mut found = None;
+        for (at, (until, name)) in busy.iter().enumerate() {
+            let Some(m) = self
+                .machines
+                .get(name)
+                .filter(|m| tier(needs, &m.kind, &m.zone, m.spot).is_some())
+            else {
+                continue;
+            };
+            if until.max(now) > latest {
+                break;
+            }
+            let (have, chosen) = slots
+                .entry(if job.spec.one_zone { &m.zone } else { "" })
+                .or_default();
+            *have += self.cap(&m.kind).map_or(0, |c| c.times(job.room()));
+            chosen.push(at);
+            if *have >= job.spec.tasks {
+                found = Some(std::mem::take(chosen));
+                break;
+            }
+        }
+        let Some(chosen) = found else { return false };
+        let run = self.run_s(job);
+        chosen.into_iter().for_each(|at| busy[at].0 += run);
+        busy.sort_by(|a, b| a.0.total_cmp(&b.0));
+        true
+    }
+
+    /// CPUs per second that running array tasks free for others.
+    pub(crate) fn turnover(&self) -> f64 {
+        let arrays = self.jobs.values().filter(|j| j.spec.shape == Shape::Array);
+        arrays
+            .map(|j| j.active.len() as f64 * j.spec.cpus / self.run_s(j))
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/sched/src/fleet/renting.rs
@@ -0,0 +1,390 @@
+//! Renting machines for work that finds none.
+
+use super::patience::Busy;
+use super::{allows, Offer, LEAST_CHARGE_S};
+use crate::leader::{Action, Leader, Rostered};
+use crate::place::Room;
+use crate::Secs;
+use std::collections::{BTreeMap, BTreeSet};
+use wire::cloud::Hire;
+use wire::peers::{Allowed, Needs};
+
+/// Most machines of one request (a figure of the protocol).
+const MOST_AT_ONCE: u32 = 50;
+
+/// An offer is not taken at this many times the price of one whose answer is still to come.
+const MUCH_DEARER: f64 = 1.3;
+
+/// Machines on their way that have the same room left.
+pub(super) struct Coming {
+    pub(super) offer: Offer,
+    pub(super) free: Room,
+    pub(super) n: u32,
+}
+
+/// Takes room for up to `left` tasks out of what is on its way; says how many remain.
+fn take_coming(
+    coming: &mut Vec<Coming>,
+    allowed: impl Fn(&Offer) -> bool,
+    room: Room,
+    mut left: u32,
+) -> u32 {
+    let mut changed = Vec::new();
+    for c in coming.iter_mut().filter(|c| allowed(&c.offer)) {
+        let times = c.free.times(room);
+        if left == 0 || times == 0 {
+            continue;
+        }
+        let whole = (left / times).min(c.n);
+        let part = if whole < c.n { left - whole * times } else { 0 };
+        for (n, tasks) in [(whole, times), (u32::from(part > 0), part)] {
+            if n > 0 {
+                let mut free = c.free;
+                free.sub(room.scaled(tasks));
+                changed.push(Coming {
+                    offer: c.offer.clone(),
+                    free,
+                    n,
+                });
+                c.n -= n;
+                left -= n * tasks;
+            }
+        }
+    }
+    coming.retain(|c| c.n > 0);
+    coming.append(&mut changed);
+    left
+}
+
+impl Leader {
+    fn coming(&self) -> Vec<Coming> {
+        let mut sums: BTreeMap<Offer, u32> = BTreeMap::new();
+        let booting = self
+            .fleet
+            .booting
+            .values()
+            .map(|b| (&b.kind, &b.zone, b.spot, 1));
+        let asked = self
+            .fleet
+            .asked
+            .values()
+            .map(|h| (&h.kind, &h.zone, h.spot, h.count));
+        let fresh = self
+            .machines
+            .values()
+            .filter(|m| m.rostered != Rostered::Yes && m.lapsed_at.is_none() && !m.drain)
+            .map(|m| (&m.kind, &m.zone, m.spot, 1));
+        for (kind, zone, spot, n) in booting.chain(asked).chain(fresh) {
+            *sums.entry((kind.clone(), zone.clone(), spot)).or_default() += n;
+        }
+        sums.into_iter()
+            .filter_map(|(offer, n)| {
+                Some(Coming {
+                    free: self.cap(&offer.0)?,
+                    offer,
+                    n,
+                })
+            })
+            .collect()
+    }
+
+    pub(super) fn rent(&mut self, scarce: &BTreeSet<(String, bool)>, now: Secs) {
+        let mut coming = self.coming();
+        // Running tasks free their room again and again while a machine boots.
+        let turnover = self.turnover();
+        let mut ahead = 0.0;
+        let gang_waits = self.waits_for_scarce(scarce);
+        let mut busy: Option<Busy> = None;
+        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
+        self.fleet.kept.clear();
+        for (id, n) in self.fleet.unmet.clone() {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let room = job.room();
+            let needs = self.needs_sparing(job, scarce);
+            if now < job.reclaims_until {
+                continue;
+            }
+            if job.is_gang() {
+                let mut slots = busy.take().unwrap_or_else(|| self.busy_until(&needs, now));
+                if !self.can_wait(&id, &needs, &mut slots, now) {
+                    self.rent_for_gang(&id, &needs, &mut coming, &mut wanted, now);
+                }
+                busy = Some(slots);
+                continue;
+            }
+            let all = self.needs(job, None);
+            let mut left = take_coming(&mut coming, |o| allows(&all, &needs.zone, o), room, n);
+            while left > 0 {
+                let mut found = self.cheapest(
+                    &needs.kinds,
+                    needs.zone.as_deref(),
+                    room,
+                    left,
+                    &wanted,
+                    now,
+                );
+                if found.is_none() && !gang_waits && self.all_exhausted(&needs) {
+                    // Types kept for gangs, while none waits and the others are used up.
+                    found =
+                        self.cheapest(&all.kinds, needs.zone.as_deref(), room, left, &wanted, now);
+                }
+                let Some((offer, cap)) = found else { break };
+                let boot = self
+                    .types
+                    .get(&offer.0)
+                    .map_or(LEAST_CHARGE_S, |t| t.boot_s);
+                // New jobs take a part of what becomes free meanwhile.
+                let net =
+                    (turnover - self.fleet.arrival_rate(now, boot.max(LEAST_CHARGE_S))).max(0.0);
+                let served = ((net * boot - ahead) / room.cpus.max(0.01))
+                    .floor()
+                    .clamp(0.0, f64::from(left));
+                ahead += served * room.cpus;
+                left -= served as u32;
+                if left == 0 || cap.times(room) == 0 {
+                    break;
+                }
+                left = self.want(offer, cap, room, left, &mut coming, &mut wanted);
+            }
+        }
+        for ((kind, zone, spot), mut count) in wanted {
+            while count > 0 {
+                self.fleet.counter += 1;
+                let name = format!("lr-{}-{}", self.token(), self.fleet.counter);
+                let hire = Hire {
+                    name: name.clone(),
+                    kind: kind.clone(),
+                    zone: zone.clone(),
+                    spot,
+                    count: count.min(MOST_AT_ONCE),
+                };
+                count -= hire.count;
+                log::info!(
+                    "event=hire name={name} kind={} zone={} spot={} count={}",
+                    hire.kind,
+                    hire.zone,
+                    hire.spot,
+                    hire.count
+                );
+                self.fleet.asked.insert(name, hire.clone());
+                self.actions.push(Action::Hire(hire));
+            }
+        }
+    }
+
+    /// Has machines of an offer rented for `left` tasks, as many as may be asked for at present; says
+    /// how many tasks remain. At least one task must fit.
+    fn want(
+        &self,
+        offer: Offer,
+        cap: Room,
+        room: Room,
+        left: u32,
+        coming: &mut Vec<Coming>,
+        wanted: &mut BTreeMap<Offer, u32>,
+    ) -> u32 {
+        let n = (left / cap.times(room)).clamp(1, self.most_wanted(&offer, wanted).max(1));
+        coming.push(Coming {
+            offer: offer.clone(),
+            free: cap,
+            n,
+        });
+        *wanted.entry(offer.clone()).or_default() += n;
+        take_coming(coming, |o| *o == offer, room, left)
+    }
+
+    /// Whether any offer on which these tasks may run was not refused lately.
+    fn any_offer(&self, needs: &Needs, now: Secs) -> bool {
+        self.offers(needs).any(|o| self.fleet.available(&o, now))
+    }
+
+    /// Whether the cloud refused every offer on which these tasks may run when it was last asked for.
+    fn all_exhausted(&self, needs: &Needs) -> bool {
+        self.offers(needs).all(|o| self.fleet.is_exhausted(&o))
+    }
+
+    /// The offers on which these tasks may run.
+    fn offers<'a>(&'a self, needs: &'a Needs) -> impl Iterator<Item = Offer> + 'a {
+        let offers = needs.kinds.iter().flat_map(|a| {
+            let zones = self.types.get(&a.kind).map_or(&[][..], |t| &t.zones);
+            zones.iter().map(|z| (a.kind.clone(), z.clone(), a.spot))
+        });
+        offers.filter(|o| allows(needs, &needs.zone, o))
+    }
+
+    /// How many more machines of an offer may be asked for at present: what is refused shows
+    /// only in the answers, and requests are few.
+    fn most_wanted(&self, offer: &Offer, wanted: &BTreeMap<Offer, u32>) -> u32 {
+        let asked = self
+            .fleet
+            .asked
+            .values()
+            .filter(|h| (&h.kind, &h.zone, h.spot) == (&offer.0, &offer.1, offer.2));
+        let sum: u32 =
+            asked.map(|h| h.count).sum::<u32>() + wanted.get(offer).copied().unwrap_or(0);
+        // One machine shows whether there are some again.
+        let most = if self.fleet.is_exhausted(offer) {
+            1
+        } else {
+            MOST_AT_ONCE * 2
+        };
+        most.saturating_sub(sum)
+    }
+
+    /// Rents what a whole gang lacks. If its job wants one zone, that is the one which lacks
+    /// least of those that are said to have machines, and it is kept to: half a gang's machines
+    /// in each of two zones serve nobody. What is there for it already is not returned.
+    fn rent_for_gang(
+        &mut self,
+        id: &str,
+        needs: &Needs,
+        coming: &mut Vec<Coming>,
+        wanted: &mut BTreeMap<Offer, u32>,
+        now: Secs,
+    ) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let (room, n, spread) = (job.room(), job.spec.tasks, job.spec.spread);
+        let every: BTreeSet<Option<String>> = needs
+            .kinds
+            .iter()
+            .filter_map(|a| self.types.get(&a.kind))
+            .flat_map(|t| t.zones.iter().cloned().map(Some))
+            .collect();
+        if needs.zone.is_some() || !job.spec.one_zone && !spread {
+            self.rent_in_zone(needs, room, n, coming, wanted, now);
+            return;
+        }
+        let within = |zone: &Option<String>| Needs {
+            zone: zone.clone(),
+            ..needs.clone()
+        };
+        let has = |l: &Leader, zone: &Option<String>| {
+            let here: u32 = l.index.fits(&within(zone)).iter().map(|f| f.times).sum();
+            let on_way: u32 = coming
+                .iter()
+                .filter(|c| allows(needs, zone, &c.offer))
+                .map(|c| c.free.times(room) * c.n)
+                .sum();
+            here.saturating_add(on_way)
+        };
+        let offers = |l: &Leader, zone: &Option<String>| l.any_offer(&within(zone), now);
+        if spread {
+            // No zone may have more than half: what is above that in one is of no use.
+            let half = n.div_ceil(2);
+            let mut order: Vec<_> = every
+                .iter()
+                .map(|z| (!offers(self, z), has(self, z).min(half), z.clone()))
+                .collect();
+            order.sort_by_key(|(none, has, _)| (*none, std::cmp::Reverse(*has)));
+            let mut left = n;
+            for (_, _, zone) in order {
+                let take = left.min(half);
+                left -= take;
+                self.rent_in_zone(&within(&zone), room, take, coming, wanted, now);
+            }
+            return;
+        }
+        let lacks = |l: &Leader, zone: &Option<String>| n.saturating_sub(has(l, zone));
+        let long = self.waits_long(id, now);
+        let good = |z: &&Option<String>| {
+            every.contains(*z) && (long || lacks(self, z) == 0 || offers(self, z))
+        };
+        let stays = self.fleet.gang_zones.get(id).filter(good).cloned();
+        let best = || {
+            every
+                .iter()
+                .min_by_key(|z| (lacks(self, z) > 0 && !offers(self, z), lacks(self, z)))
+                .cloned()
+        };
+        let Some(zone) = stays.or_else(best) else {
+            return;
+        };
+        self.fleet.gang_zones.insert(id.into(), zone.clone());
+        self.rent_in_zone(&within(&zone), room, n, coming, wanted, now);
+    }
+
+    /// Keeps what is free for `n` tasks, and rents what they lack beside what is on its way.
+    fn rent_in_zone(
+        &mut self,
+        needs: &Needs,
+        room: Room,
+        n: u32,
+        coming: &mut Vec<Coming>,
+        wanted: &mut BTreeMap<Offer, u32>,
+        now: Secs,
+    ) {
+        let mut left = n;
+        for f in self.index.fits(needs) {
+            if left == 0 {
+                break;
+            }
+            left -= f.times.min(left);
+            self.fleet.kept.insert(f.name.to_string());
+        }
+        left = take_coming(coming, |o| allows(needs, &needs.zone, o), room, left);
+        while left > 0 {
+            let Some((offer, cap)) =
+                self.cheapest(&needs.kinds, needs.zone.as_deref(), room, left, wanted, now)
+            else {
+                break;
+            };
+            if cap.times(room) == 0 {
+                break;
+            }
+            left = self.want(offer, cap, room, left, coming, wanted);
+        }
+    }
+
+    /// The offer with the lowest price per task that fits, preferring one that is not too big.
+    /// None if what costs much less than the rest is being asked for to the limit: its answer
+    /// comes soon.
+    fn cheapest(
+        &mut self,
+        kinds: &[Allowed],
+        zone: Option<&str>,
+        room: Room,
+        n: u32,
+        wanted: &BTreeMap<Offer, u32>,
+        now: Secs,
+    ) -> Option<(Offer, Room)> {
+        let mut best: Option<(f64, Offer, Room)> = None;
+        let mut least = f64::MAX;
+        for Allowed { kind, spot, .. } in kinds {
+            let Some(t) = self.types.get(kind) else {
+                continue;
+            };
+            let cap = Room::of_type(t);
+            let slots = cap.times(room).min(n);
+            if slots == 0 {
+                continue;
+            }
+            // Boot time is paid as well; a peak pays for little more than the least charge.
+            let hourly = if *spot { t.spot_price } else { t.price };
+            let price = hourly * (t.boot_s + LEAST_CHARGE_S) / f64::from(slots);
+            for z in t
+                .zones
+                .iter()
+                .filter(|z| zone.is_none_or(|w| w == z.as_str()))
+            {
+                let offer = (kind.clone(), z.clone(), *spot);
+                // A little noise spreads machines over zones of the same price.
+                let price = price * (1.0 + 0.01 * self.rng.f64());
+                let is_probed =
+                    self.fleet.is_exhausted(&offer) && self.most_wanted(&offer, wanted) == 0;
+                if !self.fleet.available(&offer, now) || is_probed {
+                    continue;
+                }
+                least = least.min(price);
+                if self.most_wanted(&offer, wanted) > 0
+                    && best.as_ref().is_none_or(|(p, _, _)| price < *p)
+                {
+                    best = Some((price, offer, cap));
+                }
+            }
+        }
+        best.filter(|(price, _, _)| *price <= least * MUCH_DEARER)
+            .map(|(_, offer, cap)| (offer, cap))
+    }
+}
--- /dev/null
+++ b/crates/sched/src/owner/mod.rs
@@ -0,0 +1,332 @@
+//! A shard's owner: answers the reports of its machines and alone starts tasks there.
+//!
+//! A report counts only if it shows a token at least as high as the one under which this
+//! controller became the machine's owner: it was then sent after the worker had begun to drop
+//! the orders of every earlier owner, and later ones are ordered by (session, seq). So a
+//! report that was held up in the network is never taken for the present.
+
+mod machine;
+mod placing;
+mod reports;
+
+use crate::authority::Authority;
+use crate::index::Index;
+use crate::place::Room;
+use crate::setup::Setup;
+use crate::shard;
+use crate::Secs;
+use machine::{give_up, new_machine, view, Machine};
+use placing::{Ahead, Reservation};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use wire::cloud::MachineType;
+use wire::peers::{ToLeader, ToOwner};
+use wire::workers::Orders;
+
+/// What a task of a job takes; none if the job is not known here.
+pub trait Jobs {
+    fn room(&self, job: &str) -> Option<Room>;
+    fn image(&self, job: &str) -> Option<String>;
+    /// Whether the job is known to be done or cancelled.
+    fn over(&self, job: &str) -> bool;
+}
+
+/// The answer to a report.
+#[derive(Debug, PartialEq)]
+pub enum Answer {
+    Orders(Orders),
+    /// Report to that member instead.
+    Elsewhere(String),
+    /// Not entitled to act at present.
+    NotNow,
+}
+
+/// A closed machine that is lost stays in the book for this many leases.
+const LEASES_REMEMBERED: f64 = 20.0;
+
+/// Most machines in one message to the leader, so that it stays small.
+const VIEWS_AT_ONCE: usize = 64;
+
+/// Parts of a report interval for which changes that reports bring are collected.
+pub(crate) const VIEWS_PER_REPORT: f64 = 20.0;
+
+/// The owner's book.
+pub struct Owner {
+    me: String,
+    setup: Setup,
+    token: u64,
+    members: Vec<String>,
+    types: BTreeMap<String, MachineType>,
+    pub authority: Authority,
+    epoch_at: Secs,
+    extra_s: Secs,
+    machines: BTreeMap<String, Machine>,
+    reservations: BTreeMap<u64, Reservation>,
+    ahead: VecDeque<Ahead>,
+    /// Jobs that the leader said are over, and when: their tasks are stopped and never started,
+    /// whether this controller's own replica knows it or not.
+    over: BTreeMap<String, Secs>,
+    out: Vec<ToLeader>,
+    /// Machines as placement looks at them, and those that changed since.
+    index: Index,
+    stale: BTreeSet<String>,
+    /// What has changed is to be shown to the leader now.
+    show: bool,
+    shown_at: Secs,
+}
+
+impl Owner {
+    pub fn new(me: &str, setup: Setup) -> Owner {
+        Owner {
+            me: me.into(),
+            authority: Authority::new(&setup),
+            setup,
+            token: 0,
+            members: Vec::new(),
+            types: BTreeMap::new(),
+            epoch_at: 0.0,
+            extra_s: 0.0,
+            machines: BTreeMap::new(),
+            reservations: BTreeMap::new(),
+            ahead: VecDeque::new(),
+            over: BTreeMap::new(),
+            out: Vec::new(),
+            index: Index::default(),
+            stale: BTreeSet::new(),
+            show: false,
+            shown_at: f64::MIN,
+        }
+    }
+
+    /// The book in words, for logs and failed tests.
+    pub fn explain(&self) -> String {
+        let line = |(n, m): (&String, &Machine)| {
+            format!(
+                "{n} usable={} since={} known={} session={} seq={} answered={:.1} lapsed={} tasks={} pending={} stops={}",
+                m.usable,
+                m.since,
+                m.known,
+                m.session,
+                m.seq,
+                m.answered,
+                m.lapsed,
+                m.tasks.len(),
+                m.pending.len(),
+                m.stops.len()
+            )
+        };
+        self.machines
+            .iter()
+            .map(line)
+            .collect::<Vec<_>>()
+            .join("\n")
+    }
+
+    pub fn token(&self) -> u64 {
+        self.token
+    }
+
+    /// Whether reports may be answered now.
+    pub fn has_authority(&self, now: Secs) -> bool {
+        now < self.authority.answers_until()
+    }
+
+    /// What is to be told to the leader. What reports change is collected for a short while;
+    /// what the leader's own messages change is shown at once, before any later report.
+    pub fn drain(&mut self) -> Vec<ToLeader> {
+        if std::mem::take(&mut self.show) {
+            let token = self.token;
+            let mut views = Vec::new();
+            for (name, m) in self.machines.iter_mut().filter(|(_, m)| m.dirty) {
+                m.dirty = false;
+                if m.known || m.lapsed {
+                    views.push(view(token, name, m));
+                }
+            }
+            while !views.is_empty() {
+                let rest = views.split_off(views.len().min(VIEWS_AT_ONCE));
+                self.out
+                    .push(ToLeader::Machines(std::mem::replace(&mut views, rest)));
+            }
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Takes a message of the leader (its grants are the caller's business).
+    pub fn on_leader(&mut self, message: ToOwner, now: Secs, jobs: &dyn Jobs) {
+        self.show = true;
+        match message {
+            ToOwner::Epoch {
+                token,
+                prev,
+                members,
+                extra_ms,
+                machines,
+            } => {
+                if token < self.token {
+                    return;
+                }
+                self.epoch(token, prev, members, extra_ms, machines, now);
+            }
+            ToOwner::Catalog { types } => self.catalog(&types),
+            ToOwner::Use { machine, usable } => {
+                if let Some(m) = self.machines.get_mut(&machine) {
+                    m.usable = usable;
+                    m.dirty = true;
+                    self.stale.insert(machine);
+                }
+            }
+            ToOwner::Give {
+                job,
+                attempt,
+                needs,
+                tasks,
+            } => self.give(job, attempt, &needs, &tasks, now, jobs),
+            ToOwner::Ahead {
+                job,
+                attempt,
+                needs,
+                tasks,
+                wait_ms,
+            } => {
+                let indexes = tasks
+                    .iter()
+                    .flat_map(|(a, n)| *a..a.saturating_add(*n))
+                    .collect();
+                self.ahead.push_back(Ahead {
+                    job,
+                    attempt,
+                    needs,
+                    indexes,
+                    until: now + wait_ms as f64 / 1000.0,
+                });
+            }
+            ToOwner::Hold {
+                job,
+                attempt,
+                needs,
+                places,
+                wait_ms,
+            } => {
+                let until = now + wait_ms as f64 / 1000.0;
+                let held = self.hold(job, attempt, &needs, places, until, jobs);
+                self.out.push(ToLeader::HoldAnswer { attempt, held });
+            }
+            ToOwner::Bind { attempt } => self.bind(attempt, now),
+            ToOwner::Release { attempt } => {
+                if let Some(h) = self.reservations.remove(&attempt) {
+                    self.stale.extend(h.places.into_iter().map(|(m, _, _)| m));
+                }
+            }
+            ToOwner::Stop {
+                machine,
+                task,
+                grace_s,
+            } => {
+                if let Some(m) = self.machines.get_mut(&machine) {
+                    let grace = m.stops.get(&task).map_or(grace_s, |g| g.min(grace_s));
+                    m.stops.insert(task, grace);
+                }
+            }
+            ToOwner::Clear { machine, task } => {
+                if let Some(m) = self.machines.get_mut(&machine) {
+                    m.clears.insert(task);
+                }
+            }
+            ToOwner::Over { jobs: ids } => {
+                for id in ids {
+                    self.hand_back(|ahead| ahead.job == id);
+                    self.over.insert(id, now);
+                }
+            }
+            ToOwner::Grant { .. } | ToOwner::Known { .. } | ToOwner::Display { .. } => {}
+        }
+    }
+
+    fn catalog(&mut self, types: &[MachineType]) {
+        self.types = types.iter().map(|t| (t.name.clone(), t.clone())).collect();
+        self.index.clear();
+        self.stale.extend(self.machines.keys().cloned());
+    }
+
+    fn epoch(
+        &mut self,
+        token: u64,
+        prev: u64,
+        members: Vec<String>,
+        extra_ms: u64,
+        cards: Vec<wire::peers::MachineCard>,
+        now: Secs,
+    ) {
+        // Room that was lent ends with the epoch: the leader releases its waiting gangs.
+        self.reservations.clear();
+        // What waits for room is nowhere yet; the leader takes it back once all is reconciled.
+        self.ahead.clear();
+        self.out.clear();
+        if self.token != prev || prev == 0 {
+            self.machines.clear();
+        }
+        self.token = token;
+        self.members = members;
+        self.epoch_at = now;
+        self.extra_s = extra_ms as f64 / 1000.0;
+        let (me, members) = (&self.me, &self.members);
+        self.machines
+            .retain(|name, _| shard::owner(name, members) == Some(me.as_str()));
+        for card in cards {
+            if shard::owner(&card.name, &self.members) != Some(self.me.as_str()) {
+                continue;
+            }
+            let m = self.machines.entry(card.name).or_insert_with(|| {
+                new_machine(card.kind, card.zone, card.spot, token, now + self.extra_s)
+            });
+            m.usable = card.usable;
+        }
+        for m in self.machines.values_mut() {
+            m.dirty = true;
+        }
+        self.index.clear();
+        self.stale = self.machines.keys().cloned().collect();
+    }
+
+    /// Lets reservations and leases run out.
+    pub fn tick(&mut self, now: Secs) {
+        self.hand_back(|a| now >= a.until);
+        let remembered = self.setup.over_remembered_s();
+        self.over.retain(|_, at| now - *at < remembered);
+        if now - self.shown_at >= self.setup.report_s / VIEWS_PER_REPORT {
+            self.shown_at = now;
+            self.show = true;
+        }
+        let stale = &mut self.stale;
+        self.reservations.retain(|_, h| {
+            let keep = now < h.until;
+            if !keep {
+                stale.extend(h.places.iter().map(|(m, _, _)| m.clone()));
+            }
+            keep
+        });
+        let over = self.setup.lease_certainly_over_s();
+        // A closed machine that was not heard for many leases is forgotten; should it report
+        // again, it is taken up as a new one.
+        self.machines.retain(|_, m| {
+            !m.lapsed || m.usable || m.dirty || now <= m.answered + over * LEASES_REMEMBERED
+        });
+        for (name, m) in self.machines.iter_mut() {
+            if !m.lapsed && now > m.answered + over {
+                // The worker has killed and forgotten its tasks; only a later session counts.
+                log::info!(
+                    "event=machine_lapsed machine={name} tasks={}",
+                    m.tasks.len()
+                );
+                m.lapsed = true;
+                m.tasks.clear();
+                give_up(m, &mut self.out, |_| true);
+                m.stops.clear();
+                m.clears.clear();
+                m.images.clear();
+                m.dirty = true;
+                self.stale.insert(name.clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/owner/placing.rs
@@ -0,0 +1,226 @@
+//! Placing tasks on machines: starts at once, reservations for gangs, and tasks that wait for resources.
+
+use super::machine::{take_on, Machine};
+use super::{Jobs, Owner};
+use crate::index::Spot;
+use crate::place::Room;
+use crate::Secs;
+use std::collections::VecDeque;
+use wire::peers::{Needs, ToLeader};
+use wire::workers::TaskState;
+
+/// Resources set aside on machines for a gang until it is bound, or until the wait ends.
+pub(super) struct Reservation {
+    pub(super) job: String,
+    pub(super) room: Room,
+    pub(super) image: String,
+    pub(super) places: Vec<(String, u32, u32)>,
+    pub(super) until: Secs,
+}
+
+/// Tasks that wait for room to become free in this part.
+pub(super) struct Ahead {
+    pub(super) job: String,
+    pub(super) attempt: u64,
+    pub(super) needs: Needs,
+    pub(super) indexes: VecDeque<u32>,
+    pub(super) until: Secs,
+}
+
+impl Owner {
+    /// Hands tasks that wait for room back to the leader.
+    pub(super) fn hand_back(&mut self, which: impl Fn(&Ahead) -> bool) {
+        let out = &mut self.out;
+        self.ahead.retain_mut(|a| {
+            let back = which(a);
+            if back {
+                let tasks = crate::ranges::runs(std::mem::take(&mut a.indexes));
+                out.push(ToLeader::HandBack {
+                    job: std::mem::take(&mut a.job),
+                    attempt: a.attempt,
+                    tasks,
+                });
+            }
+            !back
+        });
+    }
+
+    /// Brings the index up to what has changed since it was last looked at.
+    pub(super) fn refresh_index(&mut self, jobs: &dyn Jobs) {
+        for name in std::mem::take(&mut self.stale) {
+            let found = self
+                .machines
+                .get(&name)
+                .filter(|m| m.open())
+                .and_then(|m| Some((m, self.types.get(&m.kind)?)));
+            let Some((m, t)) = found else {
+                self.index.remove(&name);
+                continue;
+            };
+            let mut images: Vec<String> = m.images.iter().cloned().collect();
+            for image in m.tasks.keys().filter_map(|t| jobs.image(&t.job)) {
+                if !images.contains(&image) {
+                    images.push(image);
+                }
+            }
+            let empty =
+                m.pending.is_empty() && m.tasks.values().all(|t| t.state == TaskState::Exited);
+            let free = self.free(&name, m, jobs);
+            let spot = Spot {
+                owner: String::new(),
+                free: free.unwrap_or_default(),
+                images,
+                empty,
+            };
+            self.index
+                .put(&name, t, &m.zone, m.spot, self.setup.guarantee_s, spot);
+            if free.is_none() {
+                // A job that is not known here yet: look again next time.
+                self.stale.insert(name);
+            }
+        }
+    }
+
+    /// What is left of a machine's room; none while what a task takes there is not known.
+    pub(super) fn free(&self, name: &str, m: &Machine, jobs: &dyn Jobs) -> Option<Room> {
+        let mut free = self.types.get(&m.kind).map(Room::of_type)?;
+        for t in m.tasks.values().filter(|t| t.state != TaskState::Exited) {
+            free.sub(jobs.room(&t.task.job)?);
+        }
+        m.pending.values().for_each(|r| free.sub(*r));
+        for h in self.reservations.values() {
+            for (machine, _, n) in &h.places {
+                if machine == name {
+                    free.sub(h.room.scaled(*n));
+                }
+            }
+        }
+        Some(free)
+    }
+
+    pub(super) fn give(
+        &mut self,
+        job: String,
+        attempt: u64,
+        needs: &Needs,
+        runs: &[(u32, u32)],
+        now: Secs,
+        jobs: &dyn Jobs,
+    ) {
+        let room = Room::of(needs);
+        self.refresh_index(jobs);
+        let mut indexes = runs
+            .iter()
+            .flat_map(|(a, n)| *a..a.saturating_add(*n))
+            .peekable();
+        let mut found = self.index.fits(needs);
+        // A start goes with the answer to a report: of machines that suit alike, the one that
+        // reports next starts first.
+        let quarter = self.setup.report_s / 4.0;
+        let silent = |name: &str| {
+            self.machines
+                .get(name)
+                .map_or(0, |m| ((now - m.answered) / quarter).clamp(0.0, 4.0) as u32)
+        };
+        found.sort_by_cached_key(|f| {
+            let (slow, tier, empty, fetch, left) = f.rank;
+            (
+                slow,
+                tier,
+                empty,
+                fetch,
+                std::cmp::Reverse(silent(&f.name)),
+                left,
+                f.name.clone(),
+            )
+        });
+        for f in found {
+            if indexes.peek().is_none() {
+                break;
+            }
+            let Some(m) = self.machines.get_mut(&*f.name) else {
+                continue;
+            };
+            let n = take_on(
+                m,
+                &job,
+                attempt,
+                indexes.by_ref().take(f.times as usize),
+                room,
+                &needs.image,
+            );
+            self.index.take(&f.name, room, n, &needs.image);
+            self.stale.insert(f.name.to_string());
+        }
+        let back: Vec<u32> = indexes.collect();
+        if !back.is_empty() {
+            self.out.push(ToLeader::HandBack {
+                job,
+                attempt,
+                tasks: crate::ranges::runs(back),
+            });
+        }
+    }
+
+    pub(super) fn hold(
+        &mut self,
+        job: String,
+        attempt: u64,
+        needs: &Needs,
+        places: Vec<(String, u32, u32)>,
+        until: Secs,
+        jobs: &dyn Jobs,
+    ) -> bool {
+        let room = Room::of(needs);
+        for (name, _, n) in &places {
+            let Some(m) = self.machines.get(name) else {
+                return false;
+            };
+            let fits = || {
+                self.free(name, m, jobs)
+                    .is_some_and(|f| f.times(room) >= *n)
+            };
+            if !m.open() || !fits() {
+                return false;
+            }
+        }
+        self.stale.extend(places.iter().map(|(m, _, _)| m.clone()));
+        self.reservations.insert(
+            attempt,
+            Reservation {
+                job,
+                room,
+                image: needs.image.clone(),
+                places,
+                until,
+            },
+        );
+        true
+    }
+
+    pub(super) fn bind(&mut self, attempt: u64, now: Secs) {
+        let Some(h) = self.reservations.remove(&attempt) else {
+            self.out.push(ToLeader::HoldAnswer {
+                attempt,
+                held: false,
+            });
+            return;
+        };
+        self.stale
+            .extend(h.places.iter().map(|(m, _, _)| m.clone()));
+        // A machine that was lost while it held room would never start the task, nor show it gone.
+        let here = |name: &String| self.machines.get(name).is_some_and(Machine::open);
+        if now >= h.until || !h.places.iter().all(|(m, _, _)| here(m)) {
+            self.out.push(ToLeader::HoldAnswer {
+                attempt,
+                held: false,
+            });
+            return;
+        }
+        for (name, first, n) in h.places {
+            if let Some(m) = self.machines.get_mut(&name) {
+                take_on(m, &h.job, attempt, first..first + n, h.room, &h.image);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/queue/arrays.rs
@@ -0,0 +1,248 @@
+//! Arrays: ready tasks go to the owners of machines with free resources, and ahead of what becomes free.
+
+use super::Pass;
+use crate::leader::{Action, Active, Begun, Leader, Place};
+use crate::ranges::runs;
+use crate::views::LONGEST_BACKOFF_S;
+use crate::Secs;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use wire::peers::{Allowed, Needs, ToOwner};
+
+/// Tasks may wait at an owner for what becomes free in so many times the time that the leader needs
+/// to learn of room and to give it away.
+const AHEAD: f64 = 2.0;
+
+/// What found no room after this many times the same is handed back.
+const AHEAD_WAIT: f64 = 5.0;
+
+impl Leader {
+    pub(super) fn place_array(
+        &mut self,
+        id: &str,
+        needs: &Needs,
+        quota: u32,
+        pass: &mut Pass,
+        now: Secs,
+    ) {
+        let Some((begun, cpus)) = self.jobs.get(id).map(|j| (j.begun, j.spec.cpus)) else {
+            return;
+        };
+        let found = self.index.fits_beside(needs, pass.aside_for(id));
+        // Recorded before its first start, so that a later leader knows which jobs an earlier
+        // one has never touched and need not wait for every machine with them.
+        if begun != Begun::Yes {
+            let fits = found
+                .iter()
+                .map(|f| f.times)
+                .fold(0, u32::saturating_add)
+                .min(quota);
+            if fits < quota {
+                self.want_room(id, quota - fits, now);
+            }
+            // Those whose turn comes soon are recorded in time.
+            let turnover = *pass.turnover.get_or_insert_with(|| self.turnover());
+            let soon = pass.queued <= turnover * self.reaction_s() * AHEAD_WAIT;
+            pass.queued += f64::from(quota - fits) * cpus;
+            if let Some(job) = self.jobs.get_mut(id).filter(|_| soon || fits > 0) {
+                job.begun = Begun::Asked;
+            }
+            return;
+        }
+        let Some(job) = self.jobs.get(id) else { return };
+        let zoned = job.spec.one_zone || job.spec.spread;
+        let mut limits = if zoned {
+            self.zone_limits(job, &found)
+        } else {
+            Some(BTreeMap::new())
+        };
+        let Some(limits) = limits.as_mut() else {
+            return;
+        };
+        let (room, team) = (job.room(), job.spec.team.clone());
+        let mut indexes = job
+            .ready
+            .iter()
+            .take(quota as usize)
+            .collect::<Vec<u32>>()
+            .into_iter();
+        let mut given: BTreeMap<(String, Option<Rc<str>>), Vec<u32>> = BTreeMap::new();
+        let attempt = self.next_attempt();
+        let mut placed = 0;
+        for f in found {
+            let most = if zoned {
+                limits.get(&f.zone).copied().unwrap_or(0)
+            } else {
+                u32::MAX
+            };
+            let mine: Vec<u32> = indexes.by_ref().take(f.times.min(most) as usize).collect();
+            if mine.is_empty() {
+                if indexes.len() == 0 {
+                    break;
+                }
+                continue;
+            }
+            let n = mine.len() as u32;
+            if let Some(left) = limits.get_mut(&f.zone) {
+                *left = left.saturating_sub(n);
+            }
+            let Some(owner) = self.index.get(&f.name).map(|s| s.owner.clone()) else {
+                continue;
+            };
+            self.index.take(&f.name, room, n, &needs.image);
+            self.see_image(&f.name, &needs.image);
+            for index in &mine {
+                self.give_active(id, *index, attempt, owner.clone(), f.name.to_string(), now);
+            }
+            given
+                .entry((owner, zoned.then(|| f.zone.clone())))
+                .or_default()
+                .extend(mine);
+            placed += n;
+        }
+        pass.charge(&team, room, placed);
+        for ((owner, zone), indexes) in given {
+            let mut needs = needs.clone();
+            if let Some(zone) = zone {
+                needs.zone = Some(zone.to_string());
+            }
+            self.actions.push(Action::Send(
+                owner,
+                ToOwner::Give {
+                    job: id.into(),
+                    attempt,
+                    needs,
+                    tasks: runs(indexes),
+                },
+            ));
+        }
+        if placed < quota {
+            pass.queued += room.cpus * f64::from(quota - placed);
+            self.want_room(id, quota - placed, now);
+            if !zoned {
+                self.give_ahead(id, needs, quota - placed, pass, now);
+            }
+        }
+    }
+
+    /// What found no room counts as demand. For what fails wherever it is tried nothing is rented at
+    /// once, but should it be the machines' fault after all, it must not wait for ever.
+    pub(super) fn want_room(&mut self, id: &str, tasks: u32, now: Secs) {
+        if self
+            .jobs
+            .get(id)
+            .is_some_and(|j| !j.is_broken() || now - j.backoff_until > LONGEST_BACKOFF_S)
+        {
+            self.fleet.unmet.push((id.into(), tasks));
+        }
+    }
+
+    /// The time after which room that a report showed has a task from here.
+    fn reaction_s(&self) -> Secs {
+        self.setup.report_s.min(1.0) / 2.0 + self.setup.report_s / crate::owner::VIEWS_PER_REPORT
+    }
+
+    /// CPUs that tasks may wait for at each owner: what array tasks free there in a short time,
+    /// less what waits already.
+    fn ahead_room(&self) -> BTreeMap<String, f64> {
+        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| m.open()) {
+            *used.entry(&m.owner).or_default() += m.used.cpus;
+        }
+        let all: f64 = used.values().sum();
+        let free = self.turnover() * self.reaction_s() * AHEAD;
+        let waits = |owner: &str| self.ahead.get(owner).copied().unwrap_or(0.0);
+        used.into_iter()
+            .map(|(owner, cpus)| (owner.to_string(), free * cpus / all.max(1.0) - waits(owner)))
+            .collect()
+    }
+
+    /// Lets tasks that found no room wait at the owners for the first that becomes free: a task's
+    /// end and the next one's start then take one report and its answer.
+    fn give_ahead(&mut self, id: &str, needs: &Needs, most: u32, pass: &mut Pass, now: Secs) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let (each, team) = (job.room(), job.spec.team.clone());
+        let aside = pass.aside_for(id).map_or(&[][..], |a| &a.kinds);
+        let kinds: Vec<Allowed> = needs
+            .kinds
+            .iter()
+            .filter(|k| !aside.iter().any(|a| a.kind == k.kind && a.spot == k.spot))
+            .cloned()
+            .collect();
+        if kinds.is_empty() {
+            return;
+        }
+        let room = pass.ahead.get_or_insert_with(|| self.ahead_room());
+        let fits = |cpus: f64| (cpus / each.cpus.max(0.01)).floor().max(0.0) as u32;
+        let n = room
+            .values()
+            .map(|cpus| fits(*cpus))
+            .fold(0, u32::saturating_add)
+            .min(most);
+        if n == 0 {
+            return;
+        }
+        let mut indexes = job
+            .ready
+            .iter()
+            .take(n as usize)
+            .collect::<Vec<u32>>()
+            .into_iter();
+        let needs = Needs {
+            kinds,
+            ..needs.clone()
+        };
+        let attempt = self.next_attempt();
+        let wait_ms = (self.reaction_s() * AHEAD_WAIT * 1000.0) as u64;
+        for (owner, cpus) in room.iter_mut() {
+            let mine: Vec<u32> = indexes.by_ref().take(fits(*cpus) as usize).collect();
+            if mine.is_empty() {
+                continue;
+            }
+            *cpus -= each.cpus * mine.len() as f64;
+            for index in &mine {
+                self.give_active(id, *index, attempt, owner.clone(), String::new(), now);
+            }
+            let message = ToOwner::Ahead {
+                job: id.into(),
+                attempt,
+                needs: needs.clone(),
+                tasks: runs(mine),
+                wait_ms,
+            };
+            self.actions.push(Action::Send(owner.clone(), message));
+        }
+        pass.charge(&team, each, n);
+    }
+
+    pub(super) fn see_image(&mut self, machine: &str, image: &str) {
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.images.retain(|i| i != image);
+            m.images.insert(0, image.to_string());
+            m.images.truncate(8);
+        }
+        self.stale.insert(machine.into());
+    }
+
+    pub(super) fn give_active(
+        &mut self,
+        id: &str,
+        index: u32,
+        attempt: u64,
+        owner: String,
+        machine: String,
+        now: Secs,
+    ) {
+        self.set_active(
+            id,
+            index,
+            Active {
+                attempt,
+                place: Place::Given(owner, machine),
+                running: false,
+                stop_sent: false,
+                since: now,
+            },
+        );
+    }
+}
--- /dev/null
+++ b/crates/sched/src/queue/gangs.rs
@@ -0,0 +1,268 @@
+//! Gangs: resources are reserved for the whole gang, the binding is written, and then all start.
+
+use super::Pass;
+use crate::index::Found;
+use crate::leader::{Action, Leader, Phase, Place};
+use crate::Secs;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use wire::peers::{Needs, ToOwner};
+
+impl Leader {
+    /// Finds room for a whole gang in the picture; only then are the owners asked to hold it.
+    pub(super) fn place_gang(
+        &mut self,
+        id: &str,
+        needs: &Needs,
+        quota: u32,
+        pass: &mut Pass,
+        now: Secs,
+    ) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let here = job.ready.len() + job.active.len() as u32;
+        // The count check: a group with fewer tasks than its minimum is turned away.
+        if here < job.minimum()
+            || job.phase != Phase::Idle
+            || !job.active.is_empty()
+            || quota < job.spec.tasks
+        {
+            return;
+        }
+        let n = job.spec.tasks;
+        if job.spec.one_zone && job.spec.spread && n.div_ceil(2) < n {
+            // No zone may hold all of it: it stays known until it is cancelled, and rents nothing.
+            return;
+        }
+        let zones: Vec<Option<String>> = match (&needs.zone, job.spec.one_zone) {
+            (None, true) => self
+                .index
+                .zones()
+                .iter()
+                .map(|z| Some(z.to_string()))
+                .collect(),
+            (zone, _) => vec![zone.clone()],
+        };
+        let most_in_zone = if job.spec.spread { n.div_ceil(2) } else { n };
+        let found = zones.into_iter().find_map(|zone| {
+            let needs = Needs {
+                zone,
+                ..needs.clone()
+            };
+            fit(
+                self.index.fits_beside(&needs, pass.aside_for(id)),
+                n,
+                most_in_zone,
+            )
+        });
+        let Some(counts) = found else {
+            self.want_room(id, n, now);
+            return;
+        };
+        let room = job.room();
+        pass.charge(&job.spec.team, room, n);
+        let attempt = self.next_attempt();
+        let mut places = Vec::new();
+        let mut by_owner: BTreeMap<String, Vec<(String, u32, u32)>> = BTreeMap::new();
+        let mut first = 0;
+        for (machine, count) in counts {
+            let Some(owner) = self.index.get(&machine).map(|s| s.owner.clone()) else {
+                continue;
+            };
+            self.index.take(&machine, room, count, &needs.image);
+            if let Some(m) = self.machines.get_mut(&machine) {
+                m.held.insert(attempt, room.scaled(count));
+            }
+            self.see_image(&machine, &needs.image);
+            places.push((machine.clone(), first, count));
+            by_owner
+                .entry(owner)
+                .or_default()
+                .push((machine, first, count));
+            first += count;
+        }
+        // Jitter, so that gangs held in one burst don't lapse in step.
+        let wait = self.setup.hold_s * (0.75 + 0.5 * self.rng.f64());
+        log::info!(
+            "event=hold job={id} attempt={attempt} machines={} wait_s={wait:.1}",
+            places.len()
+        );
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.phase = Phase::Holding {
+                attempt,
+                waiting: by_owner.keys().cloned().collect(),
+                until: now + wait,
+                places,
+            };
+        }
+        for (owner, places) in by_owner {
+            let message = ToOwner::Hold {
+                job: id.into(),
+                attempt,
+                needs: needs.clone(),
+                places,
+                wait_ms: (wait * 1000.0) as u64,
+            };
+            self.actions.push(Action::Send(owner, message));
+        }
+    }
+
+    pub(crate) fn on_hold_answer(&mut self, from: &str, attempt: u64, held: bool, now: Secs) {
+        let found = self.jobs.iter().find(|(_, j)| match &j.phase {
+            Phase::Holding { attempt: a, .. }
+            | Phase::Binding { attempt: a, .. }
+            | Phase::Running { attempt: a } => *a == attempt,
+            // Another owner has refused its part before.
+            Phase::Ending => j.active.values().any(|a| a.attempt == attempt),
+            Phase::Idle => false,
+        });
+        let Some(id) = found.map(|(id, _)| id.clone()) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        match &mut job.phase {
+            Phase::Holding {
+                waiting,
+                until,
+                places,
+                ..
+            } if held => {
+                waiting.remove(from);
+                if waiting.is_empty() {
+                    let (until, places) = (*until, places.clone());
+                    job.phase = Phase::Binding {
+                        attempt,
+                        until,
+                        places: places.clone(),
+                    };
+                    self.actions.push(Action::Bind {
+                        job: id,
+                        attempt,
+                        places,
+                    });
+                }
+            }
+            Phase::Holding { .. } | Phase::Binding { .. } if !held => {
+                log::info!("event=hold_refused job={id} owner={from}");
+                self.end_hold(&id, now, true);
+            }
+            Phase::Running { .. } | Phase::Ending if !held => {
+                // The room was given up before the binding came: the gang has to begin anew.
+                let lost: Vec<u32> = job
+                    .active
+                    .iter()
+                    .filter(|(_, a)| matches!(&a.place, Place::Given(o, _) if o == from))
+                    .map(|(i, _)| *i)
+                    .collect();
+                for i in lost {
+                    self.gone(&id, i);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The binding is durable, or could not be written.
+    pub fn bind_result(&mut self, id: &str, attempt: u64, written: bool, now: Secs) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Phase::Binding {
+            attempt: a,
+            until,
+            places,
+        } = &job.phase
+        else {
+            return;
+        };
+        if *a != attempt {
+            return;
+        }
+        // A machine that was returned meanwhile took its held room with it.
+        let here = places.iter().all(|(m, _, _)| self.machines.contains_key(m));
+        if !written || !here || now >= *until {
+            self.end_hold(id, now, true);
+            return;
+        }
+        let places = places.clone();
+        job.phase = Phase::Running { attempt };
+        job.failures = 0;
+        let mut owners = BTreeSet::new();
+        for (machine, first, n) in &places {
+            let Some(m) = self.machines.get_mut(machine) else {
+                continue;
+            };
+            m.held.remove(&attempt);
+            self.stale.insert(machine.clone());
+            let owner = m.owner.clone();
+            owners.insert(owner.clone());
+            for i in *first..first + n {
+                self.give_active(id, i, attempt, owner.clone(), machine.clone(), now);
+            }
+        }
+        log::info!("event=bound job={id} attempt={attempt}");
+        for owner in owners {
+            self.actions
+                .push(Action::Send(owner, ToOwner::Bind { attempt }));
+        }
+    }
+
+    /// Releases the room of a waiting gang everywhere; with a failure it backs off longer
+    /// each time, and keeps its place in the order.
+    pub(crate) fn end_hold(&mut self, id: &str, now: Secs, failed: bool) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let phase = std::mem::replace(&mut job.phase, Phase::Idle);
+        if failed {
+            job.failures += 1;
+            let wait = self.setup.hold_s / 20.0
+                * f64::from(1u32 << job.failures.min(6))
+                * (0.75 + 0.5 * self.rng.f64());
+            job.backoff_until = now + wait;
+        }
+        self.release_hold(&phase);
+    }
+
+    pub(crate) fn release_hold(&mut self, phase: &Phase) {
+        let (Phase::Holding {
+            attempt, places, ..
+        }
+        | Phase::Binding {
+            attempt, places, ..
+        }) = phase
+        else {
+            return;
+        };
+        let mut owners = BTreeSet::new();
+        for (machine, _, _) in places {
+            if let Some(m) = self.machines.get_mut(machine) {
+                m.held.remove(attempt);
+                self.stale.insert(machine.clone());
+                owners.insert(m.owner.clone());
+            }
+        }
+        for owner in owners {
+            self.actions
+                .push(Action::Send(owner, ToOwner::Release { attempt: *attempt }));
+        }
+        self.wake();
+    }
+}
+
+/// Machines for `n` tasks, at most `most_in_zone` in one zone; none if they don't all fit.
+fn fit(found: Vec<Found>, n: u32, most_in_zone: u32) -> Option<Vec<(String, u32)>> {
+    let mut in_zone: BTreeMap<Rc<str>, u32> = BTreeMap::new();
+    let (mut left, mut out) = (n, Vec::new());
+    for f in found {
+        let used = in_zone.entry(f.zone).or_default();
+        let take = f.times.min(left).min(most_in_zone - *used);
+        if take > 0 {
+            *used += take;
+            left -= take;
+            out.push((f.name.to_string(), take));
+        }
+    }
+    (left == 0).then_some(out)
+}
--- /dev/null
+++ b/crates/sched/src/queue/mod.rs
@@ -0,0 +1,159 @@
+//! The queue and the one pass that places its entries.
+//!
+//! Order: entries within their team's guarantee first, then by priority, creation (the store's
+//! revision), id. A gang is one entry. An entry that backs off or does not fit is passed over
+//! and does not block those behind it.
+
+mod arrays;
+mod capacity;
+mod gangs;
+mod needs;
+mod teams;
+
+use crate::leader::{Job, Leader, Phase};
+use crate::place::Room;
+use crate::Secs;
+use std::collections::{BTreeMap, BTreeSet};
+use wire::peers::{Allowed, Needs};
+
+/// What one pass keeps for itself.
+struct Pass {
+    /// What each team may still use beside what is and may be in use.
+    limits: BTreeMap<String, Room>,
+    /// A gang that has waited long, and the machines set aside for it.
+    aside: Option<(String, Needs)>,
+    /// CPUs that tasks may wait for at each owner, once that was asked.
+    ahead: Option<BTreeMap<String, f64>>,
+    /// CPUs of array tasks that found no room so far.
+    queued: f64,
+    /// CPUs that array tasks free in a second; none once more were given.
+    turnover: Option<f64>,
+}
+
+impl Leader {
+    pub(crate) fn schedule(&mut self, now: Secs) {
+        self.refresh_index();
+        self.mark_within();
+        let scarce = self.scarce();
+        let mut pass = Pass {
+            limits: self.limits(),
+            aside: self.set_aside(&scarce, now),
+            ahead: None,
+            queued: 0.0,
+            turnover: None,
+        };
+        let mut order: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| {
+                !j.ready.is_empty() && !j.uncertain && !j.over && now >= j.backoff_until
+            })
+            .map(|(id, j)| (!j.within, j.priority, j.revision, id.clone()))
+            .collect();
+        order.sort_unstable();
+        // Machines kept for gangs take array tasks, last of all, while no such gang waits for room.
+        let gang_waits = self.waits_for_scarce(&scarce);
+        self.fleet.unmet.clear();
+        for (_, _, _, id) in order {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let quota = pass.quota(job);
+            if quota == 0 {
+                continue;
+            }
+            let mut needs = self.needs_sparing(job, &scarce);
+            if !job.is_gang() && !gang_waits {
+                let all = self.needs(job, None);
+                let last = all.kinds.into_iter().filter(|a| {
+                    !needs
+                        .kinds
+                        .iter()
+                        .any(|n| n.kind == a.kind && n.spot == a.spot)
+                });
+                needs
+                    .kinds
+                    .extend(last.map(|a| Allowed { tier: 2, ..a }).collect::<Vec<_>>());
+            }
+            if job.is_gang() {
+                self.place_gang(&id, &needs, quota, &mut pass, now);
+            } else {
+                self.place_array(&id, &needs, quota, &mut pass, now);
+            }
+        }
+        self.ask_begin();
+    }
+
+    /// The gang of several tasks that has waited longest, if too long, and where machines are left
+    /// to it: all that it may use of one zone. Without this, smaller gangs and arrays take each
+    /// machine that becomes free, for ever.
+    pub(crate) fn set_aside(
+        &self,
+        scarce: &BTreeSet<(String, bool)>,
+        now: Secs,
+    ) -> Option<(String, Needs)> {
+        let waits = |job: &Job| {
+            let whole = job.needs_many_at_once()
+                && job.phase == Phase::Idle
+                && !job.over
+                && !job.ready.is_empty();
+            whole && (now < job.reclaims_until || self.waits_long(&job.spec.id, now))
+        };
+        let unmet = self
+            .fleet
+            .unmet
+            .iter()
+            .filter_map(|(id, _)| Some((self.jobs.get(id)?, id)));
+        let (_, id) = unmet
+            .filter(|(job, _)| waits(job))
+            .min_by_key(|(job, _)| job.revision)?;
+        let needs = self.needs_sparing(self.jobs.get(id)?, scarce);
+        let zone = needs
+            .zone
+            .clone()
+            .or_else(|| self.fleet.gang_zone(id).cloned());
+        Some((id.clone(), Needs { zone, ..needs }))
+    }
+}
+
+impl Pass {
+    /// How many more tasks of a job its team's limit allows (all or nothing for a gang).
+    fn quota(&self, job: &Job) -> u32 {
+        let Some(free) = self.limits.get(&job.spec.team) else {
+            return 0;
+        };
+        let mut n = free
+            .times(Room {
+                memory_gb: 0.0,
+                ..job.room()
+            })
+            .min(job.ready.len());
+        if job.is_broken() && !job.is_gang() {
+            // One at a time shows whether it still fails.
+            n = n.min(1).saturating_sub(job.active.len() as u32);
+        }
+        if job.is_gang() && n < job.spec.tasks {
+            0
+        } else {
+            n
+        }
+    }
+
+    /// What is set aside for another job than this.
+    fn aside_for(&self, id: &str) -> Option<&Needs> {
+        self.aside
+            .as_ref()
+            .filter(|(job, _)| job != id)
+            .map(|(_, needs)| needs)
+    }
+
+    fn charge(&mut self, team: &str, room: Room, n: u32) {
+        if let Some(free) = self.limits.get_mut(team) {
+            free.sub(Room {
+                memory_gb: 0.0,
+                ..room.scaled(n)
+            });
+        }
+        self.turnover = None;
+    }
+}
--- /dev/null
+++ b/crates/sched/src/queue/teams.rs
@@ -0,0 +1,106 @@
+//! Teams: their guarantees and limits, with what machines of unknown content may hold of them.
+
+use crate::leader::{Leader, Phase};
+use crate::place::{Room, SLACK};
+use std::collections::BTreeMap;
+
+impl Leader {
+    /// Marks the jobs that fit into their team's guarantee together with its earlier ones.
+    pub(super) fn mark_within(&mut self) {
+        let mut sums: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+        for (_, id) in &self.by_age {
+            let Some(job) = self.jobs.get_mut(id).filter(|j| !j.over) else {
+                continue;
+            };
+            let Some((name, team)) = self.setup.teams.get_key_value(&job.spec.team) else {
+                continue;
+            };
+            let n = f64::from(job.spec.tasks - job.done.len().min(job.spec.tasks));
+            let sum = sums.entry(name).or_default();
+            let cap = |n: f64, each: f64, most: f64| {
+                if each > 0.0 {
+                    n.min((most / each).floor()) * each
+                } else {
+                    0.0
+                }
+            };
+            sum.0 += cap(n, job.spec.cpus, team.cpus_max);
+            sum.1 += cap(n, job.spec.gpus, team.gpus_max);
+            job.within = sum.0 <= team.cpus + SLACK && sum.1 <= team.gpus + SLACK;
+        }
+    }
+
+    /// What machines with tasks of unknown jobs have together, and those of unknown content.
+    fn unseen_rooms(&self) -> (Room, Room) {
+        let (mut foreign, mut unknown) = (Room::default(), Room::default());
+        for m in self.machines.values().filter(|m| m.unknown || m.foreign) {
+            let sum = if m.unknown {
+                &mut unknown
+            } else {
+                &mut foreign
+            };
+            sum.add(self.cap(&m.kind).unwrap_or_default());
+        }
+        (foreign, unknown)
+    }
+
+    /// What those may take from a team's limit: all they have, but of unknown content no more than
+    /// the team's jobs that may be there could use.
+    fn unseen_by(&self, team: &str, (mut foreign, mut unknown): (Room, Room)) -> Room {
+        let mut most = self.lately_cancelled.get(team).copied().unwrap_or_default();
+        for j in self
+            .jobs
+            .values()
+            .filter(|j| j.uncertain && j.spec.team == team)
+        {
+            let n =
+                f64::from(j.spec.tasks - j.done.len().min(j.spec.tasks)) - j.active.len() as f64;
+            most.cpus += n.max(0.0) * j.spec.cpus;
+            most.gpus += n.max(0.0) * j.spec.gpus;
+        }
+        unknown.cpus = unknown.cpus.min(most.cpus);
+        unknown.gpus = unknown.gpus.min(most.gpus);
+        foreign.add(unknown);
+        foreign
+    }
+
+    /// What each team may still use, beside what its tasks use, hold, or may use unseen.
+    pub(super) fn limits(&self) -> BTreeMap<String, Room> {
+        let unseen = self.unseen_rooms();
+        let mut out: BTreeMap<String, Room> = BTreeMap::new();
+        for (name, t) in &self.setup.teams {
+            let mut free = Room {
+                cpus: t.cpus_max,
+                gpus: t.gpus_max,
+                memory_gb: f64::MAX,
+            };
+            let charge = |free: &mut Room, r: Room| {
+                free.sub(Room {
+                    memory_gb: 0.0,
+                    ..r
+                })
+            };
+            if unseen != Default::default() {
+                charge(&mut free, self.unseen_by(name, unseen));
+            }
+            charge(
+                &mut free,
+                self.team_used.get(name).copied().unwrap_or_default(),
+            );
+            out.insert(name.clone(), free);
+        }
+        for j in self
+            .jobs
+            .values()
+            .filter(|j| matches!(j.phase, Phase::Holding { .. } | Phase::Binding { .. }))
+        {
+            if let Some(free) = out.get_mut(&j.spec.team) {
+                free.sub(Room {
+                    memory_gb: 0.0,
+                    ..j.room().scaled(j.spec.tasks)
+                });
+            }
+        }
+        out
+    }
+}
