Returning machines in steps; how long types are kept is worked out once a pass

Cause: once a second the leader walked through the arrivals for each machine and copied all their names, though how long an idle machine is kept depends on its type and kind alone; a priority that did not change woke the pass; the sending of a stop stood three times. Decisions are the same.

--- a/crates/sched/src/fleet/returning.rs
+++ b/crates/sched/src/fleet/returning.rs
@@ -56,10 +56,23 @@
     }
 
     pub(super) fn return_idle(&mut self, scarce: &BTreeSet<(String, bool)>, now: Secs) {
-        let mut release: Vec<String> = Vec::new();
-        let warm = self.kept_warm(scarce);
         // While work waits until all machines are known, idle ones are not idle for lack of work.
         let blocked = self.waits_for_unknown();
+        let keeps = self.keeps(scarce, now);
+        let mut release = self.drain_and_release(&keeps, blocked, now);
+        if blocked && self.gives_up_unknown(now) {
+            release.extend(self.release_unknown());
+        }
+        release.extend(self.late_boots(now));
+        release.retain(|n| self.fleet.releasing.insert(n.clone()));
+        for names in release.chunks(MOST_RELEASED) {
+            self.actions.push(Action::Release(names.to_vec()));
+        }
+    }
+
+    /// How long idle machines of each type are kept.
+    fn keeps(&mut self, scarce: &BTreeSet<(String, bool)>, now: Secs) -> Keeps {
+        let warm = self.kept_warm(scarce);
         let idle = self
             .machines
             .values()
@@ -68,105 +81,143 @@
             .filter_map(|m| self.cap(&m.kind))
             .map(|cap| cap.cpus)
             .sum();
-        let longest_keep = self
-            .types
-            .values()
+        let boots = self.types.values();
+        let longest_keep = boots
             .map(|t| t.boot_s * cheapness(t, true))
             .fold(0.0, f64::max);
         self.fleet
             .forget_arrivals(now - longest_keep * self.setup.keep_boots);
-        let names: Vec<String> = self.machines.keys().cloned().collect();
-        for name in names {
-            let Some(m) = self.machines.get_mut(&name) else {
-                continue;
+        let least = self.setup.report_s * REPORTS_KEPT;
+        let keep_s = |boot_s: f64, cheapness: f64, for_gangs: f64| {
+            let keep_s = boot_s * self.setup.keep_boots * cheapness;
+            let keep_s = keep_s * self.fleet.demand_share(now - keep_s, idle_cpus);
+            keep_s.max(for_gangs).max(least)
+        };
+        let by_type = self.types.iter().map(|(kind, t)| {
+            let keep_of = |spot: bool| {
+                let for_gangs = warm.get(&(kind.clone(), spot)).copied().unwrap_or(0.0);
+                keep_s(t.boot_s, cheapness(t, spot), for_gangs)
             };
-            if m.releasing {
-                continue;
-            }
-            let boot = self.types.get(&m.kind).map_or(LEAST_CHARGE_S, |t| t.boot_s);
-            let cheapness = self
-                .types
-                .get(&m.kind)
-                .map_or(1.0, |t| cheapness(t, m.spot));
-            if !m.tasks.is_empty()
-                || !m.held.is_empty()
-                || !m.quiet
-                || blocked
-                || self.fleet.kept.contains(&name)
-            {
+            let keep = Keep {
+                boot_s: t.boot_s,
+                ordinary_s: keep_of(false),
+                spot_s: keep_of(true),
+            };
+            (kind.clone(), keep)
+        });
+        let unknown_s = keep_s(LEAST_CHARGE_S, 1.0, 0.0);
+        Keeps {
+            by_type: by_type.collect(),
+            unknown_type: Keep {
+                boot_s: LEAST_CHARGE_S,
+                ordinary_s: unknown_s,
+                spot_s: unknown_s,
+            },
+        }
+    }
+
+    /// Has owners place nothing more on machines that were idle for too long, are faulty or lost; names
+    /// those that can be returned now.
+    fn drain_and_release(&mut self, keeps: &Keeps, blocked: bool, now: Secs) -> Vec<String> {
+        let (mut drained, mut release) = (Vec::new(), Vec::new());
+        for (name, m) in self.machines.iter_mut().filter(|(_, m)| !m.releasing) {
+            let keep = keeps.of(&m.kind);
+            let in_use = !m.tasks.is_empty() || !m.held.is_empty() || !m.quiet;
+            if in_use || blocked || self.fleet.kept.contains(name) {
                 m.idle_since = now;
             }
-            let keep = boot * self.setup.keep_boots * cheapness;
-            let keep = keep * self.fleet.demand_share(now - keep, idle_cpus);
-            let for_gangs = warm.get(&(m.kind.clone(), m.spot)).copied().unwrap_or(0.0);
-            let keep = keep.max(for_gangs).max(self.setup.report_s * REPORTS_KEPT);
+            let idle_s = now - m.idle_since;
             let faulty = m.failed_jobs.len() >= 2;
-            let lost = m.lapsed_at.is_some_and(|at| now - at > boot);
-            if (lost || m.rostered == Rostered::Yes && (now - m.idle_since > keep || faulty))
-                && !m.drain
-            {
+            let lost = m.lapsed_at.is_some_and(|at| now - at > keep.boot_s);
+            let dispensable = idle_s > keep.keep_s(m.spot) || faulty;
+            if (lost || m.rostered == Rostered::Yes && dispensable) && !m.drain {
                 log::info!(
-                    "event=drain machine={name} idle_s={:.0} faulty={faulty} lost={lost}",
-                    now - m.idle_since
+                    "event=drain machine={name} idle_s={idle_s:.0} faulty={faulty} lost={lost}"
                 );
                 m.drain = true;
-                self.tell_usable(&name);
+                drained.push(name.clone());
                 continue;
             }
             // Also of a lost machine its owner must show first that it places nothing there: it
             // may have come back meanwhile, and what is placed on a returned machine is lost.
-            if m.drain
-                && m.closed
-                && m.reconciled
-                && m.quiet
-                && m.tasks.is_empty()
-                && m.held.is_empty()
-            {
+            if m.drain && m.closed && m.reconciled && !in_use {
                 m.releasing = true;
-                release.push(name);
+                release.push(name.clone());
             }
         }
-        // Nearly all were heard and the last of them a while ago, long enough for a worker whose report
-        // was lost to try again: the few that are left are dead, and all work would wait for them.
+        for name in drained {
+            self.tell_usable(&name);
+        }
+        release
+    }
+
+    /// Whether machines that were not heard under this leader are given up. Either it is long enough for a
+    /// worker to give up twice on a controller that does not answer; or nearly all were heard, and the last
+    /// of them a while ago, long enough for a worker whose report was lost to try again: the few that are
+    /// left are dead, and all work would wait for them.
+    fn gives_up_unknown(&self, now: Secs) -> bool {
         let few = self.unknown.len() as f64 <= self.machines.len() as f64 * FEW_UNKNOWN;
         let heard = now - self.known_at.max(self.epoch_at) <= wire::ANSWER_DROPPED_S * 1.25;
         let long = now - self.epoch_at > 2.0 * wire::ANSWER_DROPPED_S + 1.5 * self.setup.report_s;
-        if blocked && (long || few && !heard) {
-            // Long enough for a worker to give up twice on a controller that does not answer.
-            // Work waits for machines that do not report: once returned they are reconciled.
-            let silent: Vec<String> = self
-                .machines
-                .iter()
-                .filter(|(_, m)| m.unknown && !m.releasing)
-                .map(|(n, _)| n.clone())
-                .collect();
-            for name in silent {
-                log::info!("event=unheard machine={name}");
-                if let Some(m) = self.machines.get_mut(&name) {
-                    m.releasing = true;
-                }
-                // It may be heard after all before it is gone; nothing is to be placed on it.
-                self.tell_usable(&name);
-                release.push(name);
-            }
+        long || few && !heard
+    }
+
+    /// Work waits for machines that do not report: once returned they are reconciled.
+    fn release_unknown(&mut self) -> Vec<String> {
+        let silent = self.machines.iter_mut();
+        let silent = silent.filter(|(_, m)| m.unknown && !m.releasing);
+        let names = silent.map(|(name, m)| {
+            m.releasing = true;
+            name.clone()
+        });
+        let names: Vec<String> = names.collect();
+        for name in &names {
+            log::info!("event=unheard machine={name}");
+            // It may be heard after all before it is gone; nothing is to be placed on it.
+            self.tell_usable(name);
         }
-        let late: Vec<String> = self
-            .fleet
-            .booting
-            .iter()
-            .filter(|(_, b)| {
-                now - b.hired_at
-                    > BOOTS_TO_WAIT * self.types.get(&b.kind).map_or(LEAST_CHARGE_S, |t| t.boot_s)
-            })
-            .map(|(n, _)| n.clone())
-            .collect();
-        for name in late {
+        names
+    }
+
+    /// Machines that should have come up long ago.
+    fn late_boots(&self, now: Secs) -> Vec<String> {
+        let boot_s = |kind: &str| self.types.get(kind).map_or(LEAST_CHARGE_S, |t| t.boot_s);
+        let booting = self.fleet.booting.iter();
+        let late = booting.filter(|(_, b)| now - b.hired_at > BOOTS_TO_WAIT * boot_s(&b.kind));
+        let names: Vec<String> = late.map(|(name, _)| name.clone()).collect();
+        for name in &names {
             log::info!("event=never_booted machine={name}");
-            release.push(name);
         }
-        release.retain(|n| self.fleet.releasing.insert(n.clone()));
-        for names in release.chunks(MOST_RELEASED) {
-            self.actions.push(Action::Release(names.to_vec()));
+        names
+    }
+}
+
+/// How long idle machines of a type are kept, and its boot time.
+struct Keep {
+    boot_s: f64,
+    ordinary_s: f64,
+    spot_s: f64,
+}
+
+impl Keep {
+    fn keep_s(&self, spot: bool) -> f64 {
+        if spot {
+            self.spot_s
+        } else {
+            self.ordinary_s
         }
     }
 }
+
+/// The same for all types.
+struct Keeps {
+    by_type: BTreeMap<String, Keep>,
+    /// For machines whose type the cloud does not list.
+    unknown_type: Keep,
+}
+
+impl Keeps {
+    fn of(&self, kind: &str) -> &Keep {
+        self.by_type.get(kind).unwrap_or(&self.unknown_type)
+    }
+}
--- a/crates/sched/src/leader/jobs.rs
+++ b/crates/sched/src/leader/jobs.rs
@@ -63,7 +63,8 @@
 
     /// Treats a job with the priority of a job that needs it, or with its own again.
     pub fn set_priority(&mut self, id: &str, priority: Priority) {
-        if let Some(job) = self.jobs.get_mut(id) {
+        let changes = |job: &&mut Job| job.priority != priority;
+        if let Some(job) = self.jobs.get_mut(id).filter(changes) {
             job.priority = priority;
             self.wake = true;
         }
@@ -127,35 +128,14 @@
         }
     }
 
+    /// Has all tasks of a job stopped that are on machines and were not told yet.
     pub(crate) fn stop_all(&mut self, id: &str, grace_s: f64) {
-        let Some(job) = self.jobs.get_mut(id) else {
+        let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let mut stops = Vec::new();
-        for (index, a) in job.active.iter_mut().filter(|(_, a)| !a.stop_sent) {
-            if let Place::On(m) = &a.place {
-                a.stop_sent = true;
-                stops.push((
-                    m.clone(),
-                    TaskRef {
-                        job: id.into(),
-                        index: *index,
-                        attempt: a.attempt,
-                    },
-                ));
-            }
-        }
-        for (machine, task) in stops {
-            if let Some(owner) = self.machines.get(&machine).map(|m| m.owner.clone()) {
-                self.send(
-                    &owner,
-                    ToOwner::Stop {
-                        machine,
-                        task,
-                        grace_s,
-                    },
-                );
-            }
+        let indexes: Vec<u32> = job.active.keys().copied().collect();
+        for index in indexes {
+            self.stop_task(id, index, grace_s);
         }
     }
 
@@ -175,16 +155,22 @@
             index,
             attempt: a.attempt,
         };
-        if let Some(owner) = self.machines.get(&machine).map(|m| m.owner.clone()) {
-            self.send(
-                &owner,
-                ToOwner::Stop {
-                    machine,
-                    task,
-                    grace_s,
-                },
-            );
-        }
+        self.send_stop(machine, task, grace_s);
+    }
+
+    /// Has the owner of a machine stop a task there.
+    pub(crate) fn send_stop(&mut self, machine: String, task: TaskRef, grace_s: f64) {
+        let Some(owner) = self.machines.get(&machine).map(|m| m.owner.clone()) else {
+            return;
+        };
+        self.send(
+            &owner,
+            ToOwner::Stop {
+                machine,
+                task,
+                grace_s,
+            },
+        );
     }
 
     pub(crate) fn clear(&mut self, machine: &str, task: TaskRef) {
--- a/crates/sched/src/leader/progress.rs
+++ b/crates/sched/src/leader/progress.rs
@@ -15,10 +15,6 @@
 }
 
 impl Leader {
-    pub fn chunk_bits(&self) -> u32 {
-        self.chunk_bits
-    }
-
     /// What is done of a job at present.
     pub fn done_of(&self, id: &str) -> Ranges {
         self.jobs
--- a/crates/sched/src/views.rs
+++ b/crates/sched/src/views.rs
@@ -227,18 +227,7 @@
         state: TaskState,
         now: Secs,
     ) -> bool {
-        let stop = |l: &mut Leader| {
-            if let Some(owner) = l.machines.get(machine).map(|m| m.owner.clone()) {
-                l.send(
-                    &owner,
-                    ToOwner::Stop {
-                        machine: machine.into(),
-                        task: task.clone(),
-                        grace_s: 0.0,
-                    },
-                );
-            }
-        };
+        let stop = |l: &mut Leader| l.send_stop(machine.into(), task.clone(), 0.0);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             stop(self);
             return false;
