--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -25,8 +25,11 @@
 /// An answer of the server.
 #[derive(Debug)]
 pub struct Answer {
+    /// The status.
     pub status: u16,
+    /// The body, whole.
     pub body: Vec<u8>,
+    /// `Retry-After`, if the server gave it in seconds.
     pub retry_after_s: Option<f64>,
 }
 
@@ -40,6 +43,7 @@
 }
 
 impl Client {
+    /// A client that keeps so many idle connections, and takes bodies of so many bytes at most.
     pub fn new(addr: SocketAddr, keep: usize, most_body: usize) -> Client {
         Client {
             addr,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,5 +1,7 @@
 //! HTTP/1.1 for both sides on smol and httparse, with limits and time-outs.
 
+#![warn(missing_docs)]
+
 pub mod client;
 pub mod parse;
 pub mod pool;
--- a/crates/http/src/parse.rs
+++ b/crates/http/src/parse.rs
@@ -12,22 +12,34 @@
 /// A request's head.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestHead {
+    /// The method.
     pub method: String,
+    /// The path with its query.
     pub path: String,
+    /// Bytes of the body.
     pub length: usize,
+    /// Whether the connection ends with this request.
     pub close: bool,
+    /// Whether the body comes only after an interim response.
     pub expects_continue: bool,
+    /// Bytes of the head.
     pub head_len: usize,
 }
 
 /// A response's head.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ResponseHead {
+    /// The status.
     pub status: u16,
+    /// Bytes of the body, if they are given.
     pub length: Option<usize>,
+    /// Whether the body comes in chunks.
     pub chunked: bool,
+    /// Whether the connection ends with this response.
     pub close: bool,
+    /// `Retry-After` in seconds, if it is given so.
     pub retry_after_s: Option<f64>,
+    /// Bytes of the head.
     pub head_len: usize,
 }
 
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -9,10 +9,13 @@
 /// give theirs up first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rank {
+    /// A user's.
     User,
     /// Nothing was asked yet.
     New,
+    /// A worker's: it is kept before users'.
     Worker,
+    /// A health check's.
     Probe,
 }
 
@@ -28,6 +31,7 @@
     idle: Option<u64>,
 }
 
+/// The connections of a server, bounded in number and in the bytes of requests that have arrived in part.
 pub struct Pool {
     most: usize,
     most_bytes: usize,
@@ -51,6 +55,7 @@
         }
     }
 
+    /// How many connections are open.
     pub fn open(&self) -> usize {
         self.entries.borrow().len()
     }
@@ -136,6 +141,7 @@
         true
     }
 
+    /// Gives bytes back that `take` granted.
     pub fn give_back(&self, bytes: usize) {
         self.bytes.set(self.bytes.get().saturating_sub(bytes));
     }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -17,8 +17,11 @@
 /// A request as the handler gets it.
 #[derive(Debug)]
 pub struct Request {
+    /// The method.
     pub method: String,
+    /// The path with its query.
     pub path: String,
+    /// The body, whole.
     pub body: Vec<u8>,
 }
 
@@ -41,9 +44,13 @@
 /// A response; `retry_after_s` becomes the header of that name.
 #[derive(Debug)]
 pub struct Response {
+    /// The status.
     pub status: u16,
+    /// The body.
     pub body: Vec<u8>,
+    /// When to come back, in seconds.
     pub retry_after_s: Option<u32>,
+    /// Whether the connection ends with this response.
     pub close: bool,
     /// What the connection is for.
     pub rank: Rank,
@@ -52,6 +59,7 @@
 }
 
 impl Response {
+    /// A response to a user that keeps the connection open.
     pub fn new(status: u16, body: Vec<u8>) -> Response {
         Response {
             status,
@@ -63,11 +71,13 @@
         }
     }
 
+    /// The same, saying when to come back.
     pub fn retry(mut self, after_s: u32) -> Response {
         self.retry_after_s = Some(after_s);
         self
     }
 
+    /// The same, on a connection of another rank.
     pub fn of(mut self, rank: Rank) -> Response {
         self.rank = rank;
         self
@@ -101,7 +111,9 @@
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
+    /// Most connections.
     pub connections: usize,
+    /// Most bytes of a body.
     pub body: usize,
     /// Bytes of all requests that have arrived in part.
     pub bytes: usize,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -2,5 +2,7 @@
 //! and cloud in simulated time that loses, delays and repeats messages, and checkers for the
 //! rules of the protocol.
 
+#![warn(missing_docs)]
+
 pub mod plain;
 pub mod world;
--- a/crates/model/src/plain.rs
+++ b/crates/model/src/plain.rs
@@ -6,9 +6,13 @@
 /// A machine of the plain model.
 #[derive(Clone, Debug)]
 pub struct Plain {
+    /// Its name.
     pub name: String,
+    /// Free CPUs.
     pub cpus: f64,
+    /// Free memory.
     pub memory_gb: f64,
+    /// The image that it has.
     pub image: Option<String>,
 }
 
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -32,6 +32,7 @@
 /// Deliberate defects, to show that the checkers notice them.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Defect {
+    /// None: the decisions as they are.
     None,
     /// Every report counts, also those held up from before a change of owners.
     TrustAnyReport,
@@ -197,7 +198,9 @@
     }
 }
 
+/// The simulated world.
 pub struct World {
+    /// The time, in seconds.
     pub now: f64,
     rng: fastrand::Rng,
     defect: Defect,
@@ -250,11 +253,16 @@
     pub cancelled_with_others: u32,
     /// Cancellations that were confirmed, and workers' leases that ended.
     pub cancelled: u32,
+    /// Workers' leases that ended.
     pub lapses: u32,
     completed: BTreeSet<(String, u32)>,
+    /// The rules that were broken.
     pub broken: BTreeSet<String>,
+    /// Tasks that were started.
     pub starts: u64,
+    /// Jobs that were recorded as done.
     pub done: u64,
+    /// Leaders so far.
     pub leaders: u64,
 }
 
@@ -268,10 +276,12 @@
 const LARGEST_GANG: u32 = 3;
 
 impl World {
+    /// A world with the usual settings.
     pub fn new(seed: u64, defect: Defect) -> World {
         World::with(seed, defect, setup())
     }
 
+    /// A world with other settings.
     pub fn with(seed: u64, defect: Defect, setup: Setup) -> World {
         let mut believed = setup.clone();
         if defect == Defect::DoubleLimit {
--- a/crates/model/src/world/fixtures.rs
+++ b/crates/model/src/world/fixtures.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 
+/// A machine type of both zones.
 pub fn machine_type(name: &str, cpus: f64, memory_gb: f64, price: f64) -> MachineType {
     MachineType {
         name: name.into(),
@@ -17,6 +18,7 @@
     }
 }
 
+/// The usual settings: two teams, short times.
 pub fn setup() -> Setup {
     let team = |cpus: f64, cpus_max: f64| Team {
         cpus,
--- a/crates/model/src/world/script.rs
+++ b/crates/model/src/world/script.rs
@@ -60,6 +60,7 @@
             .for_each(|n| self.workers.get_mut(n).into_iter().for_each(&change));
     }
 
+    /// Machines hang for a while, and then go on.
     pub fn hang(&mut self, names: &[String], for_s: f64) {
         let until = self.now + for_s;
         self.on_machines(names, |w| w.hung_until = until);
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -4,15 +4,20 @@
 /// ranks before it, so that renewals are never starved and decisions go before submissions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rank {
+    /// Renewals of leases, which always come first.
     Renewal,
+    /// The leader's decisions, cancellations and reads.
     Decision,
+    /// Users' submissions.
     Submission,
 }
 
 /// Parts of a burst that must remain untouched by each rank.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Reserve {
+    /// What decisions leave to renewals.
     pub decision: f64,
+    /// What submissions leave to decisions and renewals.
     pub submission: f64,
 }
 
@@ -33,20 +38,25 @@
     pub part: f64,
     /// Seconds' worth of that part that may be taken at once.
     pub burst_s: f64,
+    /// What is kept back from the lower ranks.
     pub reserve: Reserve,
 }
 
 /// What a controller may take of the store's request and write rates.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Shares {
+    /// Of the requests.
     pub requests: Share,
+    /// Of the puts and deletes.
     pub writes: Share,
 }
 
 /// The store's rates, as the settings give them for all controllers together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rates {
+    /// Requests a second.
     pub requests_per_s: f64,
+    /// Puts and deletes a second.
     pub writes_per_s: f64,
 }
 
@@ -106,6 +116,7 @@
 }
 
 impl Budget {
+    /// A budget that is full at first.
     pub fn new(rates: Rates, shares: Shares) -> Budget {
         let requests = Bucket::new(rates.requests_per_s, shares.requests);
         let writes = Bucket::new(rates.writes_per_s, shares.writes);
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -15,22 +15,29 @@
 #[derive(Debug, thiserror::Error, PartialEq)]
 pub enum StoreError {
     #[error("the store did not execute the request (status {0})")]
+    /// Not carried out, with the status; 0 if it was not sent.
     Refused(u16),
     #[error("own budget is used up for {0:.2} s")]
+    /// Not sent; the budget allows it after so many seconds.
     Budget(f64),
     #[error("outcome unknown: {0}")]
+    /// It may have been carried out, or may still be.
     Unknown(String),
     #[error("the answer of {0} bytes is larger than is taken")]
+    /// The answer has more bytes than are taken.
     TooLarge(usize),
     #[error("no such lease")]
+    /// The lease has ended.
     NoLease,
     #[error("the revision asked for is too old")]
+    /// The changes after that revision are not kept any more.
     TooOld,
 }
 
 /// Result of a transaction that the store has decided.
 #[derive(Debug, PartialEq)]
 pub enum Decided {
+    /// Carried out, at this revision.
     Applied(u64),
     /// The keys whose versions were not as the conditions say.
     Conflict(Vec<String>),
@@ -42,10 +49,12 @@
     watch: Client,
     budget: RefCell<Budget>,
     start: Instant,
+    /// How long a request may take.
     pub limit: Duration,
 }
 
 impl Store {
+    /// A client of the service at an address.
     pub fn new(addr: SocketAddr, rates: Rates, shares: Shares, limit: Duration) -> Store {
         Store {
             quick: Client::new(addr, 4, 2 << 20),
@@ -164,6 +173,7 @@
         }
     }
 
+    /// Takes a lease; its id.
     pub async fn grant(&self, ttl: Duration) -> Result<u64, StoreError> {
         self.wait(0, Rank::Renewal, self.limit).await?;
         match self
@@ -181,6 +191,7 @@
         }
     }
 
+    /// Renews a lease.
     pub async fn touch(&self, lease: u64) -> Result<(), StoreError> {
         self.wait(0, Rank::Renewal, self.limit).await?;
         match self
@@ -193,6 +204,7 @@
         }
     }
 
+    /// Ends a lease.
     pub async fn revoke(&self, lease: u64) -> Result<(), StoreError> {
         self.wait(0, Rank::Renewal, self.limit).await?;
         self.ask("DELETE", &format!("/grants/{lease}"), &[])
--- a/crates/store/src/keys.rs
+++ b/crates/store/src/keys.rs
@@ -2,15 +2,22 @@
 
 /// Prefix of all keys of this service.
 pub const ALL: &str = "lr/";
+/// Who leads, attached to the leader's lease.
 pub const LEADER: &str = "lr/leader";
+/// The highest fencing token given out.
 pub const TERM: &str = "lr/term";
+/// Prefix of the jobs' records.
 pub const JOBS: &str = "lr/job/";
+/// Prefix of the pages of progress.
 pub const PROGRESS: &str = "lr/progress/";
+/// Prefix of the pages of the roster.
 pub const ROSTER: &str = "lr/roster/";
+/// Prefix of the bindings of gangs.
 pub const BINDING: &str = "lr/binding/";
 /// Which arrays may have begun.
 pub const BEGUN: &str = "lr/begun";
 
+/// The record of a job.
 pub fn job(id: &str) -> String {
     format!("{JOBS}{id}")
 }
@@ -25,6 +32,7 @@
     format!("{ROSTER}{page}")
 }
 
+/// A part of a gang's binding.
 pub fn binding(id: &str, chunk: u32) -> String {
     format!("{BINDING}{id}/{chunk}")
 }
--- a/crates/store/src/leadership.rs
+++ b/crates/store/src/leadership.rs
@@ -24,9 +24,13 @@
 /// What leadership needs of the state service; every answer may be lost or late.
 #[allow(async_fn_in_trait)]
 pub trait Keeper {
+    /// Reads a key.
     async fn get(&self, key: &str) -> Result<Option<Item>, StoreError>;
+    /// Takes a lease; its id.
     async fn grant(&self, ttl: Duration) -> Result<u64, StoreError>;
+    /// Ends a lease.
     async fn revoke(&self, lease: u64) -> Result<(), StoreError>;
+    /// Carries a transaction out.
     async fn txn(&self, txn: &Txn) -> Result<Decided, StoreError>;
 }
 
@@ -48,10 +52,13 @@
 /// The lease on the leadership that this controller took.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LeadershipLease {
+    /// The fencing token.
     pub token: u64,
+    /// The lease that the leader's key is attached to.
     pub lease: u64,
     /// Version of the leader key: the condition of every write of this leader.
     pub version: u64,
+    /// Until when it may be used, unless it is renewed.
     pub until: Instant,
 }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,5 +1,7 @@
 //! The state service: client, request budget, leadership, and the replica of the jobs.
 
+#![warn(missing_docs)]
+
 pub mod budget;
 pub mod client;
 pub mod keys;
--- a/crates/store/src/replica.rs
+++ b/crates/store/src/replica.rs
@@ -14,15 +14,21 @@
 /// What is remembered of a job. Jobs that are over keep only what a poll needs.
 #[derive(Clone, Debug)]
 pub struct JobEntry {
+    /// The job's state; cancelled also if a job that it needs is.
     pub state: Recorded,
     /// Version of the record; while the job is open, the revision of its creation.
     pub version: u64,
+    /// Time of day at acceptance, in milliseconds, for people.
     pub created_ms: u64,
+    /// How many tasks it has.
     pub tasks: u32,
-    /// Team, CPUs and GPUs of all tasks, and when this controller learned that the job is over.
+    /// Its team.
     pub team: String,
+    /// CPUs and GPUs of all tasks.
     pub room: (f64, f64),
+    /// When this controller learned that the job is terminal.
     pub over_since: Option<Instant>,
+    /// The job itself, while it is open.
     pub job: Option<Rc<Job>>,
     /// Done tasks as the store knows them, as a bitmap.
     pub progress: Bitmap,
@@ -69,6 +75,7 @@
         }
     }
 
+    /// How many of its tasks are done.
     pub fn done_tasks(&self) -> u32 {
         match self.state {
             Recorded::Done => self.tasks,
@@ -80,22 +87,32 @@
 /// What a change was about.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Changed {
+    /// A job's record.
     Job(String),
+    /// The leader's key.
     Leader,
+    /// Anything else.
     Other,
 }
 
 #[derive(Default)]
+/// The copy of all keys.
 pub struct Replica {
     /// Tasks of a chunk in pages that version 0.1 wrote, with the present settings.
     chunk_bits: u32,
+    /// All changes up to this revision are in it.
     pub revision: u64,
+    /// The jobs by id.
     pub jobs: BTreeMap<String, JobEntry>,
+    /// Who leads, and the version of that key.
     pub leader: Option<(LeaderRecord, u64)>,
+    /// The highest fencing token, and the version of that key.
     pub term: (u64, u64),
+    /// The rostered machines by name.
     pub roster: BTreeMap<String, RosterRecord>,
     /// The pages in which the roster and the jobs' progress are kept.
     pub roster_pages: BTreeMap<u32, RosterPage>,
+    /// The pages in which the jobs' progress is kept.
     pub progress_pages: BTreeMap<u32, ProgressPage>,
     /// Machines of each gang's newest binding, by record.
     pub bindings: BTreeMap<String, BTreeMap<u32, BindingRecord>>,
--- a/crates/store/src/versions.rs
+++ b/crates/store/src/versions.rs
@@ -9,6 +9,7 @@
 use wire::store::{Condition, Write};
 
 #[derive(Clone, Debug, Default)]
+/// What is known of the versions of keys.
 pub struct Versions {
     /// Revision of the last change that is known, and whether the key exists since.
     at: BTreeMap<String, (u64, bool)>,
