--- a/crates/ladderroute/src/accept.rs
+++ b/crates/ladderroute/src/accept.rs
@@ -28,7 +28,7 @@
 
 /// "Not now", at once, with when to come back.
 pub fn later(node: &Node, error: &str) -> Response {
-    // A look at the store is possible again after about this long.
+    // A read of the store is possible again after about this long.
     let s = (node.setup.report_s / 2.0).ceil().clamp(1.0, 30.0) as u32;
     // Closing lets the balancer choose again: another controller may be able to.
     Response {
--- a/crates/ladderroute/src/api.rs
+++ b/crates/ladderroute/src/api.rs
@@ -200,7 +200,7 @@
         Basis {
             token: state.owner.token(),
             revision: state.shared.view.replica().revision,
-            known_age_s: now - authority.known(),
+            known_age_s: now - authority.read_at(),
             authority_s: authority.until() - now,
             margin_s: authority.answers_until() - now,
         }
--- a/crates/ladderroute/src/fresh.rs
+++ b/crates/ladderroute/src/fresh.rs
@@ -222,6 +222,6 @@
     fn act_on_view(&self, state: &mut crate::node::State) {
         self.pump(state);
         let read_at = state.shared.view.read_at();
-        state.owner.authority.learn(read_at);
+        state.owner.authority.prove(read_at);
     }
 }
--- a/crates/ladderroute/src/job_state.rs
+++ b/crates/ladderroute/src/job_state.rs
@@ -49,7 +49,7 @@
 
 /// Answers with the state of a job whose record was written for this request.
 pub async fn tell_created(node: &Rc<Node>, id: &str) -> Response {
-    let is_fresh = node.view_age() <= node.setup.start_knowledge_s();
+    let is_fresh = node.view_age() <= node.setup.start_staleness_s();
     let created = entry(node, id).filter(|entry| is_fresh || has_no_ancestors(entry));
     if let Some(created) = created {
         return accepted(node, 201, id, &created);
--- a/crates/ladderroute/src/lead.rs
+++ b/crates/ladderroute/src/lead.rs
@@ -41,8 +41,8 @@
 /// Seconds' worth of writes that one of the others may make at once, since users come in bursts.
 const FOLLOWER_BURST_S: f64 = 2.0;
 
-/// Looks of the leader in its store lease, when nothing else makes them.
-const LOOKS_PER_LEASE: u32 = 5;
+/// Freshness reads of the leader in its store lease, when nothing else makes them.
+const READS_PER_LEASE: u32 = 5;
 
 /// A controller's parts of the store's request and write rates, with so many others.
 pub fn store_shares(leading: bool, others: usize) -> Shares {
@@ -137,7 +137,7 @@
         node.ex.spawn(clock(node.clone())),
         node.ex.spawn(writer(node.clone())),
         node.ex
-            .spawn(keep_looking(node.clone(), ttl / LOOKS_PER_LEASE)),
+            .spawn(keep_view_fresh(node.clone(), ttl / READS_PER_LEASE)),
         node.ex.spawn(crate::renting::rent(node.clone())),
         node.ex.spawn(crate::renting::watch_cloud(node.clone())),
     ];
@@ -229,7 +229,7 @@
     // The book of earlier epochs must not answer on this leadership's authority.
     state.owner = Owner::new(&node.settings.member, node.setup.clone());
     state.owner.authority.set(node.at(leadership.until));
-    state.owner.authority.learn(state.shared.view.read_at());
+    state.owner.authority.prove(state.shared.view.read_at());
     let records = RecordPages::load(replica, value_kb);
     state.shared.lead = Some(Lead {
         leader,
@@ -255,14 +255,14 @@
         };
         let sent = Instant::now();
         let result = node.store.touch(lease).await;
-        let (mut wait, mut look) = (ttl / 5, false);
+        let (mut wait, mut read) = (ttl / 5, false);
         {
             let mut state = node.lock();
             let until = sent + usable(ttl);
             match result {
                 Ok(()) => {
                     state.owner.authority.renew(node.at(until), node.now());
-                    look = !state.owner.has_authority(node.now());
+                    read = !state.owner.has_authority(node.now());
                     paused = false;
                 }
                 Err(StoreError::NoLease) => return,
@@ -275,17 +275,17 @@
                 }
             }
         }
-        if look {
-            // It ran out and is back: with a look sent from now on.
+        if read {
+            // It ran out and is back: with a read sent from now on.
             crate::fresh::once(node).await;
         }
         smol::Timer::after(wait).await;
     }
 }
 
-/// Keeps what the leader knows of the store fresh: authority reaches no further than that allows. On
+/// Keeps the view fresh: authority reaches no further than its age allows. On
 /// a busy day users' questions and the watch do it.
-async fn keep_looking(node: Rc<Node>, every: Duration) {
+async fn keep_view_fresh(node: Rc<Node>, every: Duration) {
     loop {
         let age = node.view_age();
         if age >= every.as_secs_f64() {
@@ -310,7 +310,7 @@
             return;
         };
         if !state.owner.has_authority(now) {
-            // Nothing is decided without authority; it may come back with a renewal and a look.
+            // Nothing is decided without authority; it may come back with a renewal and a read.
             continue;
         }
         lead.leader.tick(now, node.settings.known.len());
--- a/crates/ladderroute/src/node.rs
+++ b/crates/ladderroute/src/node.rs
@@ -309,7 +309,7 @@
                 "event=authority held={has_authority} token={} lasts_s={:.2} known_age_s={:.2} view_age_s={:.2}",
                 state.owner.token(),
                 authority.until() - now,
-                now - authority.known(),
+                now - authority.read_at(),
                 now - state.shared.view.read_at()
             );
         }
--- a/crates/ladderroute/src/peers.rs
+++ b/crates/ladderroute/src/peers.rs
@@ -203,7 +203,7 @@
                 // Behind all that the leader has made of what it knows.
                 link.send(frame(&ToOwner::Known {
                     n,
-                    age_ms: ((now - authority.known()) * 1000.0).ceil() as u64,
+                    age_ms: ((now - authority.read_at()) * 1000.0).ceil() as u64,
                 }));
             }
         }
@@ -318,7 +318,7 @@
                 // Counted back from the ping's sending: delays only make it older.
                 if let Some(sent) = pings.borrow_mut().remove(&n).filter(|_| joined) {
                     let age = age_ms as f64 / 1000.0 * (1.0 + 2.0 * store::leadership::DRIFT);
-                    state.owner.authority.learn(node.at(sent) - age);
+                    state.owner.authority.prove(node.at(sent) - age);
                 }
             }
             ToOwner::Display { running } => state.shared.running = running.into_iter().collect(),
--- a/crates/ladderroute/tests/stale_view.rs
+++ b/crates/ladderroute/tests/stale_view.rs
@@ -48,7 +48,7 @@
 /// The view of a controller is from so long ago that it proves nothing any more.
 fn read_long_ago(node: &Node, store: &Store) {
     let view = &mut node.lock().shared.view;
-    let mut reload = view.begin_reload(node.now() - node.setup.start_knowledge_s());
+    let mut reload = view.begin_reload(node.now() - node.setup.start_staleness_s());
     assert!(reload.take(&store.items_after("")));
     view.finish_reload(reload);
 }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -64,7 +64,7 @@
     StartBlocked,
     /// Controllers do not derive that jobs are cancelled with those that they need.
     IgnoreChains,
-    /// Controllers never learn of cancellations by their own looks; the leader knows none that
+    /// Controllers never learn of cancellations by their own reads; the leader knows none that
     /// happened before it led.
     ForgetCancelled,
 }
@@ -142,10 +142,10 @@
     value_kb: f64,
     /// What it has derived from the dependencies between jobs.
     chains: ChainView,
-    /// When the last look at the store that was answered was sent.
+    /// When the last read of the store that was answered was sent.
     seen: f64,
-    /// A look that is under way: when it was sent and when its answer comes.
-    look: Option<(f64, f64)>,
+    /// A read that is under way: when it was sent and when its answer comes.
+    read: Option<(f64, f64)>,
     /// All records are being read anew: since when, and until when.
     reload: Option<(f64, f64)>,
 }
@@ -169,7 +169,7 @@
     earlier: Earlier,
 }
 
-/// The jobs as a controller's replica has them, which is as old as its last look at the store.
+/// The jobs as a controller's replica has them, which is as old as its last read of the store.
 struct Book<'a>(&'a BTreeMap<String, JobState>, f64);
 
 impl Jobs for Book<'_> {
@@ -241,8 +241,8 @@
     pub late_copies: u32,
     /// Writes in a hundred that get no answer and are carried out 2 to 12 s later.
     pub late_writes: u32,
-    /// How much longer the store takes to answer looks.
-    pub slow_looks: f64,
+    /// How much longer the store takes to answer reads.
+    pub slow_reads: f64,
     /// Whether who confirms a cancellation tells the leader, too.
     pub hints: bool,
     /// Since when a job has waited though a machine had room for it, or machines for a gang.
@@ -321,7 +321,7 @@
             held_up: 3,
             late_copies: 0,
             late_writes: 0,
-            slow_looks: 0.0,
+            slow_reads: 0.0,
             hints: true,
             fits_since: BTreeMap::new(),
             chained: 0,
@@ -340,7 +340,7 @@
         self.broken.insert(rule.to_string());
     }
 
-    /// A job is accepted; the leader learns of it with its next look at the store.
+    /// A job is accepted; the leader learns of it with its next read of the store.
     pub fn submit(&mut self, spec: Job) {
         self.revision += 1;
         let id = spec.id.clone();
@@ -451,7 +451,7 @@
         if let Some((_, for_s)) = self.outage_at.take_if(|(at, _)| self.now >= *at) {
             self.outage(for_s);
         }
-        self.run_looks();
+        self.run_reads();
         self.run_workers();
         self.deliver();
         self.run_controllers();
--- a/crates/model/src/world/chains.rs
+++ b/crates/model/src/world/chains.rs
@@ -122,7 +122,7 @@
         let controller = &mut self.controllers[i];
         controller.chains = view;
         controller.seen = read_at;
-        controller.owner.authority.learn(read_at);
+        controller.owner.authority.prove(read_at);
     }
 
     fn tell_leader(&self, leader: &mut Leader, view: &ChainView, id: &str, read_at: f64) {
--- a/crates/model/src/world/controllers.rs
+++ b/crates/model/src/world/controllers.rs
@@ -41,7 +41,7 @@
             let c = &mut self.controllers[i];
             c.owner.tick(now);
             if trusting {
-                c.owner.authority.learn(now);
+                c.owner.authority.prove(now);
             }
             if led == Some(i) || led.is_none() || now < c.link_at {
                 continue;
@@ -68,7 +68,7 @@
                 let Some((_, known)) = c.knows.pop_front() else {
                     break;
                 };
-                c.owner.authority.learn(known);
+                c.owner.authority.prove(known);
             }
             let mut at = c
                 .to_leader
@@ -116,7 +116,7 @@
         }
         let (answers_until, known) = {
             let a = &self.controllers[me].owner.authority;
-            (a.answers_until(), a.known())
+            (a.answers_until(), a.read_at())
         };
         for i in 0..self.controllers.len() {
             let c = &mut self.controllers[i];
@@ -271,10 +271,10 @@
         let c = &mut self.controllers[me];
         c.owner = Owner::new(&name(me), self.setup.clone());
         c.owner.authority.set(now + TTL * 0.95);
-        c.owner.authority.learn(now);
+        c.owner.authority.prove(now);
         self.known_versions = self.versions.clone();
-        // What changes at this very instant comes with the next look.
-        (c.seen, c.look, c.chains) = (now - STEP / 10.0, None, chains);
+        // What changes at this very instant comes with the next read.
+        (c.seen, c.read, c.chains) = (now - STEP / 10.0, None, chains);
         c.reload = None;
         for c in &mut self.controllers {
             disconnect(c, now + 0.1);
@@ -315,7 +315,7 @@
         value_kb: 4.0,
         chains: ChainView::default(),
         seen: f64::MIN,
-        look: None,
+        read: None,
         reload: None,
     }
 }
--- a/crates/model/src/world/rules.rs
+++ b/crates/model/src/world/rules.rs
@@ -14,7 +14,7 @@
         self.check_too_early(job);
         let mut broken = Vec::new();
         // Only an answer that was under way, from a leader that could not know yet.
-        let allowed = self.setup.start_knowledge_s() + wire::ANSWER_DROPPED_S;
+        let allowed = self.setup.start_staleness_s() + wire::ANSWER_DROPPED_S;
         if self
             .jobs
             .get(job)
--- a/crates/model/src/world/script.rs
+++ b/crates/model/src/world/script.rs
@@ -36,7 +36,7 @@
     pub fn reload(&mut self, i: usize, for_s: f64) {
         let now = self.now;
         let controller = &mut self.controllers[i];
-        controller.look = None;
+        controller.read = None;
         controller.reload.get_or_insert((now, now + for_s));
     }
 
@@ -147,7 +147,7 @@
     pub fn calm(&mut self, seconds: f64) {
         let over = self.now;
         (self.lost, self.held_up, self.late_copies, self.late_writes) = (0, 0, 0, 0);
-        self.slow_looks = 0.0;
+        self.slow_reads = 0.0;
         while self.now < over + seconds && !self.open_jobs().is_empty() {
             self.step();
             if self.now - over > FORGOTTEN_S {
--- a/crates/model/src/world/store.rs
+++ b/crates/model/src/world/store.rs
@@ -26,9 +26,9 @@
 }
 
 impl World {
-    /// Controllers look at the store every few steps; answers take their time. What a look shows
+    /// Controllers read the changes of the store every few steps; answers take their time. What a read shows
     /// is known before anything else is done on the strength of it.
-    pub(super) fn run_looks(&mut self) {
+    pub(super) fn run_reads(&mut self) {
         let now = self.now;
         for i in 0..self.controllers.len() {
             if let Some((sent, until)) = self.controllers[i].reload {
@@ -38,19 +38,19 @@
                 }
                 continue;
             }
-            if let Some((sent, _)) = self.controllers[i].look.filter(|(_, at)| now >= *at) {
-                self.controllers[i].look = None;
+            if let Some((sent, _)) = self.controllers[i].read.filter(|(_, at)| now >= *at) {
+                self.controllers[i].read = None;
                 if self.reaches_store(i) {
                     self.learn(i, sent);
                 }
             }
-            if self.controllers[i].look.is_none()
+            if self.controllers[i].read.is_none()
                 && now - self.controllers[i].seen >= TTL / 5.0
                 && self.reaches_store(i)
             {
                 let usual = if self.rng.u32(0..100) < 2 { 1.2 } else { 0.1 };
-                self.controllers[i].look =
-                    Some((now, now + self.slow_looks + self.rng.f64() * usual));
+                self.controllers[i].read =
+                    Some((now, now + self.slow_reads + self.rng.f64() * usual));
             }
         }
     }
@@ -74,7 +74,7 @@
     pub(super) fn learn(&mut self, i: usize, sent: f64) {
         let before = std::mem::replace(&mut self.controllers[i].seen, sent);
         self.read_jobs(i, before, sent);
-        self.controllers[i].owner.authority.learn(sent);
+        self.controllers[i].owner.authority.prove(sent);
     }
 
     /// The version that the leader believes the key of a write to have.
--- a/crates/model/tests/knowledge.rs
+++ b/crates/model/tests/knowledge.rs
@@ -63,7 +63,7 @@
         &OPEN,
     );
     owner.authority.set(1e9);
-    owner.authority.learn(10.0);
+    owner.authority.prove(10.0);
     owner
 }
 
@@ -247,18 +247,18 @@
     let mut o = owner();
     o.on_report(&report(1, 5, None), 10.5, &OPEN);
     o.on_leader(give(), 10.5, &OPEN);
-    let stale = 10.0 + s.start_knowledge_s() + 0.01;
+    let stale = 10.0 + s.start_staleness_s() + 0.01;
     assert_eq!(
         orders(o.on_report(&report(2, 5, None), stale, &OPEN)),
         vec![]
     );
     // It was only put off.
-    o.authority.learn(stale);
+    o.authority.prove(stale);
     assert_eq!(
         orders(o.on_report(&report(3, 5, None), stale + 0.1, &OPEN)).len(),
         1
     );
-    let end = stale + s.knowledge_s();
+    let end = stale + s.answer_staleness_s();
     assert!(matches!(
         o.on_report(&report(4, 5, None), end - 0.01, &OPEN),
         Answer::Orders(_)
@@ -267,28 +267,28 @@
         o.on_report(&report(5, 5, None), end + 0.01, &OPEN),
         Answer::NotNow
     );
-    // The last lease that such an answer can prolong ends within cancel_s of the look.
+    // The last lease that such an answer can prolong ends within cancel_s of the read.
     assert!(end + s.lease_s * 1.0005 <= stale + s.cancel_s);
 }
 
 /// An outage preserves the lease in the store: what its renewal gives back is worth nothing until a
-/// look that was sent after it.
+/// read that was sent after it.
 #[test]
-fn authority_that_ran_out_comes_back_with_a_look_sent_after_the_renewal() {
+fn authority_that_ran_out_comes_back_with_a_read_sent_after_the_renewal() {
     let mut a = Authority::new(&setup());
-    a.learn(0.5);
+    a.prove(0.5);
     a.renew(3.0, 1.0);
     assert_eq!(a.answers_until(), f64::MIN, "it had none before");
-    a.learn(1.0);
+    a.prove(1.0);
     assert_eq!((a.answers_until(), a.starts_until()), (3.0, 3.0));
     // Renewed in time, it goes on.
     a.renew(4.0, 2.5);
     assert_eq!((a.answers_until(), a.starts_until()), (4.0, 3.0));
-    // It ran out at 4 and is renewed at 9, with a look that was sent before.
-    a.learn(8.9);
+    // It ran out at 4 and is renewed at 9, with a read that was sent before.
+    a.prove(8.9);
     a.renew(11.0, 9.0);
     assert_eq!((a.answers_until(), a.starts_until()), (f64::MIN, f64::MIN));
-    a.learn(9.1);
+    a.prove(9.1);
     assert_eq!((a.answers_until(), a.starts_until()), (11.0, 11.0));
 }
 
@@ -299,7 +299,7 @@
         ..setup()
     };
     assert!(!s.cancels_in_time() && setup().cancels_in_time());
-    assert_eq!(s.knowledge_s(), s.start_knowledge_s());
+    assert_eq!(s.answer_staleness_s(), s.start_staleness_s());
 }
 
 /// The leader hears of a cancellation from who confirmed it, later from the store, and tells the
--- a/crates/model/tests/leader_and_owner.rs
+++ b/crates/model/tests/leader_and_owner.rs
@@ -75,7 +75,7 @@
     };
     owner.on_leader(epoch, 10.0, &NoJobs);
     owner.authority.set(1e9);
-    owner.authority.learn(1e9);
+    owner.authority.prove(1e9);
     owner
 }
 
--- a/crates/model/tests/meetings.rs
+++ b/crates/model/tests/meetings.rs
@@ -110,10 +110,10 @@
     }
 }
 
-/// The store answers renewals between outages, but no look in time; nobody tells the leader.
+/// The store answers renewals between outages, but no read in time; nobody tells the leader.
 fn slow_gaps(w: &mut World) {
     w.hints = false;
-    w.slow_looks = 2.5;
+    w.slow_reads = 2.5;
     w.lost = 0;
     w.pass(2.0);
     for _ in 0..10 {
--- a/crates/sched/src/authority.rs
+++ b/crates/sched/src/authority.rs
@@ -2,11 +2,11 @@
 //! and no longer than its knowledge of the store allows.
 //!
 //! A cancellation is confirmed by any controller on the store's word alone. What was confirmed
-//! after the last answered look was sent is not known here. An answer that prolongs a lease at `t`
+//! after the last answered read was sent is not known here. An answer that prolongs a lease at `t`
 //! lets a task run until `t` + lease, so it is given only while that ends within `cancel_s` of the
-//! look (`Setup::knowledge_s`); starts need knowledge as fresh as the leadership itself
-//! (`Setup::start_knowledge_s`). An outage preserves the store's leases, so that a leader may come
-//! back with a picture from before it: its authority then counts only with a look sent after the
+//! read (`Setup::answer_staleness_s`); starts need knowledge as fresh as the leadership itself
+//! (`Setup::start_staleness_s`). An outage preserves the store's leases, so that a leader may come
+//! back with a view from before it: its authority then counts only with a read sent after the
 //! renewal was answered.
 
 use crate::setup::Setup;
@@ -16,9 +16,9 @@
 #[derive(Clone, Debug)]
 pub struct Authority {
     until: Secs,
-    /// When the last look at the store that was answered was sent, here or by the leader.
-    known: Secs,
-    /// When authority that had run out came back: looks sent before do not count.
+    /// When the last read of the store that was answered was sent, here or by the leader.
+    read_at: Secs,
+    /// When authority that had run out came back: reads sent before do not count.
     back: Secs,
     answer_s: Secs,
     start_s: Secs,
@@ -26,10 +26,10 @@
 
 impl Authority {
     pub fn new(setup: &Setup) -> Authority {
-        let (answer_s, start_s) = (setup.knowledge_s(), setup.start_knowledge_s());
+        let (answer_s, start_s) = (setup.answer_staleness_s(), setup.start_staleness_s());
         Authority {
             until: f64::MIN,
-            known: f64::MIN,
+            read_at: f64::MIN,
             back: f64::MIN,
             answer_s,
             start_s,
@@ -50,8 +50,8 @@
     }
 
     /// All that the store held at `at` is known here.
-    pub fn learn(&mut self, at: Secs) {
-        self.known = self.known.max(at);
+    pub fn prove(&mut self, at: Secs) {
+        self.read_at = self.read_at.max(at);
     }
 
     /// Until when authority lasts, whatever is known of the store.
@@ -59,8 +59,8 @@
         self.until
     }
 
-    pub fn known(&self) -> Secs {
-        self.known
+    pub fn read_at(&self) -> Secs {
+        self.read_at
     }
 
     /// Until when reports may be answered.
@@ -74,9 +74,9 @@
     }
 
     fn bounded(&self, age: Secs) -> Secs {
-        if self.known < self.back {
+        if self.read_at < self.back {
             return f64::MIN;
         }
-        self.until.min(self.known + age)
+        self.until.min(self.read_at + age)
     }
 }
--- a/crates/sched/src/setup.rs
+++ b/crates/sched/src/setup.rs
@@ -49,8 +49,8 @@
     /// How old knowledge of the store may be where an answer prolongs a worker's lease: what was
     /// cancelled since then is gone in time. Where the settings leave no such time, what is as
     /// fresh as the leadership has to do (see `cancels_in_time`).
-    pub fn knowledge_s(&self) -> f64 {
-        (self.cancel_s - self.lease_certainly_over_s()).max(self.start_knowledge_s())
+    pub fn answer_staleness_s(&self) -> f64 {
+        (self.cancel_s - self.lease_certainly_over_s()).max(self.start_staleness_s())
     }
 
     /// For how long a job that is over is remembered: by then its last task is gone.
@@ -59,12 +59,12 @@
     }
 
     /// How old knowledge of the store may be for a start.
-    pub fn start_knowledge_s(&self) -> f64 {
+    pub fn start_staleness_s(&self) -> f64 {
         self.leader_lease_s
     }
 
     /// Whether the settings leave time enough between a worker's lease and `cancel_s`.
     pub fn cancels_in_time(&self) -> bool {
-        self.cancel_s - self.lease_certainly_over_s() >= self.start_knowledge_s()
+        self.cancel_s - self.lease_certainly_over_s() >= self.start_staleness_s()
     }
 }
