Failing tests: an owner whose view stayed behind refuses reservations

Cause: what a task takes is looked up in the owner's own view, though the leader says it with each task; a machine with an unknown task counts as full and is looked at again each time.

--- a/crates/model/tests/knowledge.rs
+++ b/crates/model/tests/knowledge.rs
@@ -34,6 +34,21 @@
     }
 }
 
+/// A replica that has stayed behind: it knows no job at all.
+struct Behind;
+
+impl Jobs for Behind {
+    fn room(&self, _: &str) -> Option<Room> {
+        None
+    }
+    fn image(&self, _: &str) -> Option<String> {
+        None
+    }
+    fn over(&self, _: &str) -> bool {
+        false
+    }
+}
+
 const OPEN: Replica = Replica { over: false };
 const OVER: Replica = Replica { over: true };
 
@@ -100,29 +115,61 @@
     }
 }
 
-fn give() -> ToOwner {
+fn needs(cpus: f64) -> Needs {
     let kinds = vec![Allowed {
         kind: "small".into(),
         spot: false,
         tier: 0,
     }];
-    let needs = Needs {
-        cpus: 1.0,
+    Needs {
+        cpus,
         gpus: 0.0,
         memory_gb: 1.0,
         image: "i".into(),
         image_gb: 1.0,
         kinds,
         zone: None,
-    };
+    }
+}
+
+fn give() -> ToOwner {
     ToOwner::Give {
         job: "wk-1".into(),
         attempt: 3,
-        needs,
+        needs: needs(1.0),
+        tasks: vec![(0, 1)],
+    }
+}
+
+/// A task of another job that waits at the owner for what becomes free.
+fn ahead(job: &str) -> ToOwner {
+    ToOwner::Ahead {
+        job: job.into(),
+        attempt: 7,
+        needs: needs(4.0),
         tasks: vec![(0, 1)],
+        wait_ms: 60_000,
     }
 }
 
+/// Whether an owner sets resources aside for a gang of one task.
+fn reserves(owner: &mut Owner, attempt: u64, cpus: f64, now: f64) -> bool {
+    let reserve = ToOwner::Hold {
+        job: "wk-2".into(),
+        attempt,
+        needs: needs(cpus),
+        places: vec![("host-1".into(), 0, 1)],
+        wait_ms: 60_000,
+    };
+    owner.drain();
+    owner.on_leader(reserve, now, &Behind);
+    let answered = owner.drain().into_iter().find_map(|message| match message {
+        ToLeader::HoldAnswer { held, .. } => Some(held),
+        _ => None,
+    });
+    answered.expect("the owner answers")
+}
+
 /// Leaders changed faster than a machine reported: each answer only told it the next token and
 /// prolonged its lease, so that a cancelled task ran on past `cancel_s`.
 #[test]
@@ -239,6 +286,47 @@
     );
 }
 
+/// Seen on a day at production size: a controller without the state service for minutes refused 1,209 of
+/// 1,256 reservations, since it did not know the jobs of the tasks that it had started itself.
+#[test]
+fn an_owner_whose_view_stayed_behind_knows_what_it_started() {
+    let mut o = owner();
+    o.on_report(&report(1, 5, None), 11.0, &Behind);
+    o.on_leader(give(), 11.0, &Behind);
+    assert_eq!(
+        orders(o.on_report(&report(2, 5, None), 11.5, &Behind)).len(),
+        1
+    );
+    o.on_report(&report(3, 5, Some(TaskState::Running)), 12.0, &Behind);
+    assert!(reserves(&mut o, 8, 3.0, 12.0));
+    assert!(!reserves(&mut o, 9, 1.0, 12.0), "the machine has four CPUs");
+    // Of what was not given through this owner it can't know what it takes.
+    let mut o = owner();
+    o.on_report(&report(1, 5, Some(TaskState::Running)), 11.0, &Behind);
+    assert!(!reserves(&mut o, 8, 1.0, 11.0));
+}
+
+/// The same for tasks that wait for what becomes free; what is over does not start.
+#[test]
+fn an_owner_whose_view_stayed_behind_starts_what_waits() {
+    let starts = |over: bool, jobs: &dyn Jobs, job: &str| {
+        let mut o = owner();
+        o.on_report(&report(1, 5, Some(TaskState::Running)), 11.0, &OPEN);
+        o.on_leader(ahead(job), 11.0, &OPEN);
+        if over {
+            let jobs = vec![job.into()];
+            o.on_leader(ToOwner::Over { jobs }, 11.2, &OPEN);
+        }
+        let orders = orders(o.on_report(&report(2, 5, None), 11.5, jobs));
+        let is_start = |order: &&Order| matches!(order, Order::Start { .. });
+        orders.iter().filter(is_start).count()
+    };
+    assert_eq!(starts(false, &Behind, "wk-3"), 1);
+    assert_eq!(starts(true, &Behind, "wk-3"), 0);
+    assert_eq!(starts(false, &OVER, "wk-1"), 0);
+    assert_eq!(starts(false, &OPEN, "wk-1"), 1);
+}
+
 /// Starts need knowledge as fresh as the leadership; answers, which prolong leases, only so fresh
 /// that what was cancelled since is gone in time.
 #[test]
