An owner takes what tasks need from the leader's word where its own view stayed behind

Change: owners remember what a job's tasks take (sched::owner::given) from Give, Hold and Ahead, for as long as the job has tasks with them; a waiting task is passed over only if its job is known to be terminal, not if the view does not know it. Starts rest as before on the staleness bound, which for an owner is that of the leader's word.

--- /dev/null
+++ b/crates/sched/src/owner/given.rs
@@ -0,0 +1,53 @@
+//! What the tasks of jobs take, as the leader says it with each task that it gives to an owner.
+
+use crate::place::Room;
+use crate::Secs;
+use std::collections::{BTreeMap, BTreeSet};
+use wire::peers::Needs;
+
+struct Given {
+    room: Room,
+    image: String,
+}
+
+/// The jobs of which tasks were given.
+#[derive(Default)]
+pub(super) struct GivenJobs {
+    jobs: BTreeMap<String, Given>,
+    reviewed_at: Secs,
+}
+
+impl GivenJobs {
+    /// Takes what a job's tasks need.
+    pub(super) fn learn(&mut self, job: &str, needs: &Needs) {
+        if !self.jobs.contains_key(job) {
+            let given = Given {
+                room: Room::of(needs),
+                image: needs.image.clone(),
+            };
+            self.jobs.insert(job.into(), given);
+        }
+    }
+
+    pub(super) fn room(&self, job: &str) -> Option<Room> {
+        self.jobs.get(job).map(|given| given.room)
+    }
+
+    pub(super) fn image(&self, job: &str) -> Option<&str> {
+        self.jobs.get(job).map(|given| given.image.as_str())
+    }
+
+    /// Whether it is time to forget what is not in use any more; not asked again for that long.
+    pub(super) fn is_due(&mut self, now: Secs, every: Secs) -> bool {
+        let is_due = now - self.reviewed_at >= every;
+        if is_due {
+            self.reviewed_at = now;
+        }
+        is_due
+    }
+
+    /// Forgets all other jobs.
+    pub(super) fn keep(&mut self, in_use: &BTreeSet<&str>) {
+        self.jobs.retain(|job, _| in_use.contains(job.as_str()));
+    }
+}
--- a/crates/sched/src/owner/mod.rs
+++ b/crates/sched/src/owner/mod.rs
@@ -5,6 +5,7 @@
 //! the orders of every earlier owner, and later ones are ordered by (session, seq). So a
 //! report that was held up in the network is never taken for the present.
 
+mod given;
 mod machine;
 mod placing;
 mod reports;
@@ -15,6 +16,7 @@
 use crate::setup::Setup;
 use crate::shard;
 use crate::Secs;
+use given::GivenJobs;
 use machine::{give_up, new_machine, view, Machine};
 use placing::{Ahead, Reservation};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -62,6 +64,9 @@
     machines: BTreeMap<String, Machine>,
     reservations: BTreeMap<u64, Reservation>,
     ahead: VecDeque<Ahead>,
+    /// What the tasks of a job take, by the leader's word: this controller's own view may have stayed
+    /// behind.
+    given: GivenJobs,
     /// Jobs that the leader said are over, and when: their tasks are stopped and never started,
     /// whether this controller's own replica knows it or not.
     over: BTreeMap<String, Secs>,
@@ -88,6 +93,7 @@
             machines: BTreeMap::new(),
             reservations: BTreeMap::new(),
             ahead: VecDeque::new(),
+            given: GivenJobs::default(),
             over: BTreeMap::new(),
             out: Vec::new(),
             index: Index::default(),
@@ -188,6 +194,7 @@
                 tasks,
                 wait_ms,
             } => {
+                self.given.learn(&job, &needs);
                 let indexes = tasks
                     .iter()
                     .flat_map(|(a, n)| *a..a.saturating_add(*n))
@@ -293,6 +300,9 @@
         self.hand_back(|a| now >= a.until);
         let remembered = self.setup.over_remembered_s();
         self.over.retain(|_, at| now - *at < remembered);
+        if self.given.is_due(now, self.setup.lease_s) {
+            self.forget_given();
+        }
         if now - self.shown_at >= self.setup.report_s / VIEWS_PER_REPORT {
             self.shown_at = now;
             self.show = true;
--- a/crates/sched/src/owner/placing.rs
+++ b/crates/sched/src/owner/placing.rs
@@ -58,7 +58,7 @@
                 continue;
             };
             let mut images: Vec<String> = m.images.iter().cloned().collect();
-            for image in m.tasks.keys().filter_map(|t| jobs.image(&t.job)) {
+            for image in m.tasks.keys().filter_map(|t| self.image(&t.job, jobs)) {
                 if !images.contains(&image) {
                     images.push(image);
                 }
@@ -81,11 +81,32 @@
         }
     }
 
+    /// What a task of a job takes, by this controller's view or by the leader's word.
+    fn room(&self, job: &str, jobs: &dyn Jobs) -> Option<Room> {
+        jobs.room(job).or_else(|| self.given.room(job))
+    }
+
+    fn image(&self, job: &str, jobs: &dyn Jobs) -> Option<String> {
+        let given = || self.given.image(job).map(str::to_string);
+        jobs.image(job).or_else(given)
+    }
+
+    /// Forgets what was given and is neither on a machine nor on its way to one.
+    pub(super) fn forget_given(&mut self) {
+        let machines = self.machines.values();
+        let on_machines = machines.flat_map(|m| m.tasks.keys().chain(m.pending.keys()));
+        let on_machines = on_machines.map(|task| task.job.as_str());
+        let reserved = self.reservations.values().map(|r| r.job.as_str());
+        let waiting = self.ahead.iter().map(|a| a.job.as_str());
+        let in_use = on_machines.chain(reserved).chain(waiting);
+        self.given.keep(&in_use.collect());
+    }
+
     /// What is left of a machine's room; none while what a task takes there is not known.
     pub(super) fn free(&self, name: &str, m: &Machine, jobs: &dyn Jobs) -> Option<Room> {
         let mut free = self.types.get(&m.kind).map(Room::of_type)?;
         for t in m.tasks.values().filter(|t| t.state != TaskState::Exited) {
-            free.sub(jobs.room(&t.task.job)?);
+            free.sub(self.room(&t.task.job, jobs)?);
         }
         m.pending.values().for_each(|r| free.sub(*r));
         for h in self.reservations.values() {
@@ -108,6 +129,7 @@
         jobs: &dyn Jobs,
     ) {
         let room = Room::of(needs);
+        self.given.learn(&job, needs);
         self.refresh_index(jobs);
         let mut indexes = runs
             .iter()
@@ -185,6 +207,7 @@
             }
         }
         self.stale.extend(places.iter().map(|(m, _, _)| m.clone()));
+        self.given.learn(&job, needs);
         self.reservations.insert(
             attempt,
             Reservation {
--- a/crates/sched/src/owner/reports.rs
+++ b/crates/sched/src/owner/reports.rs
@@ -144,9 +144,8 @@
             return;
         };
         for a in self.ahead.iter_mut() {
-            // A job that is over is not known any more.
             if tier(&a.needs, &m.kind, &m.zone, m.spot).is_none()
-                || jobs.room(&a.job).is_none()
+                || jobs.over(&a.job)
                 || self.over.contains_key(&a.job)
             {
                 continue;
