The index of free resources: tiers once for each pool, no search by name for each machine

The tier was worked out for each machine by comparing names, and each machine was looked up by name. Change: the tier once for each pool, the pool holds its machines' entries. Same decisions in the same order.

--- a/crates/sched/src/index.rs
+++ b/crates/sched/src/index.rs
@@ -25,7 +25,20 @@
     zone: Rc<str>,
     spot: bool,
     slow_above_gb: f64,
-    by_room: BTreeSet<(u64, Rc<str>)>,
+    /// Its machines by free CPUs and name.
+    by_cpus: BTreeMap<(u64, Rc<str>), Rc<Spot>>,
+}
+
+impl Pool {
+    fn put(&mut self, name: &Rc<str>, spot: &Rc<Spot>) {
+        let key = (thousandths(spot.free.cpus), name.clone());
+        self.by_cpus.insert(key, spot.clone());
+    }
+
+    fn remove(&mut self, name: &Rc<str>, spot: &Spot) {
+        self.by_cpus
+            .remove(&(thousandths(spot.free.cpus), name.clone()));
+    }
 }
 
 /// A machine on which at least one task fits.
@@ -41,7 +54,7 @@
 #[derive(Debug, Default)]
 pub struct Index {
     pools: Vec<Pool>,
-    spots: BTreeMap<Rc<str>, (usize, Spot)>,
+    spots: BTreeMap<Rc<str>, (usize, Rc<Spot>)>,
 }
 
 fn thousandths(cpus: f64) -> u64 {
@@ -63,7 +76,7 @@
                     zone: zone.into(),
                     spot,
                     slow_above_gb,
-                    by_room: BTreeSet::new(),
+                    by_cpus: BTreeMap::new(),
                 });
                 self.pools.len() - 1
             }
@@ -81,27 +94,22 @@
         s: Spot,
     ) {
         let key: Rc<str> = match self.spots.get_key_value(name) {
-            Some((_, (_, old))) if *old == s => return,
+            Some((_, (_, old))) if **old == s => return,
             Some((key, (pool, old))) => {
-                self.pools[*pool]
-                    .by_room
-                    .remove(&(thousandths(old.free.cpus), key.clone()));
+                self.pools[*pool].remove(key, old);
                 key.clone()
             }
             None => name.into(),
         };
         let pool = self.pool(t, zone, spot, guarantee_s);
-        self.pools[pool]
-            .by_room
-            .insert((thousandths(s.free.cpus), key.clone()));
+        let s = Rc::new(s);
+        self.pools[pool].put(&key, &s);
         self.spots.insert(key, (pool, s));
     }
 
     pub fn remove(&mut self, name: &str) {
         if let Some((key, (pool, s))) = self.spots.remove_entry(name) {
-            self.pools[pool]
-                .by_room
-                .remove(&(thousandths(s.free.cpus), key));
+            self.pools[pool].remove(&key, &s);
         }
     }
 
@@ -110,13 +118,13 @@
     }
 
     pub fn get(&self, name: &str) -> Option<&Spot> {
-        self.spots.get(name).map(|(_, s)| s)
+        self.spots.get(name).map(|(_, s)| &**s)
     }
 
     pub fn zones(&self) -> BTreeSet<Rc<str>> {
         self.pools
             .iter()
-            .filter(|p| !p.by_room.is_empty())
+            .filter(|p| !p.by_cpus.is_empty())
             .map(|p| p.zone.clone())
             .collect()
     }
@@ -126,16 +134,15 @@
         let Some((key, (pool, s))) = self.spots.get_key_value(name) else {
             return;
         };
-        let (key, pool, mut s) = (key.clone(), *pool, s.clone());
-        let before = thousandths(s.free.cpus);
+        let (key, pool, mut s) = (key.clone(), *pool, Spot::clone(s));
+        self.pools[pool].remove(&key, &s);
         s.free.sub(room.scaled(n));
         s.empty = false;
         if !s.images.iter().any(|i| i == image) {
             s.images.insert(0, image.to_string());
         }
-        let by_room = &mut self.pools[pool].by_room;
-        by_room.remove(&(before, key.clone()));
-        by_room.insert((thousandths(s.free.cpus), key.clone()));
+        let s = Rc::new(s);
+        self.pools[pool].put(&key, &s);
         self.spots.insert(key, (pool, s));
     }
 
@@ -151,20 +158,15 @@
         let from = thousandths(needs.cpus).saturating_sub(1);
         let mut out = Vec::new();
         for p in &self.pools {
-            if p.by_room.is_empty() || tier(needs, &p.kind, &p.zone, p.spot).is_none() {
+            let Some(tier_here) = tier(needs, &p.kind, &p.zone, p.spot) else {
                 continue;
-            }
+            };
             if aside.is_some_and(|a| tier(a, &p.kind, &p.zone, p.spot).is_some()) {
                 continue;
             }
-            for (_, name) in p.by_room.range((from, Rc::from(""))..) {
-                let Some((_, s)) = self.spots.get(name) else {
-                    continue;
-                };
+            for ((_, name), s) in p.by_cpus.range((from, Rc::from(""))..) {
                 let c = Candidate {
-                    kind: &p.kind,
-                    zone: &p.zone,
-                    spot: p.spot,
+                    tier: tier_here,
                     free: s.free,
                     has_image: s.images.contains(&needs.image),
                     slow_fetch: needs.image_gb > p.slow_above_gb,
@@ -186,11 +188,12 @@
 
     /// Everything in it, for comparison with a plain rebuild.
     pub fn contents(&self) -> BTreeMap<String, (String, String, bool, Spot)> {
-        let one = |(n, (p, s)): (&Rc<str>, &(usize, Spot))| {
+        let one = |(n, (p, s)): (&Rc<str>, &(usize, Rc<Spot>))| {
             let p = &self.pools[*p];
+            let spot = Spot::clone(s);
             (
                 n.to_string(),
-                (p.kind.clone(), p.zone.to_string(), p.spot, s.clone()),
+                (p.kind.clone(), p.zone.to_string(), p.spot, spot),
             )
         };
         self.spots.iter().map(one).collect()
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -77,10 +77,9 @@
 }
 
 /// A machine that might take a task.
-pub struct Candidate<'a> {
-    pub kind: &'a str,
-    pub zone: &'a str,
-    pub spot: bool,
+pub struct Candidate {
+    /// The tier of its type, zone and kind for these needs.
+    pub tier: u8,
     pub free: Room,
     /// The image is there, or is being fetched for another task.
     pub has_image: bool,
@@ -109,13 +108,12 @@
 /// cheaper tier; one that is in use; one that has the image; then the one with the least room
 /// left, so that others become empty and can be returned.
 pub fn rank(needs: &Needs, c: &Candidate) -> Option<Rank> {
-    let tier = tier(needs, c.kind, c.zone, c.spot)?;
     if !c.free.holds(Room::of(needs)) {
         return None;
     }
     Some((
         c.slow_fetch && !c.has_image,
-        tier,
+        c.tier,
         c.empty,
         !c.has_image,
         ((c.free.cpus - needs.cpus).max(0.0) * 1000.0) as u64,
