Review, case 2: a leader ends its lease while it may still answer workers

Looked for: ends of leadership other than the end of the lease by time. Tried: three controllers as separate processes. While connections between them are refused the leader alone answers all workers; when one reaches it again, the answer to its new token and the read that follows are lost, and it takes its own write for that of another leader. Then the state service refuses it alone, one machine loses the network, and the cloud's interface is down.

--- a/review/world/src/chaos.rs
+++ b/review/world/src/chaos.rs
@@ -35,6 +35,10 @@
         .ok()
         .and_then(|s| s.parse().ok())
         .unwrap_or(75.0);
+    let n: usize = std::env::var("COUNT")
+        .ok()
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(3);
     let mut site = kooperatif();
     site.teams = vec![
         ("uye-hizmetleri", 16.0, 24.0),
@@ -52,7 +56,7 @@
         site,
         vec![kind],
         if zoned { 18 } else { 9 },
-        3,
+        n,
         root,
         folder,
         record,
@@ -140,7 +144,7 @@
                     } else {
                         dice.between(0.5, 12.0)
                     };
-                    let first = dice.below(3);
+                    let first = dice.below(n);
                     let mut d = Dice(dice.0.wrapping_mul(31) | 1);
                     let (world, over, open) = (world.clone(), over.clone(), open.clone());
                     thread::spawn(move || {
@@ -148,7 +152,7 @@
                         let mut at = first;
                         let mut accepted = false;
                         while world.now() < until && !accepted && !over.load(Ordering::Relaxed) {
-                            let (status, _) = world.submit(at % 3, &job);
+                            let (status, _) = world.submit(at % n, &job);
                             accepted = status == 200 || status == 201;
                             if !accepted {
                                 thread::sleep(Duration::from_secs(1));
@@ -159,15 +163,15 @@
                             return;
                         }
                         open.lock().unwrap().push(job.id.clone());
-                        for i in 0..3 {
+                        for i in 0..n {
                             world.poll(i, &job.id);
                         }
                         if cancels {
                             thread::sleep(Duration::from_secs_f64(cancel_after));
                             loop {
-                                let (status, _) = world.cancel(d.below(3), &job.id);
+                                let (status, _) = world.cancel(d.below(n), &job.id);
                                 if status == 200 {
-                                    for i in 0..3 {
+                                    for i in 0..n {
                                         world.poll(i, &job.id);
                                     }
                                     break;
@@ -181,18 +185,18 @@
                         let mut told = String::new();
                         while told != "done" && told != "aborted" && !over.load(Ordering::Relaxed) {
                             thread::sleep(Duration::from_secs_f64(d.between(2.0, 5.0)));
-                            let (status, standing) = world.poll(d.below(3), &job.id);
+                            let (status, standing) = world.poll(d.below(n), &job.id);
                             if status == 200 {
                                 told = standing;
                             }
                         }
                         open.lock().unwrap().retain(|id| *id != job.id);
                         if told == "done" || told == "aborted" {
-                            for i in 0..3 {
+                            for i in 0..n {
                                 world.poll(i, &job.id);
                             }
                             if d.next() < 0.3 {
-                                world.submit(d.below(3), &job);
+                                world.submit(d.below(n), &job);
                             }
                         }
                     });
@@ -262,8 +266,9 @@
     let i = if dice.next() < 0.5 {
         world.leader().unwrap_or(0)
     } else {
-        dice.below(3)
+        dice.below(world.fleet.members.len())
     };
+    let n = world.fleet.members.len();
     let w = world.clone();
     let machines: Vec<_> = world.workers.lock().unwrap().values().cloned().collect();
     match dice.below(13) {
@@ -339,7 +344,7 @@
             later(dice.between(2.0, 8.0), over, move || w.endpoints[i].clear());
         }
         7 => {
-            let j = dice.below(3);
+            let j = dice.below(n);
             world.record.line(format!("link {i}-{j} is cut"));
             for (a, b) in [(i, j), (j, i)] {
                 world.fleet.links[a][b].set_cut(true);
@@ -356,7 +361,7 @@
                 .line(format!("links of rung-{i} are slow or reset"));
             let ms = dice.between(20.0, 500.0) as u64;
             let reset = dice.next() < 0.4;
-            for j in 0..3 {
+            for j in 0..n {
                 for (a, b) in [(i, j), (j, i)] {
                     world.fleet.links[a][b].set_delay(ms);
                     if reset {
@@ -365,7 +370,7 @@
                 }
             }
             later(dice.between(1.0, 8.0), over, move || {
-                for j in 0..3 {
+                for j in 0..n {
                     for (a, b) in [(i, j), (j, i)] {
                         w.fleet.links[a][b].set_delay(0);
                     }
@@ -397,7 +402,7 @@
         }
         11 if !machines.is_empty() => {
             for control in &machines {
-                let copy = (dice.next() < 0.5).then(|| (dice.between(2.0, 18.0), dice.below(3)));
+                let copy = (dice.next() < 0.5).then(|| (dice.between(2.0, 18.0), dice.below(n)));
                 control.lock().unwrap().copy = copy;
             }
         }
--- a/review/world/src/main.rs
+++ b/review/world/src/main.rs
@@ -4,6 +4,7 @@
 mod cbor;
 mod chaos;
 mod cloud;
+mod early_end;
 mod fleet;
 mod http;
 mod judge;
@@ -23,6 +24,7 @@
     let (root, folder, record) = (&args[2], &args[3], &args[4]);
     let result = match args[1].as_str() {
         "late_machine" => late_machine::run(root, folder, record, trouble),
+        "early_end" => early_end::run(root, folder, record, trouble),
         "chaos" => chaos::run(root, folder, record, trouble),
         _ => Err("no such case".to_string()),
     };
--- a/review/world/src/world.rs
+++ b/review/world/src/world.rs
@@ -245,6 +245,20 @@
     }
 
     pub fn submit(&self, i: usize, job: &Job) -> (u16, String) {
+        if self.judge.job(&job.id).is_none() {
+            self.record.line(format!(
+                "job {}: {} of {} tasks of {} CPUs, {}, one_zone {} spread {}, awaits {:?}, runs {:.0} s",
+                job.id,
+                if job.gang { "ensemble" } else { "array" },
+                job.tickets,
+                job.vcpus,
+                job.crew,
+                job.one_zone,
+                job.spread,
+                job.awaits,
+                job.run_s
+            ));
+        }
         self.judge.add_job(job);
         let types = match &job.chassis_list {
             Some(types) => Value::List(types.iter().map(text).collect()),
