--- a/review/world/src/chaos.rs
+++ b/review/world/src/chaos.rs
@@ -47,6 +47,14 @@
     ];
     let mut kind = kucuk_kasa();
     kind.boot_s = 4.0;
+    let large = std::env::var("MODE").is_ok_and(|m| m == "fleet");
+    if large {
+        site.teams = vec![
+            ("uye-hizmetleri", 300.0, 600.0),
+            ("tescil-ekibi", 300.0, 600.0),
+            ("veri-odasi", 200.0, 400.0),
+        ];
+    }
     let zoned = std::env::var("MODE").is_ok_and(|m| m == "zones");
     if zoned {
         kind.yards = vec!["a", "b", "c"];
@@ -55,7 +63,13 @@
     let world = World::new(
         site,
         vec![kind],
-        if zoned { 18 } else { 9 },
+        if large {
+            200
+        } else if zoned {
+            18
+        } else {
+            9
+        },
         n,
         root,
         folder,
@@ -90,6 +104,14 @@
         world.fleet.stop_all();
         return Err("not ready".into());
     }
+    let slow: Option<Vec<u64>> = std::env::var("SLOW")
+        .ok()
+        .map(|s| s.split('/').filter_map(|n| n.parse().ok()).collect());
+    let settled = Arc::new(AtomicBool::new(false));
+    let slowing = slow.clone().map(|ms| {
+        let (fleet, settled) = (world.fleet.clone(), settled.clone());
+        thread::spawn(move || fleet.slow_down(ms[0], ms[1], || settled.load(Ordering::Relaxed)))
+    });
     let ends_at = world.now() + length;
     let over = Arc::new(AtomicBool::new(false));
     let closing = Arc::new(AtomicBool::new(false));
@@ -123,6 +145,11 @@
                     if job.gang {
                         job.tickets = 1 + dice.below(3) as u32;
                     }
+                    if large && !job.gang {
+                        job.tickets = 10 + dice.below(80) as u32;
+                        job.vcpus = 1.0;
+                        job.run_s = dice.between(10.0, 40.0);
+                    }
                     if zoned {
                         let which = dice.next();
                         job.one_zone = which < 0.45;
@@ -183,11 +210,19 @@
                             }
                         }
                         let mut told = String::new();
+                        let mut answered_at = world.now();
                         while told != "done" && told != "aborted" && !over.load(Ordering::Relaxed) {
                             thread::sleep(Duration::from_secs_f64(d.between(2.0, 5.0)));
                             let (status, standing) = world.poll(d.below(n), &job.id);
                             if status == 200 {
                                 told = standing;
+                                answered_at = world.now();
+                            } else if world.now() - answered_at > 90.0 {
+                                let gap = world.now() - answered_at;
+                                world.record.line(format!(
+                                    "note: no answer about {} for {gap:.0} s",
+                                    job.id
+                                ));
                             }
                         }
                         open.lock().unwrap().retain(|id| *id != job.id);
@@ -218,6 +253,8 @@
     }
     world.record.line("the troubles end");
     closing.store(true, Ordering::Relaxed);
+    settled.store(true, Ordering::Relaxed);
+    slowing.map(|slowing| slowing.join());
     let quiet_until = world.now() + 120.0;
     thread::sleep(Duration::from_secs(20));
     while world.now() < quiet_until && !open.lock().unwrap().is_empty() {
@@ -281,7 +318,7 @@
             world.fleet.kill(i);
             later(back, over, move || w.fleet.start(i));
         }
-        1 => {
+        1 if std::env::var("SLOW").is_err() => {
             world.fleet.signal(i, "STOP");
             later(dice.between(0.5, 7.0), over, move || {
                 w.fleet.signal(i, "CONT")
--- a/review/world/src/fleet.rs
+++ b/review/world/src/fleet.rs
@@ -307,6 +307,37 @@
         }
     }
 
+    /// Makes all controllers compute slower: they run for `on_ms`, then stand still for `off_ms`, and so
+    /// on, until `over` returns true.
+    pub fn slow_down(&self, on_ms: u64, off_ms: u64, over: impl Fn() -> bool) {
+        let shell = Command::new("sh")
+            .stdin(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn();
+        let Ok(mut shell) = shell else {
+            return;
+        };
+        let Some(mut commands) = shell.stdin.take() else {
+            return;
+        };
+        let mut signal = |signal: &str| {
+            let pids = self.members.iter().filter_map(|member| {
+                let child = member.child.lock().unwrap();
+                child.as_ref().map(|child| child.id().to_string())
+            });
+            let pids: Vec<String> = pids.collect();
+            let _ = writeln!(commands, "kill -{signal} {}", pids.join(" "));
+        };
+        while !over() {
+            signal("STOP");
+            thread::sleep(Duration::from_millis(off_ms));
+            signal("CONT");
+            thread::sleep(Duration::from_millis(on_ms));
+        }
+        drop(commands);
+        let _ = shell.wait();
+    }
+
     /// The controllers that have ended by themselves.
     pub fn ended(&self) -> Vec<String> {
         let ended = self.members.iter().filter(|member| {
--- a/review/world/src/judge.rs
+++ b/review/world/src/judge.rs
@@ -360,6 +360,29 @@
                 format!("{id} was {was} and is called {standing}"),
             );
         }
+        if standing == "queued" || standing == "running" {
+            let mut before = data
+                .jobs
+                .get(id)
+                .map_or(Vec::new(), |job| job.awaits.clone());
+            let now = self.record.now();
+            while let Some(ancestor) = before.pop() {
+                let over = data
+                    .cancelled_at
+                    .get(&ancestor)
+                    .is_some_and(|at| now - at > self.cancel_s);
+                if over {
+                    let what =
+                        format!("{id} is called {standing}, {ancestor} before it is cancelled");
+                    self.breaks(data, "orphaned", what);
+                }
+                before.extend(
+                    data.jobs
+                        .get(&ancestor)
+                        .map_or(Vec::new(), |job| job.awaits.clone()),
+                );
+            }
+        }
         if standing == "done" || standing == "aborted" {
             data.told.insert(id.to_string(), standing.to_string());
         }
