--- a/review/world/src/main.rs
+++ b/review/world/src/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod judge;
 mod late_machine;
+mod late_start;
 mod record;
 mod store;
 mod worker;
@@ -24,6 +25,7 @@
     let (root, folder, record) = (&args[2], &args[3], &args[4]);
     let result = match args[1].as_str() {
         "late_machine" => late_machine::run(root, folder, record, trouble),
+        "late_start" => late_start::run(root, folder, record, trouble),
         "early_end" => early_end::run(root, folder, record, trouble),
         "chaos" => chaos::run(root, folder, record, trouble),
         _ => Err("no such case".to_string()),
--- a/review/world/src/worker.rs
+++ b/review/world/src/worker.rs
@@ -37,6 +37,8 @@
     pub target: String,
     pub baton: u64,
     pub live: usize,
+    /// When the report was sent whose answer last launched a task.
+    pub launched_at: f64,
     /// A copy of each report is delivered again this much later, to the controller with this number.
     pub copy: Option<(f64, usize)>,
 }
@@ -402,7 +404,10 @@
                 answer.to, self.baton
             ));
             match verb {
-                "launch" => self.launch(ticket, attempt, now),
+                "launch" => {
+                    self.control.lock().unwrap().launched_at = answer.sent_at;
+                    self.launch(ticket, attempt, now);
+                }
                 "halt" => self.halt(ticket, attempt, order.get("winddown_s").num(), now),
                 "clear" => {
                     let key = (ticket.to_string(), attempt);
