Leadership: its rights end before its lease does, and a successor allows for the rest

A machine's task ran on two machines (ran_twice). The answer to the leader's token write was lost, and so was the read of its key; the conflict of the next write, its own, was taken for another leader. It sent DELETE for its lease and went on answering workers for 1.7 s, while the next leader counted the lease of a silent machine from its own first epoch (extra_ms=0).

Change: one function ends a leadership; it drops authority and links in one step, and revokes the lease only after the last grant to an owner has run out. A conflict on the leader key is read back, a token write without an answer stays pending ahead of all other writes. A new leader counts any earlier authority as alive for a lease after its own election: the proof rests on this, since it needs nothing of the old leader, which may be the version in production.

--- a/crates/ladderroute/src/leadership/lease.rs
+++ b/crates/ladderroute/src/leadership/lease.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use store::client::StoreError;
-use store::leadership::authority_duration;
+use store::leadership::{authority_duration, LeadershipEnd};
 
 /// Number of renewals in the duration of the store lease, as long as they succeed.
 const RENEWALS_PER_LEASE: u32 = 5;
@@ -32,18 +32,18 @@
 }
 
 /// Renews the lease, and returns when it is certainly lost.
-pub async fn renew_until_lost(controller: &Rc<Controller>, ttl: Duration) {
+pub async fn renew_until_lost(
+    controller: &Rc<Controller>,
+    lease_id: u64,
+    ttl: Duration,
+) -> LeadershipEnd {
     let mut is_paused = false;
     loop {
-        let lease_id = match &controller.lock().shared.leadership {
-            Some(leadership) => leadership.lease.lease_id,
-            None => return,
-        };
         let sent_at = Instant::now();
         let response = controller.store.renew(lease_id).await;
         let until = sent_at + authority_duration(ttl);
         match apply_renewal(controller, response, until, &mut is_paused) {
-            Renewal::Lost => return,
+            Renewal::Lost => return LeadershipEnd::LeaseExpired,
             Renewal::Failed => {
                 smol::Timer::after(ttl / RETRIES_PER_LEASE).await;
                 continue;
--- a/crates/ladderroute/src/leadership/mod.rs
+++ b/crates/ladderroute/src/leadership/mod.rs
@@ -9,9 +9,10 @@
 use crate::{freshness, provisioning, writer};
 use begin::begin_leadership;
 use lease::{keep_view_fresh, renew_until_lost};
+use sched::Secs;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use store::leadership::{acquire, LeadershipLease};
+use store::leadership::{acquire, LeadershipEnd, LeadershipLease};
 
 /// Number of checks, in the duration of the store lease, whether there is no leader.
 const POLLS_PER_LEASE: u32 = 40;
@@ -70,7 +71,7 @@
     view.is_complete() && view.replica().leader.record().is_none()
 }
 
-/// Leads until the lease is lost.
+/// Leads until the leadership ends.
 async fn lead_until_lost(controller: &Rc<Controller>, lease: LeadershipLease, ttl: Duration) {
     log::info!(
         "event=leader member={} token={} version={} authority_s={:.2}",
@@ -80,6 +81,8 @@
         controller.secs_since_start(lease.valid_until) - controller.now()
     );
     if !catch_up(controller, &lease, ttl).await {
+        // Nothing was done under this lease: no heartbeat was answered and no owner was granted
+        // authority.
         let _ = controller.store.revoke(lease.lease_id).await;
         return;
     }
@@ -87,14 +90,17 @@
     let executor = &controller.executor;
     let tasks = [
         executor.spawn(run_clock(controller.clone())),
-        executor.spawn(writer::run(controller.clone())),
         executor.spawn(keep_view_fresh(controller.clone(), ttl)),
         executor.spawn(provisioning::process_requests(controller.clone())),
         executor.spawn(provisioning::poll_cloud(controller.clone())),
     ];
-    renew_until_lost(controller, ttl).await;
+    let reason = smol::future::or(
+        renew_until_lost(controller, lease.lease_id, ttl),
+        writer::run(controller.clone()),
+    )
+    .await;
     drop(tasks);
-    end_leadership(controller);
+    end_leadership(controller, lease.lease_id, reason).await;
 }
 
 /// Waits until the view is fresh and contains everything that was accepted and recorded before this
@@ -118,16 +124,43 @@
     view.replica().revision < lease.version || now - view.read_at() > ttl.as_secs_f64() / 2.0
 }
 
-fn end_leadership(controller: &Controller) {
+/// Ends the leadership, for whatever reason. Nothing else may revoke a lease under which this
+/// controller has led: the next leader relies on it that every right which the lease gave, to this
+/// controller and to the owners, has ended when the lease does.
+async fn end_leadership(controller: &Rc<Controller>, lease_id: u64, reason: LeadershipEnd) {
+    let granted_until = give_up_authority(controller);
+    log::info!(
+        "event=leader_ended member={} reason={reason:?} granted_s={:.2}",
+        controller.settings.member,
+        (granted_until - controller.now()).max(0.0)
+    );
+    if reason == LeadershipEnd::Unresolved {
+        // The lease still exists. The owners' authority has to run out before another controller
+        // can be elected.
+        let remaining_s = (granted_until - controller.now()).max(0.0);
+        smol::Timer::after(Duration::from_secs_f64(remaining_s)).await;
+        if controller.store.revoke(lease_id).await.is_err() {
+            // The lease expires by itself. The watch will report that the leader's key is gone.
+            return;
+        }
+    }
+    let mut state = controller.lock();
+    let member = &controller.settings.member;
+    state.shared.view.forget_leader(member);
+}
+
+/// Ends this controller's own authority and its links to the owners, in one step. Returns when the
+/// last authority that it has granted to an owner ends.
+fn give_up_authority(controller: &Controller) -> Secs {
     let mut state = controller.lock();
     state.owner.authority.set_until(f64::MIN);
-    if let Some(leadership) = state.shared.leadership.take() {
-        for link in leadership.links.values() {
-            link.outbox.close();
-        }
+    let Some(leadership) = state.shared.leadership.take() else {
+        return f64::MIN;
+    };
+    for link in leadership.links.values() {
+        link.outbox.close();
     }
-    log::info!("event=leader_ended member={}", controller.settings.member);
-    state.shared.view.forget_leader(&controller.settings.member);
+    leadership.leader.granted_until()
 }
 
 /// Advances the leader's clock at regular intervals.
--- a/crates/ladderroute/src/startup/owner_clock.rs
+++ b/crates/ladderroute/src/startup/owner_clock.rs
@@ -54,7 +54,7 @@
         log::info!(
             "event=authority held={has_authority} token={} lasts_s={:.2} staleness_s={:.2} view_age_s={:.2}",
             state.owner.token(),
-            authority.until() - now,
+            (authority.until() - now).max(-now),
             now - authority.read_at(),
             now - state.shared.view.read_at()
         );
--- a/crates/ladderroute/src/writer/mod.rs
+++ b/crates/ladderroute/src/writer/mod.rs
@@ -19,11 +19,11 @@
 use crate::controller::Controller;
 use batch::Batch;
 use http::with_timeout;
-use outcome::Outcome;
+use outcome::{LeaderKeyKnowledge, Outcome};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use store::client::StoreError;
-use store::leadership::LeadershipLease;
+use store::leadership::{LeadershipEnd, LeadershipLease};
 use urgency::Urgency;
 
 /// Time within which users expect to learn that a job has ended, in seconds; set by the protocol.
@@ -37,9 +37,11 @@
 /// Divisor of the heartbeat interval that gives the pause after a failure.
 const PAUSES_PER_INTERVAL: f64 = 10.0;
 
-/// Writes decisions, one transaction after another, without end.
-pub async fn run(controller: Rc<Controller>) {
+/// Writes decisions, one transaction after another, until the outcome of one shows that the
+/// leadership has to end.
+pub async fn run(controller: Rc<Controller>) -> LeadershipEnd {
     let mut last_write_at = None::<Instant>;
+    let mut unresolved_since = None::<Instant>;
     loop {
         collect_decisions(&controller, last_write_at).await;
         let Some((batch, lease)) = next_batch(&controller) else {
@@ -47,18 +49,55 @@
             continue;
         };
         last_write_at = Some(Instant::now());
-        if let NextWrite::AfterPause = write(&controller, batch, &lease).await {
+        let leader_key = match unresolved_since {
+            None => LeaderKeyKnowledge::Known,
+            Some(_) => LeaderKeyKnowledge::Unresolved,
+        };
+        let written = write(&controller, batch, &lease, leader_key).await;
+        match written {
+            WriteResult::LeadershipLost => return LeadershipEnd::KeyLost,
+            WriteResult::LeaderUnresolved => {
+                unresolved_since.get_or_insert_with(Instant::now);
+            }
+            WriteResult::Answered | WriteResult::Overtaken => unresolved_since = None,
+            WriteResult::Refused => {}
+        }
+        if is_unresolved_too_long(&controller, &mut unresolved_since) {
+            return LeadershipEnd::Unresolved;
+        }
+        if written != WriteResult::Answered {
             smol::Timer::after(failure_pause(&controller)).await;
         }
     }
 }
 
-/// When the next transaction may be sent.
-enum NextWrite {
-    /// Without a pause.
-    Immediate,
-    /// After a pause, because the last transaction was refused or overtaken by an earlier write.
-    AfterPause,
+/// Result of a write, as far as it matters for when the next one may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WriteResult {
+    /// The store has answered, or the outcome is unknown but does not concern the leader's key.
+    Answered,
+    /// The write was not executed.
+    Refused,
+    /// The write failed because an earlier one was applied late.
+    Overtaken,
+    /// It is unknown what the leader's key holds.
+    LeaderUnresolved,
+    /// This controller is no longer the leader.
+    LeadershipLost,
+}
+
+/// Returns whether the content of the leader's key has been unknown for a whole lease although
+/// renewals succeed. While they fail, authority ends by itself and nothing is gained by giving the
+/// lease up.
+fn is_unresolved_too_long(controller: &Controller, since: &mut Option<Instant>) -> bool {
+    let Some(since) = since else {
+        return false;
+    };
+    let authority_until = controller.lock().owner.authority.until();
+    if authority_until <= controller.now() {
+        *since = Instant::now();
+    }
+    since.elapsed() > controller.leader_lease_ttl()
 }
 
 fn failure_pause(controller: &Controller) -> Duration {
@@ -115,23 +154,29 @@
     (!batch.is_empty()).then(|| (batch, leadership.lease.clone()))
 }
 
-/// Writes a batch, applies its outcome, and returns when the next batch may be written.
-async fn write(controller: &Rc<Controller>, batch: Batch, lease: &LeadershipLease) -> NextWrite {
-    let result = outcome::write(controller, &batch, lease).await;
-    let is_refused = matches!(
-        result,
-        Err(StoreError::BudgetExhausted(_) | StoreError::Refused(_) | StoreError::NotSent(_))
-    );
-    let is_overtaken = result.as_ref().is_ok_and(Outcome::is_overtaken);
-    outcome::apply(controller, batch, result).await;
-    if is_overtaken {
-        // An earlier write with an unknown outcome was applied after all: read its effects.
-        log::info!("event=write_overtaken");
-        crate::freshness::read_once(controller).await;
+/// Writes a batch and applies its outcome.
+async fn write(
+    controller: &Rc<Controller>,
+    batch: Batch,
+    lease: &LeadershipLease,
+    leader_key: LeaderKeyKnowledge,
+) -> WriteResult {
+    let result = outcome::write(controller, &batch, lease, leader_key).await;
+    if matches!(result, Ok(Outcome::LeadershipLost)) {
+        return WriteResult::LeadershipLost;
     }
-    if is_refused || is_overtaken {
-        NextWrite::AfterPause
-    } else {
-        NextWrite::Immediate
+    outcome::apply(controller, batch, &result);
+    match result {
+        Err(StoreError::BudgetExhausted(_) | StoreError::Refused(_) | StoreError::NotSent(_)) => {
+            WriteResult::Refused
+        }
+        Ok(Outcome::LeaderUnresolved) => WriteResult::LeaderUnresolved,
+        Ok(outcome) if outcome.is_overtaken() => {
+            // An earlier write with an unknown outcome was applied after all: read its effects.
+            log::info!("event=write_overtaken");
+            crate::freshness::read_once(controller).await;
+            WriteResult::Overtaken
+        }
+        Ok(_) | Err(_) => WriteResult::Answered,
     }
 }
--- a/crates/ladderroute/src/writer/outcome.rs
+++ b/crates/ladderroute/src/writer/outcome.rs
@@ -9,7 +9,9 @@
 use store::budget::RequestPriority;
 use store::client::{StoreError, TxnOutcome};
 use store::keys::{self, KeyKind};
-use store::leadership::{advance_token, leader_unchanged, LeadershipLease, NextToken};
+use store::leadership::{
+    advance_token, leader_unchanged, read_leader_key, LeaderKey, LeadershipLease, NextToken,
+};
 use wire::store::{value_bytes, LeaderRecord, Txn, Write};
 
 /// HTTP status with which the store refuses a malformed transaction.
@@ -28,6 +30,9 @@
         /// Version of the leader's key that contains the token.
         version: u64,
     },
+    /// It is unknown what the leader's key holds: a write to it got no answer, or there was a
+    /// conflict on it, and reading it back has failed.
+    LeaderUnresolved,
     /// This controller is no longer the leader.
     LeadershipLost,
 }
@@ -42,12 +47,28 @@
     }
 }
 
+/// Whether this leader knows what the leader's key holds, on which all its writes are conditional.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaderKeyKnowledge {
+    /// The key is as its last answered write left it.
+    Known,
+    /// The outcome of a write to the key is unknown. The key is read before anything else is written.
+    Unresolved,
+}
+
 /// Writes a batch on the condition that this controller is still the leader.
 pub async fn write(
     controller: &Rc<Controller>,
     batch: &Batch,
     lease: &LeadershipLease,
+    leader_key: LeaderKeyKnowledge,
 ) -> Result<Outcome, StoreError> {
+    if leader_key == LeaderKeyKnowledge::Unresolved {
+        let outcome = resolve_leader_key(controller, lease).await;
+        if let Some(outcome) = outcome {
+            return Ok(outcome);
+        }
+    }
     if batch.issues_token() {
         return issue_token(controller, lease).await;
     }
@@ -68,22 +89,45 @@
         TxnOutcome::Conflict(failed)
             if failed.iter().any(|key| KeyKind::of(key) == KeyKind::Leader) =>
         {
-            Ok(Outcome::LeadershipLost)
+            // The loss of the leadership is never inferred from the conflict alone, which may come
+            // from a late write of this leader.
+            let outcome = resolve_leader_key(controller, lease).await;
+            Ok(outcome.unwrap_or(Outcome::LeaderUnresolved))
         }
         TxnOutcome::Conflict(failed) => Ok(Outcome::Conflict(failed)),
     }
 }
 
+/// Reads what the leader's key holds. Returns `None` if it is as this leader last knew it.
+async fn resolve_leader_key(
+    controller: &Rc<Controller>,
+    lease: &LeadershipLease,
+) -> Option<Outcome> {
+    let member = &controller.settings.member;
+    match read_leader_key(&controller.store, member, lease).await {
+        Ok(LeaderKey::Unchanged) => None,
+        Ok(LeaderKey::Advanced(NextToken { token, version })) => {
+            Some(Outcome::Token { token, version })
+        }
+        Ok(LeaderKey::Lost) => Some(Outcome::LeadershipLost),
+        Err(_) => Some(Outcome::LeaderUnresolved),
+    }
+}
+
 /// Issues a new fencing token.
 async fn issue_token(
     controller: &Rc<Controller>,
     lease: &LeadershipLease,
 ) -> Result<Outcome, StoreError> {
-    let token = advance_token(&controller.store, &controller.settings.member, lease).await?;
-    Ok(match token {
-        Some(NextToken { token, version }) => Outcome::Token { token, version },
-        None => Outcome::LeadershipLost,
-    })
+    match advance_token(&controller.store, &controller.settings.member, lease).await {
+        Ok(Some(NextToken { token, version })) => Ok(Outcome::Token { token, version }),
+        Ok(None) => Ok(Outcome::LeadershipLost),
+        Err(StoreError::OutcomeUnknown(error)) => {
+            log::info!("event=token_unresolved error=\"{error}\"");
+            Ok(Outcome::LeaderUnresolved)
+        }
+        Err(error) => Err(error),
+    }
 }
 
 /// Returns the transaction of a batch, on the condition that this controller is still the leader.
@@ -97,18 +141,13 @@
     }
 }
 
-/// Reports the outcome of a batch to the leader, or releases the leadership if the outcome shows
-/// that it is lost.
-pub async fn apply(controller: &Rc<Controller>, batch: Batch, result: Result<Outcome, StoreError>) {
-    if let Err(error) = &result {
+/// Reports the outcome of a batch to the leader.
+pub fn apply(controller: &Rc<Controller>, batch: Batch, result: &Result<Outcome, StoreError>) {
+    if let Err(error) = result {
         log::debug!("event=write_failed error=\"{error}\"");
     }
-    if matches!(result, Ok(Outcome::LeadershipLost)) {
-        release_leadership(controller).await;
-        return;
-    }
     let mut guard = controller.lock();
-    apply_as_leader(controller, &mut guard, batch, &result);
+    apply_as_leader(controller, &mut guard, batch, result);
 }
 
 /// Applies an outcome unless this controller has stopped leading. A controller that has lost the
@@ -203,20 +242,6 @@
         .lower_value_limit(leadership.txn_limits.value_kb);
 }
 
-/// Revokes the store lease, so that the next renewal fails and another leader can be elected.
-async fn release_leadership(controller: &Rc<Controller>) {
-    log::info!("event=leadership_lost");
-    let lease = controller
-        .lock()
-        .shared
-        .leadership
-        .as_ref()
-        .map(|leadership| leadership.lease.lease_id);
-    if let Some(lease) = lease {
-        let _ = controller.store.revoke(lease).await;
-    }
-}
-
 /// Reports the outcome of one decision to the leader.
 fn apply_action(
     controller: &Controller,
@@ -226,13 +251,14 @@
 ) {
     let written = matches!(result, Ok(Outcome::Written(_)));
     match action {
-        Action::IssueToken => {
-            let token = match result {
-                Ok(Outcome::Token { token, .. }) => Some(*token),
-                _ => None,
-            };
-            leadership.leader.on_token_result(token, controller.now());
-        }
+        Action::IssueToken => match result {
+            Ok(Outcome::Token { token, .. }) => leadership
+                .leader
+                .on_token_result(Some(*token), controller.now()),
+            // The token may have been written nevertheless. The decision stays pending, ahead of
+            // all others, until the store's answer is known.
+            _ => leadership.pending_writes.push_back(Action::IssueToken),
+        },
         Action::Bind { job, attempt, .. } => {
             leadership.records.set_bound_places(attempt, None);
             leadership
--- a/crates/ladderroute/tests/links.rs
+++ b/crates/ladderroute/tests/links.rs
@@ -9,70 +9,11 @@
 mod stand_in;
 
 use ladderroute::controller::{ConnectionId, Controller};
-use ladderroute::{controller_links, freshness, leadership, startup};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
-use smol::net::{TcpListener, TcpStream};
-use smol::LocalExecutor;
-use std::future::Future;
-use std::net::SocketAddr;
-use std::rc::Rc;
-use std::time::{Duration, Instant};
+use smol::net::TcpStream;
+use stand_in::links::{has_authority, wait_until, with_link, LinkedControllers};
 use wire::peers::{encode_frame, ToLeader};
 
-const TIMEOUT: Duration = Duration::from_secs(20);
-
-async fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
-    let started_at = Instant::now();
-    while !holds() {
-        assert!(started_at.elapsed() < TIMEOUT, "timed out before {what}");
-        smol::Timer::after(Duration::from_millis(5)).await;
-    }
-}
-
-/// Starts a controller that watches the store; the other controller accepts links at `peer_addr`.
-fn start_controller(
-    executor: &Rc<LocalExecutor<'static>>,
-    i: usize,
-    store_addr: SocketAddr,
-    peer_addr: SocketAddr,
-) -> Rc<Controller> {
-    let text = include_str!("stand_in/settings.toml")
-        .replace("MEMBER", &format!("rung-{i}"))
-        .replace("OTHER", &format!("rung-{}", 1 - i))
-        .replace("127.0.0.2:8081", &peer_addr.to_string())
-        .replace("127.0.0.9:2379", &store_addr.to_string());
-    let settings = ladderroute::settings::Settings::parse(&text, "settings").unwrap();
-    let controller = startup::build_controller(settings, &Default::default(), executor.clone());
-    let watch = freshness::watch_store(controller.clone());
-    executor.spawn(watch).detach();
-    controller
-}
-
-/// Runs a test with a leader, an owner that connects to it, and the address at which the leader accepts
-/// links.
-fn with_link<F: Future<Output = ()>>(test: impl FnOnce([Rc<Controller>; 2], SocketAddr) -> F) {
-    let executor = Rc::new(LocalExecutor::new());
-    smol::block_on(executor.clone().run(async move {
-        let store = stand_in::FakeStore::new();
-        let (_endpoint, store_addr) = store.open_endpoint(&executor).await;
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let link_addr = listener.local_addr().unwrap();
-        let leader = start_controller(&executor, 0, store_addr, link_addr);
-        let serve = controller_links::serve(leader.clone(), listener);
-        executor.spawn(serve).detach();
-        let campaign = leadership::campaign(leader.clone());
-        executor.spawn(campaign).detach();
-        wait_until("the controller becomes leader", || {
-            leader.lock().shared.leadership.is_some()
-        })
-        .await;
-        let owner = start_controller(&executor, 1, store_addr, link_addr);
-        let join = controller_links::join_leader(owner.clone());
-        executor.spawn(join).detach();
-        test([leader, owner], link_addr).await;
-    }));
-}
-
 /// Returns the id of the connection that the leader uses for the owner, if any.
 fn owner_connection(leader: &Controller) -> Option<ConnectionId> {
     let state = leader.lock();
@@ -80,14 +21,10 @@
     links.get("rung-1").map(|link| link.id)
 }
 
-fn has_authority(controller: &Controller) -> bool {
-    controller.lock().owner.has_authority(controller.now())
-}
-
 /// An owner that connects to the leader is granted authority under the fencing token of the leader.
 #[test]
 fn joining_owner_is_granted_authority() {
-    with_link(|[leader, owner], _| async move {
+    with_link(|LinkedControllers { leader, owner, .. }| async move {
         wait_until("the owner is granted authority", || has_authority(&owner)).await;
         assert!(owner.lock().shared.leader_outbox.is_some());
         assert_eq!(owner.lock().owner.token(), leader.lock().owner.token());
@@ -100,7 +37,7 @@
 
 #[test]
 fn owner_reconnects_when_its_link_ends() {
-    with_link(|[leader, owner], _| async move {
+    with_link(|LinkedControllers { leader, owner, .. }| async move {
         wait_until("the owner is granted authority", || has_authority(&owner)).await;
         let first = owner_connection(&leader).unwrap();
         owner.lock().shared.leader_outbox.as_ref().unwrap().close();
@@ -116,7 +53,13 @@
 /// not in the settings is rejected.
 #[test]
 fn stale_and_unknown_connections_are_rejected() {
-    with_link(|[leader, owner], link_addr| async move {
+    with_link(|linked| async move {
+        let LinkedControllers {
+            leader,
+            owner,
+            link_addr,
+            ..
+        } = linked;
         wait_until("the owner is granted authority", || has_authority(&owner)).await;
         let current = owner_connection(&leader).unwrap();
         for (member, process, sequence) in [
--- a/crates/ladderroute/tests/stand_in/mod.rs
+++ b/crates/ladderroute/tests/stand_in/mod.rs
@@ -1,5 +1,6 @@
 //! An in-memory fake of the state service, served over loopback, and controllers that use it.
 
+pub mod links;
 pub mod requests;
 
 use http::server::{Limits, Request, Response};
@@ -62,8 +63,15 @@
     pub refused_page_interval: Cell<u32>,
     /// The number of requests for pages.
     pub page_requests: Cell<u32>,
+    /// Whether the responses to reads of the leader's key, and to transactions that write it, can't be decoded.
+    /// The transactions are applied.
+    pub hides_leader_key: Cell<bool>,
+    /// The number of leases that this controller has revoked.
+    pub revocations: Cell<u32>,
 }
 
+/// Path at which the leader's key is read.
+const LEADER_KEY_PATH: &str = "/store/lr/leader";
 /// HTTP status when the store refuses a request temporarily.
 const REFUSED: u16 = 503;
 /// HTTP status when the requested changes have been discarded.
@@ -130,7 +138,10 @@
                 .unwrap_or("")
         };
         match path {
-            "/txn" => self.handle_txn(cbor::decode(&request.body).unwrap()).await,
+            "/txn" => {
+                self.handle_txn(endpoint, cbor::decode(&request.body).unwrap())
+                    .await
+            }
             "/follow" => {
                 let since = field("since").parse().unwrap();
                 self.handle_changes(endpoint, since, field("wait_ms") != "0")
@@ -142,7 +153,13 @@
                 let lease = self.leases_granted.get();
                 Response::new(200, cbor::encode(&LeaseId { lease }))
             }
-            _ if path.starts_with("/grants/") => Response::new(200, Vec::new()),
+            _ if path.starts_with("/grants/") => {
+                if request.method == "DELETE" {
+                    endpoint.revocations.set(endpoint.revocations.get() + 1);
+                }
+                Response::new(200, Vec::new())
+            }
+            LEADER_KEY_PATH if endpoint.hides_leader_key.get() => Response::new(200, Vec::new()),
             _ => match self.get(path.strip_prefix("/store/").unwrap_or("")) {
                 Some(item) => Response::new(200, cbor::encode(&item)),
                 None => Response::new(
@@ -228,7 +245,13 @@
         })
     }
 
-    async fn handle_txn(&self, txn: Txn) -> Response {
+    async fn handle_txn(&self, endpoint: &StoreEndpoint, txn: Txn) -> Response {
+        let writes_leader_key =
+            |write: &Write| matches!(write, Write::Put { key, .. } if key == store::keys::LEADER);
+        if endpoint.hides_leader_key.get() && txn.writes.iter().any(writes_leader_key) {
+            self.apply(&txn);
+            return Response::new(200, Vec::new());
+        }
         match self.next_txn_fault.replace(TxnFault::None) {
             TxnFault::None => self.apply(&txn),
             TxnFault::ResponseLost => {
@@ -314,7 +337,19 @@
     .unwrap();
     let controller =
         ladderroute::startup::build_controller(settings, &Tuning::default(), executor.clone());
-    controller.lock().shared.catalog = Some(vec![wire::cloud::MachineType {
+    controller.lock().shared.catalog = Some(vec![machine_type()]);
+    executor
+        .spawn(ladderroute::freshness::watch_store(controller.clone()))
+        .detach();
+    while !is_loaded(&controller) {
+        smol::Timer::after(Duration::from_millis(5)).await;
+    }
+    controller
+}
+
+/// Returns the only machine type of the tests.
+pub fn machine_type() -> wire::cloud::MachineType {
+    wire::cloud::MachineType {
         name: "g8".into(),
         cpus: 96.0,
         gpus: 8.0,
@@ -325,14 +360,7 @@
         spot_price: 4.5,
         boot_s: 45.0,
         zones: vec!["a".into(), "b".into()],
-    }]);
-    executor
-        .spawn(ladderroute::freshness::watch_store(controller.clone()))
-        .detach();
-    while !is_loaded(&controller) {
-        smol::Timer::after(Duration::from_millis(5)).await;
     }
-    controller
 }
 
 /// Returns whether a controller has read all keys.
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -113,6 +113,8 @@
     leader_known_versions: BTreeMap<String, u64>,
     machines_provisioned: u64,
     store_down_until: f64,
+    /// The cloud executes no request until this time.
+    cloud_down_until: f64,
     planned_outage: Option<PlannedOutage>,
     partition: Option<Partition>,
     /// The number of injected faults of each kind.
@@ -199,6 +201,7 @@
             leader_known_versions: BTreeMap::new(),
             machines_provisioned: 0,
             store_down_until: 0.0,
+            cloud_down_until: 0.0,
             planned_outage: None,
             partition: None,
             faults: BTreeMap::new(),
--- a/crates/model/src/world/defect.rs
+++ b/crates/model/src/world/defect.rs
@@ -36,6 +36,8 @@
     StartBlocked,
     /// Controllers do not treat the dependents of a cancelled job as cancelled.
     IgnoreCancelledDependencies,
+    /// A new leader assumes that no earlier leader, nor any of its owners, still has authority.
+    IgnoreEarlierAuthority,
     /// Controllers do not see cancellations in their own reads, and a new leader knows of none from
     /// before its election.
     ForgetCancelled,
--- a/crates/model/src/world/election.rs
+++ b/crates/model/src/world/election.rs
@@ -30,6 +30,7 @@
             controller: elected,
             leader,
             elected_revision: self.revision,
+            elected_token: self.term,
         });
     }
 
--- a/crates/model/src/world/faults.rs
+++ b/crates/model/src/world/faults.rs
@@ -9,6 +9,8 @@
     Crash,
     /// The leading controller crashes.
     LeaderCrash,
+    /// The leader's lease ends early, while the leader and its owners still have authority.
+    LeaseRevoked,
     /// A controller crashes while there is no leader.
     CrashDuringElection,
     /// All controllers crash at once.
@@ -42,6 +44,8 @@
     CancelCompletedJob,
     /// A write gets no response and is applied later.
     LateWrite,
+    /// The cloud executes no request.
+    CloudDown,
 }
 
 impl Fault {
@@ -66,6 +70,8 @@
             118..=168 if !has_leader => Fault::CrashDuringElection,
             169..=174 => Fault::ControllerFrozen,
             175..=178 => Fault::LeaderFrozenBeforeResponse,
+            179..=183 => Fault::LeaseRevoked,
+            184..=188 => Fault::CloudDown,
             _ => return None,
         })
     }
@@ -122,6 +128,7 @@
         let leading = self.leader_index();
         match fault {
             Fault::Crash | Fault::CrashDuringElection => self.crash(i),
+            Fault::LeaseRevoked => self.revoke_lease(),
             Fault::LeaderCrash => leading.into_iter().for_each(|leading| self.crash(leading)),
             Fault::AllControllersCrash => (0..CONTROLLERS).for_each(|i| self.crash(i)),
             Fault::ControllerDisconnected => self.disconnect_controller(i, 0.3),
@@ -153,6 +160,7 @@
                     duration_s: [5.0, 9.0, 30.0][self.rng.usize(0..3)],
                 });
             }
+            Fault::CloudDown => self.cloud_outage(5.0 + share * 15.0),
             Fault::CancelCompletedJob => {
                 self.cancel_completed_job();
             }
--- a/crates/model/src/world/leadership.rs
+++ b/crates/model/src/world/leadership.rs
@@ -9,6 +9,8 @@
     /// The store's revision at its election. Its writes are conditional on this revision, so the
     /// store applies them only while it is the leader.
     pub(super) elected_revision: u64,
+    /// The fencing token with which it was elected; that of its first epoch.
+    pub(super) elected_token: u64,
 }
 
 impl World {
@@ -142,7 +144,8 @@
         self.trace
             .requested(self.now, leading.elected_revision, &action);
         match action {
-            Action::Send(to, message) => {
+            Action::Send(to, mut message) => {
+                self.damage_epoch(leading, &mut message);
                 self.send_to_owner(leading.controller, controller_index(&to), message);
             }
             action => {
@@ -159,6 +162,20 @@
         }
     }
 
+    /// Makes owners assume that they alone have authority from the leader's first epoch on, if that is
+    /// the defect.
+    fn damage_epoch(&self, leading: &LeadingController, message: &mut ToOwner) {
+        if let ToOwner::Epoch {
+            token, extra_ms, ..
+        } = message
+        {
+            let is_first = *token == leading.elected_token;
+            if is_first && self.defect == Defect::IgnoreEarlierAuthority {
+                *extra_ms = 0;
+            }
+        }
+    }
+
     fn send_to_owner(&mut self, leading: usize, to: usize, message: ToOwner) {
         if to == leading {
             let jobs = JobReplica::new(&self.jobs, self.terminal_jobs_read_at(leading));
@@ -180,6 +197,16 @@
         }
     }
 
+    /// Ends the leader's lease early, so that another controller can be elected at once. Neither the
+    /// leader's own authority nor that of its owners ends before its time. No controller of this
+    /// version does that, but its predecessors may.
+    pub fn revoke_lease(&mut self) {
+        if self.leading.is_some() {
+            self.lease_end = self.now;
+            self.end_leadership();
+        }
+    }
+
     /// Returns the index of the leading controller.
     pub fn leader_index(&self) -> Option<usize> {
         self.leading.as_ref().map(|leading| leading.controller)
--- a/crates/model/src/world/scenario.rs
+++ b/crates/model/src/world/scenario.rs
@@ -21,6 +21,11 @@
         self.store_down_until = self.store_down_until.max(self.now + duration_s);
     }
 
+    /// Makes the cloud execute no request for `duration_s`.
+    pub fn cloud_outage(&mut self, duration_s: f64) {
+        self.cloud_down_until = self.cloud_down_until.max(self.now + duration_s);
+    }
+
     /// Partitions a controller from the store and the other controllers, but not from its workers.
     pub fn partition_controller(&mut self, i: usize, duration_s: f64) {
         self.partition = Some(Partition {
--- a/crates/model/src/world/store.rs
+++ b/crates/model/src/world/store.rs
@@ -135,7 +135,10 @@
     }
 
     fn apply_now(&mut self, leading: &mut LeadingController, write: PendingWrite) {
-        let is_reachable = self.reaches_store(leading.controller);
+        let is_cloud_request =
+            matches!(write.action, Action::Provision(_) | Action::Deprovision(_));
+        let is_reachable = self.reaches_store(leading.controller)
+            && !(is_cloud_request && self.now < self.cloud_down_until);
         let may_be_late = is_reachable && written_key(&write.action).is_some();
         if may_be_late && self.rng.u32(0..100) < self.late_write_percent {
             return self.postpone(&mut leading.leader, write);
--- a/crates/model/tests/invariants.rs
+++ b/crates/model/tests/invariants.rs
@@ -12,6 +12,10 @@
 /// How long a scenario with dependencies continues without new faults, in seconds.
 const QUIET_S: f64 = 300.0;
 
+/// The number of seeds tried until a defect violates a rule that only a rare timing brings out: about
+/// one seed in fifty has it.
+const RARE_DEFECT_SEEDS: u64 = 400;
+
 #[test]
 fn rules_hold_with_dependencies_and_rolling_restart() {
     let (mut starts, mut cancelled_by_dependency, mut blocked) = (0, 0, 0);
@@ -245,7 +249,7 @@
             .into_iter()
             .for_each(|(fault, times)| *seen.entry(fault).or_default() += times);
     }
-    assert_eq!(seen.len(), 17, "kinds of faults that happened: {seen:?}");
+    assert_eq!(seen.len(), 19, "kinds of faults that happened: {seen:?}");
 }
 
 #[test]
@@ -291,10 +295,13 @@
 #[test]
 fn trusting_delayed_heartbeats_is_detected() {
     // Depending on the timing, the defect starts a task a second time or exceeds a team's limit.
-    let (violations, _, _) = run_seeds(Defect::TrustAnyHeartbeat, 0..60, 15);
+    let is_detected = |seed| {
+        let (violations, _, _) = run_seeds(Defect::TrustAnyHeartbeat, seed..seed + 1, 15);
+        violations.contains("ran_twice") || violations.contains("quota")
+    };
     assert!(
-        violations.contains("ran_twice") || violations.contains("quota"),
-        "TrustAnyHeartbeat was not detected: {violations:?}"
+        (0..RARE_DEFECT_SEEDS).any(is_detected),
+        "TrustAnyHeartbeat was not detected"
     );
 }
 
@@ -372,7 +379,7 @@
         violations.contains("started_done")
     };
     assert!(
-        (0..30).any(is_detected),
+        (0..RARE_DEFECT_SEEDS).any(is_detected),
         "ReloadDiscardsOwnWrites was not detected"
     );
 }
--- a/crates/model/tests/overlapping_faults.rs
+++ b/crates/model/tests/overlapping_faults.rs
@@ -195,6 +195,42 @@
     );
 }
 
+/// The leader's lease is revoked, and its owners, which can't reach the next leader, go on answering
+/// workers until their authority ends. Then machines lose the network, and the cloud is down, so that
+/// the next leader has to know when the leases of these machines end.
+fn revoke_lease_before_owners_stop(world: &mut World) {
+    world.lost_percent = 0;
+    cancel_until_confirmed(world);
+    wait_for_leader(world);
+    world.revoke_lease();
+    world.cloud_outage(30.0);
+    (0..3).for_each(|i| world.disconnect_controller(i, 14.0));
+    world.advance(1.7);
+    let silent = world.busy_machines(2);
+    world.drop_heartbeats(&silent, 40.0);
+    world.advance(20.0);
+}
+
+/// Guards against `ran_twice`: a new leader took a machine's lease for expired while an earlier
+/// leader, whose lease in the store had ended early, could still have renewed it.
+#[test]
+fn lease_is_revoked_while_owners_have_authority() {
+    check_scenario(DEFECT_SEEDS, revoke_lease_before_owners_stop);
+}
+
+#[test]
+fn ignoring_earlier_authority_is_detected() {
+    assert!(
+        is_violated(
+            "ran_twice",
+            Defect::IgnoreEarlierAuthority,
+            config(),
+            revoke_lease_before_owners_stop
+        ),
+        "IgnoreEarlierAuthority did not violate the rule ran_twice"
+    );
+}
+
 #[test]
 fn leader_restarts_while_machines_are_unreachable() {
     check_scenario(6, |world| {
--- a/crates/model/tests/trace.rs
+++ b/crates/model/tests/trace.rs
@@ -65,7 +65,7 @@
     world.run_heterogeneous(45.0, 40, false);
     world.run_heterogeneous(60.0, 0, false);
     world.submit_bulk(&["small", "costly"]);
-    world.run_heterogeneous(60.0, 50, seed % 2 == 1);
+    world.run_heterogeneous(90.0, 50, seed % 2 == 1);
     world.run_until_done(300.0);
     world.advance(45.0);
     let count = |event| world.cloud_events.get(&event).copied().unwrap_or(0);
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -85,6 +85,12 @@
         (self.cancel_s - self.lease_expiry_s()).max(self.max_start_staleness_s())
     }
 
+    /// Returns the longest time for which a leader, or an owner by its grant, may use the authority
+    /// that one renewal of the leader's lease gives.
+    pub fn max_leader_authority_s(&self) -> Secs {
+        self.leader_lease_s
+    }
+
     /// Returns how long a terminal job is remembered; by then its last task is certainly gone.
     pub fn terminal_retention_s(&self) -> Secs {
         self.cancel_s + self.lease_expiry_s()
--- a/crates/sched/src/leader/epoch.rs
+++ b/crates/sched/src/leader/epoch.rs
@@ -29,6 +29,12 @@
         self.epochs.grant_authority(member, now, until)
     }
 
+    /// Returns when the last authority ends that this leader has granted to others, or that others
+    /// held when it was elected.
+    pub fn granted_until(&self) -> Secs {
+        self.epochs.granted_until()
+    }
+
     /// Delays the first epoch briefly because the other controllers are probably starting as well.
     pub fn expect_other_controllers(&mut self) {
         self.epochs.expect_other_controllers();
--- a/crates/sched/src/leader/mod.rs
+++ b/crates/sched/src/leader/mod.rs
@@ -140,10 +140,11 @@
         started_upto: u64,
         now: Secs,
     ) -> Leader {
+        let epochs = ShardEpochs::new(member, token, config.max_leader_authority_s(), now);
         let mut leader = Leader {
             member: member.into(),
             cluster: Cluster::new(config, now),
-            epochs: ShardEpochs::new(member, token, now),
+            epochs,
             autoscaler: crate::autoscaler::Autoscaler::default(),
             unresolved: UnresolvedTasks::default(),
             started_arrays: StartedArrays::new(started_upto),
--- a/crates/sched/src/leader/shard_epochs.rs
+++ b/crates/sched/src/leader/shard_epochs.rs
@@ -3,7 +3,9 @@
 //!
 //! Invariant: authority (to respond to heartbeats and start tasks) is granted only to owners of the
 //! current epoch, under its token, and the authority of every previous owner ends by the latest of
-//! `disconnected_granted_until` and the connections' `granted_until`.
+//! `disconnected_granted_until` and the connections' `granted_until`. That includes the authority of
+//! earlier leaders and of their owners: it may outlast the lease of such a leader if that lease was
+//! revoked, but not by more than the longest authority that a renewal gives.
 
 use crate::shard;
 use crate::Secs;
@@ -70,13 +72,21 @@
     expects_other_controllers: bool,
     members: Vec<String>,
     connections: BTreeMap<String, OwnerConnection>,
-    /// End of the latest authority granted to a controller that is no longer connected.
+    /// End of the latest authority of a controller that is not connected: granted by this leader,
+    /// or held under an earlier one.
     disconnected_granted_until: Secs,
 }
 
 impl ShardEpochs {
-    /// Creates the state before the first epoch. `token` is the fencing token of the new leader.
-    pub(crate) fn new(member: &str, token: u64, now: Secs) -> ShardEpochs {
+    /// Creates the state before the first epoch. `token` is the fencing token of the new leader, and
+    /// `earlier_authority_s` the longest time for which an earlier leader, or one of its owners, may
+    /// still have authority.
+    pub(crate) fn new(
+        member: &str,
+        token: u64,
+        earlier_authority_s: Secs,
+        now: Secs,
+    ) -> ShardEpochs {
         ShardEpochs {
             member: member.into(),
             token,
@@ -90,7 +100,7 @@
             expects_other_controllers: false,
             members: Vec::new(),
             connections: BTreeMap::new(),
-            disconnected_granted_until: now,
+            disconnected_granted_until: now + earlier_authority_s,
         }
     }
 
@@ -176,6 +186,14 @@
         Some(valid_s)
     }
 
+    /// Returns when the last authority ends that this leader has granted to others, or that others
+    /// held when it was elected.
+    pub(crate) fn granted_until(&self) -> Secs {
+        let connections = self.connections.values();
+        let granted = connections.map(|connection| connection.granted_until);
+        granted.fold(self.disconnected_granted_until, f64::max)
+    }
+
     /// Delays the first epoch briefly because the other controllers are probably starting as well.
     /// Each epoch that moves a machine to another owner costs two heartbeats of the machine before
     /// it is reconciled, and a worker that sees a new token sends its next heartbeat early only
@@ -274,11 +292,7 @@
         self.began_at = now;
         self.member_disconnected = false;
         // Previous owners may renew leases until their authority has certainly ended.
-        let granted = self
-            .connections
-            .values()
-            .map(|connection| connection.granted_until);
-        let granted_until = granted.fold(self.disconnected_granted_until, f64::max);
+        let granted_until = self.granted_until();
         EpochChange {
             token: self.token,
             previous_token,
--- a/crates/store/src/leadership.rs
+++ b/crates/store/src/leadership.rs
@@ -76,6 +76,29 @@
     pub version: u64,
 }
 
+/// What the store holds at the leader's key, as seen by a controller that led under a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaderKey {
+    /// The key is as this leader last knew it.
+    Unchanged,
+    /// An earlier write of this leader, whose outcome was unknown, has advanced the token.
+    Advanced(NextToken),
+    /// The key is gone or names another leadership.
+    Lost,
+}
+
+/// Why a leadership ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeadershipEnd {
+    /// The store does not know the lease any more.
+    LeaseExpired,
+    /// The leader's key was read and is no longer this leader's.
+    KeyLost,
+    /// The store answers renewals, but for a whole lease neither the outcome of a write to the
+    /// leader's key nor the key could be read.
+    Unresolved,
+}
+
 /// Durable term as read from the store.
 struct StoredTerm {
     term: u64,
@@ -148,8 +171,9 @@
 ///
 /// # Errors
 ///
-/// Returns any error of the store. The outcome may be unknown then. The call may be repeated: it
-/// recognizes a token that an earlier attempt has recorded.
+/// Returns `OutcomeUnknown` if the store may hold the next token, and any other error of the store if
+/// this attempt has certainly not recorded it. The call may be repeated: it recognizes a token that
+/// an earlier attempt has recorded.
 pub async fn advance_token(
     store: &impl LeaderStore,
     member: &str,
@@ -173,19 +197,49 @@
             | StoreError::BudgetExhausted(_)),
         ) => Err(error),
         // A conflict can come from an earlier attempt of this leader whose response was lost.
-        Ok(TxnOutcome::Conflict(_)) | Err(_) => match store.get(keys::LEADER).await? {
-            Some(item) if from_value::<LeaderRecord>(&item.value).as_ref() == Some(&record) => {
-                Ok(Some(NextToken {
-                    token,
-                    version: item.version,
-                }))
+        Ok(TxnOutcome::Conflict(_)) | Err(_) => {
+            match read_leader_key(store, member, leadership).await {
+                Ok(LeaderKey::Advanced(next)) => Ok(Some(next)),
+                Ok(LeaderKey::Unchanged) => Err(StoreError::OutcomeUnknown(
+                    "the store has not applied the leader's next token yet".into(),
+                )),
+                Ok(LeaderKey::Lost) => Ok(None),
+                Err(error) => Err(StoreError::OutcomeUnknown(format!(
+                    "the leader's key could not be read back: {error}"
+                ))),
             }
-            Some(item) if item.version == leadership.version => Err(StoreError::OutcomeUnknown(
-                "the store has not applied the leader's next token yet".into(),
-            )),
-            _ => Ok(None),
-        },
+        }
+    }
+}
+
+/// Reads the leader's key back, to learn whether a leadership is really lost: a conflict on the key
+/// may come from a write of this leader whose response was lost.
+///
+/// # Errors
+///
+/// Returns any error of the store. Whether the leadership is lost is unknown then.
+pub async fn read_leader_key(
+    store: &impl LeaderStore,
+    member: &str,
+    leadership: &LeadershipLease,
+) -> Result<LeaderKey, StoreError> {
+    let Some(item) = store.get(keys::LEADER).await? else {
+        return Ok(LeaderKey::Lost);
+    };
+    let next = LeaderRecord {
+        member: member.into(),
+        token: leadership.token + 1,
+    };
+    if from_value::<LeaderRecord>(&item.value).as_ref() == Some(&next) {
+        return Ok(LeaderKey::Advanced(NextToken {
+            token: next.token,
+            version: item.version,
+        }));
+    }
+    if item.version == leadership.version {
+        return Ok(LeaderKey::Unchanged);
     }
+    Ok(LeaderKey::Lost)
 }
 
 async fn read_term(store: &impl LeaderStore) -> Result<StoredTerm, StoreError> {
