Cancellations are told only when no controller can start a task of the job any more

A user was told that a job is cancelled, and a controller that was cut off from the state service and the others, not from its workers, started four tasks of it for a report sent a second later.

Cause: a cancellation was confirmed on the store's word alone, while any owner may start tasks on a view of up to the leadership lease (2 s). The same was said by queries, repeated submissions and repeated cancellations at controllers that had only read of it.

Change: whoever tells a user so (one gate for all of these) waits for the earlier of two. The leader confirms it, when every owner with authority has taken the cancellation in and all other authority has ended; three new messages between controllers, sent only to those that announced that they know them, the others byte for byte as before. Or the time has passed for which a start may rest on an older view, now 0.4 of the leadership lease (0.8 s); for that the leader reads 5 times a second instead of 2.5, owners ping 5 times instead of 2, and an owner with tasks to start reads by itself if the leader's reads reach it too late. A leader keeps a cancellation that it was told of, so that an older read does not bring the job back.

Tests that name times now take them from the bound, or read the store later.

--- a/crates/ladderroute/src/api/responses.rs
+++ b/crates/ladderroute/src/api/responses.rs
@@ -19,7 +19,11 @@
 /// Returns a 503 response with this error text and the time after which to retry.
 pub fn retry_later(controller: &Controller, error: &str) -> Response {
     // After about this long, the store can be read again.
-    let retry_delay_s = controller.config.heartbeat_s / 2.0;
+    retry_after(controller.config.heartbeat_s / 2.0, error)
+}
+
+/// Returns a 503 response with this error text and a time in seconds after which to retry.
+pub fn retry_after(retry_delay_s: f64, error: &str) -> Response {
     // Closing the connection lets the load balancer choose another controller, which may be able to
     // serve the request.
     Response {
--- a/crates/ladderroute/src/api/users/cancellation.rs
+++ b/crates/ladderroute/src/api/users/cancellation.rs
@@ -9,7 +9,6 @@
 use store::client::{StoreError, TxnOutcome};
 use store::keys;
 use store::replica::JobEntry;
-use wire::peers::{encode_frame, ToLeader};
 use wire::store::{from_value, to_value, Condition, JobRecord, Recorded, Txn, Write};
 use wire::users::Job;
 
@@ -24,7 +23,7 @@
         Err(response) => return response,
     };
     match cancel_until_terminal(controller, id, entry).await {
-        Ok(entry) => accepted_response(controller, 200, id, &entry),
+        Ok(entry) => accepted_response(controller, 200, id, &entry).await,
         Err(response) => response,
     }
 }
@@ -41,10 +40,7 @@
             return Ok(entry);
         };
         match write_cancellation(controller, id, &entry, &job).await? {
-            CancelOutcome::Written => {
-                entry.state = Recorded::Cancelled;
-                return Ok(entry);
-            }
+            CancelOutcome::Written => return known_entry(controller, id),
             CancelOutcome::Undecided => entry = reread_entry(controller, id).await?,
         }
     }
@@ -79,7 +75,7 @@
     match controller.store.txn(&txn, RequestPriority::Decision).await {
         Ok(TxnOutcome::Applied(version)) => {
             log::info!("event=cancelled job={id} revision={version}");
-            apply_cancellation(controller, id, record, version);
+            controller.apply_job_record(&mut controller.lock(), id, record, version);
             Ok(CancelOutcome::Written)
         }
         Ok(TxnOutcome::Conflict(_)) | Err(StoreError::OutcomeUnknown(_)) => {
@@ -109,18 +105,6 @@
     }
 }
 
-/// Applies a cancellation that the store has recorded, and tells the leader.
-fn apply_cancellation(controller: &Controller, id: &str, record: JobRecord, version: u64) {
-    let mut guard = controller.lock();
-    let state = &mut *guard;
-    controller.apply_job_record(state, id, record, version);
-    if let Some(leader) = &state.shared.leader_outbox {
-        // This message only speeds up the cancellation, which the leader's own read of the store
-        // guarantees.
-        leader.send(encode_frame(&ToLeader::Cancelled { job: id.into() }));
-    }
-}
-
 /// Reads a job's record from the store again. Returns its entry, or the error response to send.
 async fn reread_entry(controller: &Rc<Controller>, id: &str) -> Result<JobEntry, Response> {
     let Ok(Some(item)) = controller
@@ -136,6 +120,11 @@
     if let Some(record) = from_value::<JobRecord>(&item.value) {
         controller.apply_job_record(&mut controller.lock(), id, record, item.version);
     }
+    known_entry(controller, id)
+}
+
+/// Returns a job's entry in the view, or the error response to send if there is none.
+fn known_entry(controller: &Controller, id: &str) -> Result<JobEntry, Response> {
     cached_entry(controller, id).ok_or_else(|| {
         retry_later(
             controller,
--- a/crates/ladderroute/src/api/users/job_state.rs
+++ b/crates/ladderroute/src/api/users/job_state.rs
@@ -12,7 +12,11 @@
 //!   depend on it are held back in any case. And if the view is fresh enough for tasks to be
 //!   started from it, it does not report a job as queued long after the cancellation of one of its
 //!   ancestors was confirmed.
+//!
+//! A cancelled job is reported as such only when no controller starts a task of it any more. Until
+//! then it is not reported at all, since another controller may have reported the cancellation.
 
+use super::confirmation::wait_until_reportable;
 use crate::api::responses::retry_later;
 use crate::controller::Controller;
 use crate::counters::Counters;
@@ -58,7 +62,7 @@
 /// Responds with the state of a job whose record was read from the store for this request.
 pub(super) async fn existing_job_response(controller: &Rc<Controller>, id: &str) -> Response {
     if let Some(own) = cached_entry(controller, id).filter(record_suffices) {
-        return accepted_response(controller, 200, id, &own);
+        return accepted_response(controller, 200, id, &own).await;
     }
     refreshed_job_response(controller, 200, id).await
 }
@@ -68,14 +72,14 @@
     let is_fresh = controller.view_age() <= controller.config.max_start_staleness_s();
     let created = cached_entry(controller, id).filter(|entry| is_fresh || record_suffices(entry));
     if let Some(created) = created {
-        return accepted_response(controller, 201, id, &created);
+        return accepted_response(controller, 201, id, &created).await;
     }
     refreshed_job_response(controller, 201, id).await
 }
 
 async fn refreshed_job_response(controller: &Rc<Controller>, status: u16, id: &str) -> Response {
     match look_up(controller, id).await {
-        Ok(Some(entry)) => accepted_response(controller, status, id, &entry),
+        Ok(Some(entry)) => accepted_response(controller, status, id, &entry).await,
         Ok(None) => retry_later(
             controller,
             "this controller does not know the job's state yet",
@@ -96,12 +100,15 @@
 }
 
 /// Returns the response to a submission or a cancellation, from an entry of the view.
-pub(super) fn accepted_response(
-    controller: &Controller,
+pub(super) async fn accepted_response(
+    controller: &Rc<Controller>,
     status: u16,
     id: &str,
     entry: &JobEntry,
 ) -> Response {
+    if let Err(response) = wait_until_reportable(controller, id, entry).await {
+        return response;
+    }
     let state = state_of(controller, id, entry);
     log_answer(controller, status, id, state);
     let id = id.into();
@@ -109,7 +116,14 @@
 }
 
 /// Returns the response to a query, from an entry of the view.
-pub(super) fn progress_response(controller: &Controller, id: &str, entry: &JobEntry) -> Response {
+pub(super) async fn progress_response(
+    controller: &Rc<Controller>,
+    id: &str,
+    entry: &JobEntry,
+) -> Response {
+    if let Err(response) = wait_until_reportable(controller, id, entry).await {
+        return response;
+    }
     let state = state_of(controller, id, entry);
     log_answer(controller, 200, id, state);
     let running = match state {
--- a/crates/ladderroute/src/api/users/submission.rs
+++ b/crates/ladderroute/src/api/users/submission.rs
@@ -54,7 +54,7 @@
     let SubmittedId { id } = cbor::decode(body).ok()?;
     cached_entry(controller, &id)?;
     Some(match look_up(controller, &id).await {
-        Ok(Some(entry)) => accepted_response(controller, 200, &id, &entry),
+        Ok(Some(entry)) => accepted_response(controller, 200, &id, &entry).await,
         Ok(None) => retry_later(
             controller,
             "this controller does not know the job's state yet",
@@ -108,7 +108,7 @@
 ) -> Response {
     let Job { id, team, .. } = job;
     match look_up(controller, id).await {
-        Ok(Some(entry)) => accepted_response(controller, 200, id, &entry),
+        Ok(Some(entry)) => accepted_response(controller, 200, id, &entry).await,
         Ok(None) => {
             log::info!("event=never_runs job={id} team={team} error=\"{reason}\"");
             error_response(422, reason.to_string())
@@ -134,7 +134,7 @@
     };
     // If another controller has accepted the job meanwhile, this submission is a repeat.
     Err(match cached_entry(controller, &job.id) {
-        Some(entry) => accepted_response(controller, 200, &job.id, &entry),
+        Some(entry) => accepted_response(controller, 200, &job.id, &entry).await,
         None => error_response(422, Infeasible::UnknownDependency(id).to_string()),
     })
 }
--- a/crates/ladderroute/src/controller/message_exchange.rs
+++ b/crates/ladderroute/src/controller/message_exchange.rs
@@ -63,7 +63,19 @@
                 },
                 Action::Send(to, message) => {
                     if let Some(link) = leadership.links.get(&to) {
-                        link.outbox.send(encode_frame(&message));
+                        link.send(&message);
+                    }
+                }
+                Action::ConfirmCancellations { requester, jobs } => {
+                    // Only the leader may confirm, since a later leader need not know of the
+                    // cancellation. Without a confirmation the requester waits for longer.
+                    if now >= owner.authority.until() {
+                        continue;
+                    }
+                    if requester == self.settings.member {
+                        shared.cancellations.on_confirmed(&jobs, now);
+                    } else if let Some(link) = leadership.links.get(&requester) {
+                        link.send(&ToOwner::CancellationsConfirmed { jobs });
                     }
                 }
                 action @ (Action::Provision(_) | Action::Deprovision(_)) => {
--- a/crates/ladderroute/src/controller/mod.rs
+++ b/crates/ladderroute/src/controller/mod.rs
@@ -1,5 +1,6 @@
 //! A controller: its settings, its clients, and the state that its services share.
 
+mod cancellations;
 mod freshness_reads;
 pub mod limits;
 mod message_exchange;
@@ -7,6 +8,7 @@
 mod shared_state;
 pub mod view_updates;
 
+pub use cancellations::Cancellations;
 pub use freshness_reads::FreshnessReads;
 pub use replica_jobs::ReplicaJobs;
 pub use shared_state::{ConnectionId, Leadership, Link, Shared, State};
--- a/crates/ladderroute/src/controller/shared_state.rs
+++ b/crates/ladderroute/src/controller/shared_state.rs
@@ -1,15 +1,18 @@
 //! The state that the services of a controller share behind its lock: data only, no tasks.
 
+use super::cancellations::Cancellations;
 use crate::cluster_view::ClusterView;
 use crate::outbox::Outbox;
 use crate::writer::limits::TxnLimits;
 use crate::writer::pages::RecordPages;
+use sched::config::SchedulerConfig;
 use sched::leader::{Action, Leader};
 use sched::owner::Owner;
 use std::collections::{HashMap, VecDeque};
 use std::time::Instant;
 use store::leadership::LeadershipLease;
 use wire::cloud::MachineType;
+use wire::peers::{encode_frame, ToOwner};
 
 /// All state behind the controller's lock.
 pub struct State {
@@ -23,6 +26,8 @@
 pub struct Shared {
     /// The view of the store.
     pub view: ClusterView,
+    /// The cancellations that may be reported to users.
+    pub cancellations: Cancellations,
     /// The machine types; `None` until the cloud's catalog has been read.
     pub catalog: Option<Vec<MachineType>>,
     /// The state of the leader; `None` while this controller does not lead.
@@ -38,9 +43,10 @@
 
 impl Shared {
     /// Returns the initial state with a view that has not been loaded yet.
-    pub fn new(view: ClusterView) -> Shared {
+    pub fn new(view: ClusterView, config: &SchedulerConfig) -> Shared {
         Shared {
             view,
+            cancellations: Cancellations::new(config),
             catalog: None,
             leadership: None,
             running: HashMap::new(),
@@ -74,6 +80,21 @@
     pub outbox: Outbox,
     /// The id that the other controller gave the connection.
     pub id: ConnectionId,
+    /// Whether the other controller understands the messages with which cancellations are confirmed.
+    pub confirms: bool,
+}
+
+impl Link {
+    /// Sends a message, unless the other controller would not understand it.
+    pub fn send(&self, message: &ToOwner) {
+        let needs_confirming_peer = matches!(
+            message,
+            ToOwner::ConfirmTerminal { .. } | ToOwner::CancellationsConfirmed { .. }
+        );
+        if self.confirms || !needs_confirming_peer {
+            self.outbox.send(encode_frame(message));
+        }
+    }
 }
 
 /// Identifies one of the connections that a controller has opened to leaders.
--- a/crates/ladderroute/src/controller/view_updates.rs
+++ b/crates/ladderroute/src/controller/view_updates.rs
@@ -22,6 +22,7 @@
             log::info!("event=read_dropped since={}", read.since);
             return false;
         };
+        self.record_view_revision(&mut state.shared);
         self.notify_leader_of_changes(&mut state.shared, job_changes);
         self.act_on_view(state);
         true
@@ -37,10 +38,17 @@
         let replica = state.shared.view.replica();
         let (jobs, revision) = (replica.jobs.len(), replica.revision);
         log::info!("event=loaded jobs={jobs} revision={revision} pages={pages} took_s={took_s:.2}");
+        self.record_view_revision(&mut state.shared);
         self.notify_leader_of_all_jobs(&mut state.shared);
         self.act_on_view(state);
     }
 
+    /// Records that the store has reached the revision of the view.
+    fn record_view_revision(&self, shared: &mut Shared) {
+        let revision = shared.view.replica().revision;
+        shared.cancellations.record_revision(revision, self.now());
+    }
+
     /// Acts on an updated view. Messages are exchanged before the owner learns that the view is
     /// fresher: tasks of cancelled jobs must be stopped before any heartbeat is answered from the
     /// new view.
@@ -53,6 +61,8 @@
     /// Applies a job's record as of a version in the store and acts on it.
     pub fn apply_job_record(&self, state: &mut State, id: &str, record: JobRecord, version: u64) {
         let changes = state.shared.view.apply_job_record(id, record, version);
+        let cancellations = &mut state.shared.cancellations;
+        cancellations.record_revision(version, self.now());
         self.notify_leader_of_changes(&mut state.shared, changes);
         self.exchange_messages(state);
     }
--- a/crates/ladderroute/src/controller_links/follower_side.rs
+++ b/crates/ladderroute/src/controller_links/follower_side.rs
@@ -5,6 +5,7 @@
 use crate::controller::{ConnectionId, Controller, ReplicaJobs, State};
 use crate::outbox::Outbox;
 use http::with_timeout;
+use sched::config::SchedulerConfig;
 use sched::owner::Owner;
 use smol::net::TcpStream;
 use std::cell::{Cell, RefCell};
@@ -13,7 +14,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use store::leadership::MAX_CLOCK_DRIFT;
-use wire::peers::{decode_frame, encode_frame, ToLeader, ToOwner};
+use wire::peers::{decode_frame, encode_frame, ToLeader, ToOwner, CONFIRMING_PING};
 
 /// Timeout for connecting to the leader, in seconds.
 const CONNECT_TIMEOUT_S: f64 = wire::HEARTBEAT_RESPONSE_TIMEOUT_S / 4.0;
@@ -26,6 +27,10 @@
 /// up on a silent owner.
 const PINGS_PER_OWNER_TIMEOUT: f64 = 4.0;
 
+/// Number of pings that an owner sends in the time for which a view is fresh enough for starts: the
+/// answers tell it of the leader's reads of the store.
+const PINGS_PER_START_STALENESS: f64 = 4.0;
+
 /// Number of the newest pings whose answers are still accepted.
 const MAX_PENDING_PINGS: u64 = 64;
 
@@ -85,15 +90,16 @@
         sequence: id.sequence,
     };
     outbox.send_urgent(&encode_frame(&hello));
+    outbox.send_urgent(&encode_frame(&ToLeader::Ping { n: CONFIRMING_PING }));
     let writer = controller
         .executor
         .spawn(write_frames(stream.clone(), outbox.clone(), timeout));
     let mut frames = FrameReader::new(stream, timeout);
     let pings = Rc::new(Pings::new(outbox.clone()));
-    let interval = controller.config.owner_timeout_s() / PINGS_PER_OWNER_TIMEOUT;
+    let interval = ping_interval(&controller.config);
     let pinger = controller
         .executor
-        .spawn(send_pings(pings.clone(), Duration::from_secs_f64(interval)));
+        .spawn(send_pings(pings.clone(), interval));
     let mut connection = LeaderConnection {
         leader,
         outbox,
@@ -159,6 +165,12 @@
     }
 }
 
+fn ping_interval(config: &SchedulerConfig) -> Duration {
+    let for_authority_s = config.owner_timeout_s() / PINGS_PER_OWNER_TIMEOUT;
+    let for_starts_s = config.max_start_staleness_s() / PINGS_PER_START_STALENESS;
+    Duration::from_secs_f64(for_authority_s.min(for_starts_s))
+}
+
 async fn send_pings(pings: Rc<Pings>, interval: Duration) {
     loop {
         pings.send();
@@ -192,6 +204,9 @@
             ToOwner::RunningCounts { running } => {
                 state.shared.running = running.into_iter().collect()
             }
+            ToOwner::CancellationsConfirmed { jobs } => {
+                state.shared.cancellations.on_confirmed(&jobs, now)
+            }
             message => {
                 if matches!(message, ToOwner::Epoch { .. }) {
                     self.join(state);
@@ -214,6 +229,10 @@
         // Authority granted by an earlier leader is not valid under this one.
         state.owner.authority.set_until(f64::MIN);
         state.shared.leader_outbox = Some(self.outbox.clone());
+        // Requests that wait for an earlier leader's confirmation get it from this one.
+        for job in state.shared.cancellations.waiting_jobs() {
+            self.outbox.send(encode_frame(&ToLeader::Cancelled { job }));
+        }
     }
 
     /// Applies the authority granted by the leader. This is the only place where an owner receives
--- a/crates/ladderroute/src/controller_links/leader_side.rs
+++ b/crates/ladderroute/src/controller_links/leader_side.rs
@@ -10,7 +10,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use wire::peers::{decode_frame, encode_frame, ToLeader, ToOwner};
+use wire::peers::{decode_frame, encode_frame, ToLeader, ToOwner, CONFIRMING_PING};
 
 /// Time in seconds after which a connection is closed if no message has arrived or a single write
 /// has not completed. Owners ping often, so a working connection is never silent for long.
@@ -133,6 +133,7 @@
     let link = Link {
         outbox: connection.outbox.clone(),
         id: connection.id,
+        confirms: false,
     };
     leadership.links.insert(member.clone(), link);
     true
@@ -168,6 +169,13 @@
     };
     leadership.leader.on_owner_contact(&connection.member, now);
     match message {
+        ToLeader::Ping { n: CONFIRMING_PING } => {
+            if let Some(link) = leadership.links.get_mut(&connection.member) {
+                link.confirms = true;
+            }
+            leadership.leader.repeat_confirmation_request();
+            controller.exchange_messages(state);
+        }
         ToLeader::Ping { n } => {
             answer_ping(controller, leadership, &owner.authority, connection, n, now)
         }
--- a/crates/ladderroute/src/leadership/lease.rs
+++ b/crates/ladderroute/src/leadership/lease.rs
@@ -14,9 +14,9 @@
 /// Number of renewals in the duration of the store lease after one has failed.
 const RETRIES_PER_LEASE: u32 = 20;
 
-/// Number of freshness reads of the leader in the duration of its store lease, if nothing else
-/// keeps the view fresh.
-const READS_PER_LEASE: u32 = 5;
+/// Number of freshness reads of the leader in the time for which a view is fresh enough for starts,
+/// if nothing else keeps the view fresh. Owners learn of a read later than the leader.
+const READS_PER_START_STALENESS: f64 = 4.0;
 
 /// Result of a renewal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -91,13 +91,15 @@
 
 /// Keeps the view fresh, since its age limits for how long authority may be used. Under load, the
 /// freshness reads for users' requests and the watch already do so.
-pub async fn keep_view_fresh(controller: Rc<Controller>, ttl: Duration) {
-    let interval = ttl / READS_PER_LEASE;
+pub async fn keep_view_fresh(controller: Rc<Controller>) {
+    let max_staleness = Duration::from_secs_f64(controller.config.max_start_staleness_s());
+    let interval = max_staleness.div_f64(READS_PER_START_STALENESS);
     loop {
         let age_s = controller.view_age();
         if age_s >= interval.as_secs_f64() {
+            let sent_at = Instant::now();
             freshness::read_once(&controller).await;
-            smol::Timer::after(interval / 2).await;
+            smol::Timer::after((interval / 2).saturating_sub(sent_at.elapsed())).await;
         } else {
             smol::Timer::after(interval - Duration::from_secs_f64(age_s.max(0.0))).await;
         }
--- a/crates/ladderroute/src/leadership/mod.rs
+++ b/crates/ladderroute/src/leadership/mod.rs
@@ -90,7 +90,7 @@
     let executor = &controller.executor;
     let tasks = [
         executor.spawn(run_clock(controller.clone())),
-        executor.spawn(keep_view_fresh(controller.clone(), ttl)),
+        executor.spawn(keep_view_fresh(controller.clone())),
         executor.spawn(provisioning::process_requests(controller.clone())),
         executor.spawn(provisioning::poll_cloud(controller.clone())),
     ];
--- a/crates/ladderroute/src/startup/mod.rs
+++ b/crates/ladderroute/src/startup/mod.rs
@@ -45,7 +45,7 @@
     let cloud = settings.services.cloud;
     let state = State {
         owner: Owner::new(&settings.member, config.clone()),
-        shared: Shared::new(ClusterView::new(tasks_per_chunk)),
+        shared: Shared::new(ClusterView::new(tasks_per_chunk), &config),
     };
     Rc::new(Controller {
         store: store_client(&settings, &config),
@@ -124,6 +124,9 @@
     executor
         .spawn(owner_clock::run(controller.clone()))
         .detach();
+    executor
+        .spawn(freshness::keep_fresh_for_starts(controller.clone()))
+        .detach();
     api::serve(controller, api_listener).await;
     Ok(())
 }
--- a/crates/ladderroute/src/writer/batch.rs
+++ b/crates/ladderroute/src/writer/batch.rs
@@ -161,9 +161,10 @@
                 bits,
             } => self.add_progress(job, *first_task, bits),
             Action::RecordStartedArrays(record) => self.add_started_arrays(record),
-            Action::Send(..) | Action::Provision(_) | Action::Deprovision(_) => {
-                AddResult::NothingToWrite
-            }
+            Action::Send(..)
+            | Action::ConfirmCancellations { .. }
+            | Action::Provision(_)
+            | Action::Deprovision(_) => AddResult::NothingToWrite,
         }
     }
 
--- a/crates/ladderroute/src/writer/outcome.rs
+++ b/crates/ladderroute/src/writer/outcome.rs
@@ -285,7 +285,10 @@
                 .leader
                 .on_progress_result(&job, first_task, written.then_some(&done));
         }
-        Action::Send(..) | Action::Provision(_) | Action::Deprovision(_) => {}
+        Action::Send(..)
+        | Action::ConfirmCancellations { .. }
+        | Action::Provision(_)
+        | Action::Deprovision(_) => {}
     }
 }
 
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -4,6 +4,7 @@
 //! Each controller owns a shard of the machines: it responds to the heartbeats of their workers.
 //! One of the controllers is also the leader, which places tasks on the machines of all shards.
 
+use sched::cancellation::CancellationGate;
 use sched::config::{SchedulerConfig, Team};
 use sched::leader::{Action, Leader, OpenJob, PriorRuns};
 use sched::owner::{HeartbeatResponse, JobLookup, Owner};
@@ -17,6 +18,7 @@
 use wire::users::{Job, Priority, Shape};
 use wire::workers::{Heartbeat, Order, Orders, ReportedTask, TaskState, Why};
 
+mod cancellations;
 mod cloud;
 mod controllers;
 mod defect;
@@ -298,6 +300,7 @@
         self.run_controllers();
         self.run_leader();
         self.run_writes();
+        self.report_cancellations();
         self.check_running_tasks();
     }
 
--- a/crates/model/src/world/controllers.rs
+++ b/crates/model/src/world/controllers.rs
@@ -6,6 +6,8 @@
 #[derive(Clone, Copy)]
 pub(super) struct StoreRead {
     pub(super) sent_at: f64,
+    /// The store's revision when it was sent.
+    pub(super) revision: u64,
     pub(super) answered_at: f64,
 }
 
@@ -46,6 +48,10 @@
     pub(super) pending_read: Option<StoreRead>,
     /// The reload of all records that is in progress, if any.
     pub(super) pending_reload: Option<StoreRead>,
+    /// Which cancellations it may report to users.
+    pub(super) cancellations: CancellationGate,
+    /// The cancellations that it has asked the leader to confirm on the present connection.
+    pub(super) asked_to_confirm: BTreeSet<String>,
 }
 
 impl Controller {
@@ -68,6 +74,8 @@
             read_at: f64::MIN,
             pending_read: None,
             pending_reload: None,
+            cancellations: CancellationGate::new(config),
+            asked_to_confirm: BTreeSet::new(),
         }
     }
 
@@ -79,6 +87,14 @@
         self.to_leader.clear();
         self.pings.clear();
         self.leader_reads.clear();
+        self.asked_to_confirm.clear();
+    }
+
+    /// Records that the leader has confirmed cancellations.
+    pub(super) fn on_cancellations_confirmed(&mut self, jobs: &[String], now: f64) {
+        for job in jobs {
+            self.cancellations.record_confirmation(job, now);
+        }
     }
 
     fn join(&mut self) {
@@ -95,6 +111,9 @@
                 self.has_epoch = true;
                 self.owner.authority.set_until(f64::MIN);
             }
+            if let ToOwner::CancellationsConfirmed { jobs } = &message {
+                self.on_cancellations_confirmed(jobs, now);
+            }
             self.owner.on_leader_message(message, now, jobs);
         }
         while let Some(read_at) = self.leader_reads.receive(now) {
--- a/crates/model/src/world/defect.rs
+++ b/crates/model/src/world/defect.rs
@@ -38,6 +38,9 @@
     IgnoreCancelledDependencies,
     /// A new leader assumes that no earlier leader, nor any of its owners, still has authority.
     IgnoreEarlierAuthority,
+    /// Controllers tell users of a cancellation as soon as they know of it, although others may still
+    /// start tasks of the job.
+    ReportUnconfirmedCancellations,
     /// Controllers do not see cancellations in their own reads, and a new leader knows of none from
     /// before its election.
     ForgetCancelled,
--- a/crates/model/src/world/dependencies.rs
+++ b/crates/model/src/world/dependencies.rs
@@ -112,6 +112,14 @@
         changes.into_iter().map(|(_, id)| id.clone()).collect()
     }
 
+    /// Returns the jobs whose end controller `i` has recorded and that its leader has removed.
+    fn removed_after_own_write(&self, leader: &Leader, i: usize) -> Vec<String> {
+        let ended = self.jobs.iter().filter(|(id, job)| {
+            job.terminal_written_by == Some(i) && !job.is_open() && !leader.has_job(id)
+        });
+        ended.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Completes a controller's reload of all records, which were read at `read_at`. The controller
     /// keeps the terminal records that it has written itself since then.
     pub(super) fn finish_reload(&mut self, i: usize, read_at: f64) {
@@ -125,10 +133,14 @@
             view.update(&self.jobs, &job.spec.id, now);
         }
         if let Some(mut leading) = self.leading.take_if(|leading| leading.controller == i) {
+            let removed = self.removed_after_own_write(&leading.leader, i);
             for job in self.jobs.values().filter(|job| job.accepted_at <= read_at) {
                 let known_at = if is_own_write(job) { now } else { read_at };
                 self.notify_leader(&mut leading.leader, &view, &job.spec.id, known_at);
             }
+            if removed.iter().any(|id| leading.leader.has_job(id)) {
+                self.record_violation("ended_job_returned");
+            }
             self.leading = Some(leading);
         }
         self.check_descendants_of_cancelled(&view, read_at);
--- a/crates/model/src/world/leadership.rs
+++ b/crates/model/src/world/leadership.rs
@@ -148,6 +148,9 @@
                 self.damage_epoch(leading, &mut message);
                 self.send_to_owner(leading.controller, controller_index(&to), message);
             }
+            Action::ConfirmCancellations { requester, jobs } => {
+                self.confirm_cancellations(leading.controller, &requester, jobs);
+            }
             action => {
                 let arrives_at = self.now + 0.02 + self.rng.f64() * 0.3;
                 let expected_version = self.expected_version(&action);
@@ -176,7 +179,7 @@
         }
     }
 
-    fn send_to_owner(&mut self, leading: usize, to: usize, message: ToOwner) {
+    pub(super) fn send_to_owner(&mut self, leading: usize, to: usize, message: ToOwner) {
         if to == leading {
             let jobs = JobReplica::new(&self.jobs, self.terminal_jobs_read_at(leading));
             let owner = &mut self.controllers[leading].owner;
--- a/crates/model/src/world/outcomes.rs
+++ b/crates/model/src/world/outcomes.rs
@@ -86,7 +86,7 @@
                 }
                 leader.on_deprovision_result(&machines, outcome.is_confirmed());
             }
-            Action::Send(..) => {}
+            Action::Send(..) | Action::ConfirmCancellations { .. } => {}
         }
         self.finish_half_done();
     }
--- a/crates/model/src/world/scenario.rs
+++ b/crates/model/src/world/scenario.rs
@@ -43,6 +43,7 @@
         controller.pending_read = None;
         controller.pending_reload.get_or_insert(StoreRead {
             sent_at: now,
+            revision: self.revision,
             answered_at: now + duration_s,
         });
     }
--- a/crates/model/src/world/trace.rs
+++ b/crates/model/src/world/trace.rs
@@ -242,6 +242,12 @@
             Action::Send(to, message) => {
                 self.hash_bytes(&[1]).text(to).bytes(&encode_frame(message))
             }
+            Action::ConfirmCancellations { requester, jobs } => {
+                let jobs = jobs.clone();
+                self.hash_bytes(&[10])
+                    .text(requester)
+                    .bytes(&encode_frame(&ToOwner::CancellationsConfirmed { jobs }))
+            }
             Action::IssueToken => self.hash_bytes(&[2]),
             Action::UpdateRoster(machine, record) => self
                 .hash_bytes(&[3])
--- a/crates/model/src/world/workers.rs
+++ b/crates/model/src/world/workers.rs
@@ -405,16 +405,17 @@
         worker.token = response.token;
         worker.lease_renewed_at = worker.lease_renewed_at.max(sent_at);
         for order in response.orders {
-            self.execute(machine, order);
+            self.execute(machine, order, sent_at);
         }
     }
 
-    fn execute(&mut self, machine: &str, order: Order) {
+    /// Executes an order from the response to a heartbeat that was sent at `heartbeat_sent_at`.
+    fn execute(&mut self, machine: &str, order: Order, heartbeat_sent_at: f64) {
         self.trace.executed(self.now, machine, &order);
         match order {
             Order::Start { task, attempt } => {
                 if let Some(key) = TaskKey::parse(&task, attempt) {
-                    self.start_task(machine, key);
+                    self.start_task(machine, key, heartbeat_sent_at);
                 }
             }
             Order::Stop {
@@ -435,13 +436,14 @@
         }
     }
 
-    fn start_task(&mut self, machine: &str, key: TaskKey) {
+    fn start_task(&mut self, machine: &str, key: TaskKey, heartbeat_sent_at: f64) {
         let worker = self.workers.get(machine);
         if worker.is_some_and(|worker| worker.tasks.contains_key(&key)) {
             return;
         }
         self.tasks_started += 1;
         self.check_start(machine, &key.job, key.index);
+        self.check_not_reported_cancelled(&key.job, heartbeat_sent_at);
         let task = SimTask::starting(self.now, self.saved_s(&key.job, key.index));
         if let Some(worker) = self.workers.get_mut(machine) {
             worker.tasks.insert(key, task);
--- a/crates/model/tests/overlapping_faults.rs
+++ b/crates/model/tests/overlapping_faults.rs
@@ -231,6 +231,47 @@
     );
 }
 
+/// An owner with tasks to start is partitioned from the store and the other controllers, but not from
+/// its workers, and jobs are cancelled at once.
+fn partition_owner_with_assigned_tasks(world: &mut World) {
+    world.lost_percent = 0;
+    world.delayed_percent = 0;
+    for i in 100..108 {
+        let leader = wait_for_leader(world);
+        world.submit(job(i, "red", Shape::Array, 6, 1.0));
+        world.submit(job(i + 20, "blue", Shape::Array, 6, 1.0));
+        world.advance(0.6);
+        world.partition_controller((leader + 1 + i as usize % 2) % 3, 3.0);
+        world.cancel(&format!("wk-{i:06}"));
+        world.cancel(&format!("wk-{:06}", i + 20));
+        world.advance(4.0);
+    }
+}
+
+/// Guards against starts after a confirmed cancellation: a user was told that a job is cancelled while
+/// a controller that was cut off could still start its tasks.
+#[test]
+fn no_task_starts_after_its_cancellation_is_reported() {
+    check_scenario(DEFECT_SEEDS, partition_owner_with_assigned_tasks);
+    check_scenario(6, |world| {
+        world.cancel_hints = false;
+        partition_owner_with_assigned_tasks(world);
+    });
+}
+
+#[test]
+fn reporting_unconfirmed_cancellations_is_detected() {
+    assert!(
+        is_violated(
+            "started_after_report",
+            Defect::ReportUnconfirmedCancellations,
+            config(),
+            partition_owner_with_assigned_tasks
+        ),
+        "ReportUnconfirmedCancellations did not violate the rule started_after_report"
+    );
+}
+
 #[test]
 fn leader_restarts_while_machines_are_unreachable() {
     check_scenario(6, |world| {
--- a/crates/sched/src/authority.rs
+++ b/crates/sched/src/authority.rs
@@ -5,8 +5,9 @@
 //! others. This controller therefore does not know of cancellations that were confirmed after it
 //! sent its last answered read of the store. A response at time `t` renews a worker's lease and so
 //! lets its tasks run until `t` + lease. It is sent only if this time is within `cancel_s` of the
-//! time of that read (`SchedulerConfig::max_response_staleness_s`). Starts require a view no older
-//! than the leader's lease (`SchedulerConfig::max_start_staleness_s`).
+//! time of that read (`SchedulerConfig::max_response_staleness_s`). Starts require a much fresher view
+//! (`SchedulerConfig::max_start_staleness_s`): a cancellation is reported to a user when no controller
+//! can still act on a view that lacks it (`crate::cancellation`).
 //!
 //! Leases in the store survive an outage of the store, so a leader may resume with a view from
 //! before the outage. If its authority has expired, a renewal therefore has no effect until there
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -18,6 +18,10 @@
 /// one given by `OWNER_TIMEOUT_PER_LEASE` applies.
 const OWNER_TIMEOUT_PER_RESPONSE_LIMIT: f64 = 0.5;
 
+/// Maximum age of the view of the store for a start, as a fraction of the leader's lease. A user who
+/// cancels a job waits for this time if a controller that may start its tasks can't be reached.
+const START_STALENESS_PER_LEASE: f64 = 0.4;
+
 /// The guaranteed resources and the limits of a team.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Team {
@@ -79,10 +83,10 @@
 
     /// Returns the maximum age of the view of the store for a response that renews a worker's
     /// lease. Up to this age, tasks of jobs that were cancelled after the view was read are gone
-    /// within `cancel_s`. If the settings leave less time than `max_start_staleness_s`, returns
-    /// `max_start_staleness_s` instead (see `cancels_in_time`).
+    /// within `cancel_s`. If the settings leave less time than the leader's lease, returns the
+    /// leader's lease instead (see `cancels_in_time`).
     pub fn max_response_staleness_s(&self) -> Secs {
-        (self.cancel_s - self.lease_expiry_s()).max(self.max_start_staleness_s())
+        (self.cancel_s - self.lease_expiry_s()).max(self.leader_lease_s)
     }
 
     /// Returns the longest time for which a leader, or an owner by its grant, may use the authority
@@ -98,12 +102,18 @@
 
     /// Returns the maximum age of the view of the store for a start.
     pub fn max_start_staleness_s(&self) -> Secs {
-        self.leader_lease_s
+        self.leader_lease_s * START_STALENESS_PER_LEASE
+    }
+
+    /// Returns the time after which no controller acts any more on a view of the store that lacks what
+    /// was recorded before that time: the maximum age of the view for a start, and the clock drift.
+    pub fn start_expiry_s(&self) -> Secs {
+        self.max_start_staleness_s() * CLOCK_DRIFT
     }
 
     /// Returns whether `cancel_s` exceeds a worker's lease by enough for cancelled tasks to be gone
     /// in time even while the store is unavailable.
     pub fn cancels_in_time(&self) -> bool {
-        self.cancel_s - self.lease_expiry_s() >= self.max_start_staleness_s()
+        self.cancel_s - self.lease_expiry_s() >= self.leader_lease_s
     }
 }
--- a/crates/sched/src/leader/epoch.rs
+++ b/crates/sched/src/leader/epoch.rs
@@ -20,6 +20,7 @@
     /// Records that the connection to an owner was lost.
     pub fn on_owner_disconnected(&mut self, member: &str) {
         self.epochs.on_owner_disconnected(member);
+        self.confirmations.on_owner_disconnected(member);
     }
 
     /// Grants an owner authority (to respond to heartbeats and start tasks) until `until`, and
@@ -75,6 +76,7 @@
         self.reassign_machines(&change);
         self.reset_sent_orders();
         self.announce_epoch(&change);
+        self.repeat_confirmation_request();
         self.reconcile();
         self.pass_requested = true;
     }
--- a/crates/sched/src/leader/jobs.rs
+++ b/crates/sched/src/leader/jobs.rs
@@ -35,16 +35,6 @@
         }
     }
 
-    /// Handles a cancellation that a controller has confirmed. The local replica of the store may
-    /// not show it yet. The job may also be unknown to this leader because it waits for its
-    /// dependencies.
-    pub(crate) fn on_cancel_confirmed(&mut self, id: &str) {
-        if !self.cluster.jobs.contains_key(id) {
-            self.terminal_jobs.insert(id, self.last_tick_at);
-        }
-        self.on_job_terminal(id);
-    }
-
     /// Stops a job that is terminal (done or cancelled) according to the store.
     pub fn on_job_terminal(&mut self, id: &str) {
         // The end of a job may be reported twice: by the controller that confirmed it and by the
--- a/crates/sched/src/leader/machine_status.rs
+++ b/crates/sched/src/leader/machine_status.rs
@@ -25,7 +25,8 @@
             ToLeader::ReserveResult { attempt, reserved } => {
                 self.on_reserve_result(from, attempt, reserved, now)
             }
-            ToLeader::Cancelled { job } => self.on_cancel_confirmed(&job),
+            ToLeader::Cancelled { job } => self.confirm_cancellation(&job, from, now),
+            ToLeader::TerminalConfirmed { n } => self.on_terminal_confirmed(from, n, now),
             ToLeader::Hello { .. } | ToLeader::Ping { .. } => {}
         }
     }
--- a/crates/sched/src/leader/mod.rs
+++ b/crates/sched/src/leader/mod.rs
@@ -11,6 +11,7 @@
 //! arrays (the revision up to which accepted arrays are recorded as started), recently terminal
 //! jobs, and the autoscaler. Effects that the caller has to carry out are returned as [`Action`]s.
 
+mod cancellations;
 mod epoch;
 mod jobs;
 mod machine_status;
@@ -42,6 +43,7 @@
 use crate::config::SchedulerConfig;
 use crate::placement::Resources;
 use crate::Secs;
+use cancellations::CancellationConfirmations;
 use running_counts::RunningCounts;
 use shard_epochs::ShardEpochs;
 use started_arrays::StartedArrays;
@@ -87,6 +89,14 @@
         /// For each part of the gang: its machine, its first task and its number of tasks.
         places: Vec<(String, u32, u32)>,
     },
+    /// Tell a controller that no task of these cancelled jobs will be started any more, provided that
+    /// this leader still has authority.
+    ConfirmCancellations {
+        /// The controller that asked.
+        requester: String,
+        /// Ids of the jobs.
+        jobs: Vec<String>,
+    },
     /// Ask the cloud for machines; answered by [`Leader::on_provision_result`].
     Provision(ProvisionRequest),
     /// Return machines to the cloud; answered by [`Leader::on_deprovision_result`].
@@ -102,6 +112,7 @@
     unresolved: UnresolvedTasks,
     started_arrays: StartedArrays,
     terminal_jobs: TerminalJobs,
+    confirmations: CancellationConfirmations,
     running_counts: RunningCounts,
     pub(crate) rng: fastrand::Rng,
     /// Number of attempts started by this leader.
@@ -149,6 +160,7 @@
             unresolved: UnresolvedTasks::default(),
             started_arrays: StartedArrays::new(started_upto),
             terminal_jobs: TerminalJobs::default(),
+            confirmations: CancellationConfirmations::default(),
             running_counts: RunningCounts::new(now),
             rng: fastrand::Rng::with_seed(seed),
             attempt_count: 0,
@@ -211,6 +223,7 @@
         let retention_s = self.cluster.config.terminal_retention_s();
         self.terminal_jobs.expire(now, retention_s);
         self.review_epoch(now, other_controllers);
+        self.send_confirmations(now);
         if !self.epochs.has_begun() {
             return;
         }
--- a/crates/sched/src/leader/shard_epochs.rs
+++ b/crates/sched/src/leader/shard_epochs.rs
@@ -124,6 +124,19 @@
         self.began_at
     }
 
+    /// Returns the shard owners of the current epoch that may have authority and can be reached: the
+    /// connected ones, and this leader.
+    pub(crate) fn connected_members(&self) -> impl Iterator<Item = &String> {
+        let can_be_reached =
+            |member: &&String| **member == self.member || self.connections.contains_key(*member);
+        self.members.iter().filter(can_be_reached)
+    }
+
+    /// Returns when the last authority of the controllers ends that are not connected.
+    pub(crate) fn disconnected_granted_until(&self) -> Secs {
+        self.disconnected_granted_until
+    }
+
     /// Returns the connected controllers.
     pub(crate) fn connected(&self) -> impl Iterator<Item = &String> {
         self.connections.keys()
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod authority;
 mod autoscaler;
+pub mod cancellation;
 pub mod capacity_index;
 mod cluster;
 pub mod config;
--- a/crates/sched/src/owner/messages.rs
+++ b/crates/sched/src/owner/messages.rs
@@ -10,8 +10,8 @@
 use wire::peers::{ToLeader, ToOwner};
 
 impl Owner {
-    /// Processes a message of the leader. Ignores grants, view ages and running counts, which the
-    /// caller handles.
+    /// Processes a message of the leader. Ignores grants, view ages, running counts and confirmed
+    /// cancellations, which the caller handles.
     pub fn on_leader_message(&mut self, message: ToOwner, now: Secs, jobs: &dyn JobLookup) {
         self.outbox.mark_statuses_due();
         match message {
@@ -42,6 +42,9 @@
                 }
             }
             ToOwner::TerminalJobs { jobs } => self.mark_terminal(jobs, now),
+            ToOwner::ConfirmTerminal { n } => {
+                self.outbox.push(ToLeader::TerminalConfirmed { n });
+            }
             ToOwner::Bind { attempt } => self.bind(attempt, now),
             ToOwner::ReleaseReservation { attempt } => {
                 self.remove_reservation(attempt);
@@ -49,7 +52,10 @@
             ToOwner::Assign { .. } | ToOwner::AssignBacklog { .. } | ToOwner::Reserve { .. } => {
                 self.on_placement_message(message, now, jobs);
             }
-            ToOwner::Grant { .. } | ToOwner::ViewAge { .. } | ToOwner::RunningCounts { .. } => {}
+            ToOwner::Grant { .. }
+            | ToOwner::ViewAge { .. }
+            | ToOwner::RunningCounts { .. }
+            | ToOwner::CancellationsConfirmed { .. } => {}
         }
     }
 
--- a/crates/sched/src/owner/mod.rs
+++ b/crates/sched/src/owner/mod.rs
@@ -35,6 +35,7 @@
 use assigned_jobs::AssignedJobs;
 use backlog::Backlog;
 use epoch::OwnerEpoch;
+use machine::OwnedMachine;
 use machines::Machines;
 use outbox::Outbox;
 use reservations::Reservations;
@@ -127,6 +128,16 @@
         now < self.authority.responses_until()
     }
 
+    /// Returns whether any tasks are to be started with the responses to heartbeats.
+    pub fn has_tasks_to_start(&self) -> bool {
+        let has_pending = |machine: &OwnedMachine| !machine.pending().is_empty();
+        !self.backlog.is_empty()
+            || self
+                .machines
+                .iter()
+                .any(|(_, machine)| has_pending(machine))
+    }
+
     /// Removes and returns the pending messages to the leader. Status changes that heartbeats show
     /// are batched for a short time. Those that the leader's own messages cause are included at
     /// once, before any later heartbeat is processed.
--- a/crates/store/src/replica/jobs.rs
+++ b/crates/store/src/replica/jobs.rs
@@ -77,6 +77,14 @@
         self.state == Recorded::Open
     }
 
+    /// Returns the version of the record that cancels the job. `None` if the job is not cancelled, or
+    /// only because an ancestor is: such a job was blocked by its dependencies, and no task of it was
+    /// or will be started.
+    pub fn cancelled_at_version(&self) -> Option<u64> {
+        let is_recorded = self.terminal_since.is_some();
+        (self.state == Recorded::Cancelled && is_recorded).then_some(self.version)
+    }
+
     /// Returns the number of tasks that are done.
     pub fn done_tasks(&self) -> u32 {
         match self.state {
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -18,6 +18,12 @@
 /// Version of this format. Controllers with different versions don't communicate.
 pub const VERSION: u8 = 3;
 
+/// Number of the ping with which a controller announces that it understands the messages that
+/// version 0.1 lacks: [`ToOwner::ConfirmTerminal`] and [`ToOwner::CancellationsConfirmed`]. Nobody else
+/// gets them, since a message that can't be decoded ends the connection. A leader of version 0.1
+/// answers it like any ping; no ping with this number is ever waited for, so the answer has no effect.
+pub const CONFIRMING_PING: u64 = u64::MAX;
+
 /// Maximum size of a frame that is accepted, in bytes.
 pub const FRAME_LIMIT: usize = 1 << 20;
 
@@ -252,6 +258,17 @@
         /// Entries of job id and number of running tasks.
         running: Vec<(String, u32)>,
     },
+    /// Requests [`ToLeader::TerminalConfirmed`] once all earlier messages about terminal jobs have
+    /// been processed.
+    ConfirmTerminal {
+        /// Number of the request; it grows.
+        n: u64,
+    },
+    /// No controller will start a task of these cancelled jobs any more.
+    CancellationsConfirmed {
+        /// Ids of the jobs.
+        jobs: Vec<String>,
+    },
 }
 
 /// Message to the leader from the owner of a shard, or from a controller that offers to become one.
@@ -290,12 +307,19 @@
         /// Whether all of the requested capacity is reserved.
         reserved: bool,
     },
-    /// The store has recorded a cancellation that the sender wrote. The leader may not have read it
-    /// from the store yet.
+    /// The store has recorded a cancellation. The leader may not have read it from the store yet. It
+    /// answers with [`ToOwner::CancellationsConfirmed`], if it can, to a controller that has sent
+    /// [`CONFIRMING_PING`].
     Cancelled {
         /// Id of the job.
         job: String,
     },
+    /// Response to [`ToOwner::ConfirmTerminal`]: the owner will not start any task of the jobs that it
+    /// was told are terminal before that request.
+    TerminalConfirmed {
+        /// Number of the request.
+        n: u64,
+    },
 }
 
 /// Returns a message encoded as a frame.
