Links: a test that an owner of the older version gets none of the new messages

Until a controller has announced that it knows the messages that confirm cancellations, the leader sends it none of them; afterwards it does.

--- a/crates/ladderroute/tests/links.rs
+++ b/crates/ladderroute/tests/links.rs
@@ -12,7 +12,8 @@
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 use stand_in::links::{has_authority, wait_until, with_link, LinkedControllers};
-use wire::peers::{encode_frame, ToLeader};
+use std::time::{Duration, Instant};
+use wire::peers::{decode_frame, encode_frame, ToLeader, ToOwner, CONFIRMING_PING, LENGTH_BYTES};
 
 /// Returns the id of the connection that the leader uses for the owner, if any.
 fn owner_connection(leader: &Controller) -> Option<ConnectionId> {
@@ -90,3 +91,75 @@
     assert!(!id(1, 1).replaces(id(1, 1)));
     assert!(!id(1, 1).replaces(id(1, 2)));
 }
+
+/// Reads the messages that arrive on a link within `duration`, keeping it alive with pings.
+async fn read_messages(stream: &mut TcpStream, duration: Duration) -> Vec<ToOwner> {
+    let (mut received, mut buffer) = (Vec::new(), [0; 4096]);
+    let end = Instant::now() + duration;
+    for n in 0.. {
+        if Instant::now() > end {
+            break;
+        }
+        let ping = encode_frame(&ToLeader::Ping { n });
+        stream.write_all(&ping).await.unwrap();
+        let read = http::with_timeout(Duration::from_millis(50), stream.read(&mut buffer)).await;
+        if let Some(Ok(bytes)) = read {
+            received.extend_from_slice(&buffer[..bytes]);
+        }
+    }
+    decode_frames(&received)
+}
+
+fn decode_frames(mut bytes: &[u8]) -> Vec<ToOwner> {
+    let mut messages = Vec::new();
+    while let Some((length, rest)) = bytes.split_at_checked(LENGTH_BYTES) {
+        let length = u32::from_be_bytes(length.try_into().unwrap()) as usize;
+        let Some((frame, rest)) = rest.split_at_checked(length) else {
+            break;
+        };
+        messages.push(decode_frame(frame).unwrap());
+        bytes = rest;
+    }
+    messages
+}
+
+/// Sends a message on the leader's link to the owner.
+fn send_to_owner(leader: &Controller, message: &ToOwner) {
+    let state = leader.lock();
+    let links = &state.shared.leadership.as_ref().unwrap().links;
+    links["rung-1"].send(message);
+}
+
+/// An owner of version 0.1 would end its link on a message that it does not know, so it gets none of those that
+/// confirm cancellations.
+#[test]
+fn owner_of_older_version_gets_no_unknown_messages() {
+    with_link(|linked| async move {
+        wait_until("the owner is granted authority", || {
+            has_authority(&linked.owner)
+        })
+        .await;
+        linked.cut_link();
+        let mut stream = TcpStream::connect(linked.link_addr).await.unwrap();
+        let hello = encode_frame(&ToLeader::Hello {
+            member: "rung-1".into(),
+            process: 1,
+            sequence: 1,
+        });
+        stream.write_all(&hello).await.unwrap();
+        let joined = read_messages(&mut stream, Duration::from_secs(1)).await;
+        let is_epoch = |message: &ToOwner| matches!(message, ToOwner::Epoch { .. });
+        assert!(joined.iter().any(is_epoch), "{joined:?}");
+        let request = ToOwner::ConfirmTerminal { n: 7 };
+        send_to_owner(&linked.leader, &request);
+        let messages = read_messages(&mut stream, Duration::from_millis(500)).await;
+        assert!(!messages.contains(&request), "{messages:?}");
+        // A controller that announces that it knows them gets them.
+        let announcement = encode_frame(&ToLeader::Ping { n: CONFIRMING_PING });
+        stream.write_all(&announcement).await.unwrap();
+        read_messages(&mut stream, Duration::from_millis(200)).await;
+        send_to_owner(&linked.leader, &request);
+        let messages = read_messages(&mut stream, Duration::from_millis(500)).await;
+        assert!(messages.contains(&request), "{messages:?}");
+    });
+}
