Leader: the end of a machine says nothing about tasks only expected there

Cause: the leader charges an assigned task to the machine on which it expects the owner to start it. remove_machine queued all tasks charged to a released machine again, also those that their owner had started on another machine of its shard. A slow link kept the owner's report away until then.

Change: TaskLocation tells an owner's free choice (Assigned) from a gang's fixed place (Bound) and from what an owner has reported (OnMachine); one function says what the end of a machine means for each. A task that was only expected there stays with its owner. A task whose only report is its exit on a machine already released is settled by that report.

--- a/crates/sched/src/cluster/active_tasks.rs
+++ b/crates/sched/src/cluster/active_tasks.rs
@@ -1,8 +1,7 @@
 //! Tracks which tasks may be running where. A task is charged to its team and its machine from the
 //! decision to start it until it is certain not to be running.
 
-use super::job::waiting_owner;
-use super::{ActiveTask, Cluster, TaskLocation};
+use super::{ActiveTask, Cluster};
 
 impl Cluster {
     /// Records that a task may be running, or that its location or state changed.
@@ -13,10 +12,10 @@
         };
         let resources = job.resources();
         job.ready_tasks.remove(index);
-        if let Some(owner) = waiting_owner(&active.location) {
+        if let Some(owner) = active.location.waiting_owner() {
             self.backlogs.add(owner, resources.cpus);
         }
-        if let Some(name) = charged_machine(&active.location) {
+        if let Some(name) = active.location.charged_machine() {
             if let Some(machine) = self.machines.get_mut(name) {
                 machine.charge((id.into(), index), active.attempt, resources);
                 self.machines.mark_dirty(name);
@@ -32,10 +31,10 @@
         let job = self.jobs.get_mut(id)?;
         let active = job.active.remove(&index)?;
         let resources = job.resources();
-        if let Some(owner) = waiting_owner(&active.location) {
+        if let Some(owner) = active.location.waiting_owner() {
             self.backlogs.remove(owner, resources.cpus);
         }
-        if let Some(name) = charged_machine(&active.location) {
+        if let Some(name) = active.location.charged_machine() {
             if let Some(machine) = self.machines.get_mut(name) {
                 machine.uncharge(&(id.to_string(), index), resources);
                 self.machines.mark_dirty(name);
@@ -45,11 +44,3 @@
         Some(active)
     }
 }
-
-/// Returns the machine that a task at a location is charged to, if any.
-fn charged_machine(location: &TaskLocation) -> Option<&str> {
-    match location {
-        TaskLocation::Assigned(_, machine) | TaskLocation::OnMachine(machine) => Some(machine),
-        TaskLocation::Unresolved(_) => None,
-    }
-}
--- a/crates/sched/src/cluster/job.rs
+++ b/crates/sched/src/cluster/job.rs
@@ -1,5 +1,6 @@
-//! The leader's state of a job and the possible locations of its tasks.
+//! The leader's state of a job.
 
+use super::ActiveTask;
 use crate::placement::Resources;
 use crate::ranges::RangeSet;
 use crate::Secs;
@@ -8,35 +9,6 @@
 use wire::peers::TaskRef;
 use wire::users::{Job as JobSpec, Priority, Shape};
 
-/// Possible location of an active task.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) enum TaskLocation {
-    /// Assigned to an owner (first field), which is expected to choose the machine (second field).
-    /// If the machine name is empty, the owner chooses the first machine of its shard with
-    /// capacity.
-    Assigned(String, String),
-    /// Reported on this machine by the machine's owner.
-    OnMachine(String),
-    /// Assigned to an owner that was lost; reconciled together with a group of that owner's
-    /// machines. The value is the id of that group.
-    Unresolved(u64),
-}
-
-/// A task that may be running.
-#[derive(Clone, Debug)]
-pub(crate) struct ActiveTask {
-    /// The attempt that may be running.
-    pub attempt: u64,
-    /// The location where it may be running.
-    pub location: TaskLocation,
-    /// Whether an owner reported it as running.
-    pub running: bool,
-    /// Whether its owner was sent a stop request in this epoch.
-    pub stop_sent: bool,
-    /// Time at which it was first reported running; before that, time of its assignment.
-    pub since: Secs,
-}
-
 /// State of a gang between queueing and running.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum GangPhase {
@@ -242,14 +214,6 @@
     }
 }
 
-/// Returns the owner at which a task waits for capacity, if it was assigned without a machine.
-pub(crate) fn waiting_owner(location: &TaskLocation) -> Option<&str> {
-    match location {
-        TaskLocation::Assigned(owner, machine) if machine.is_empty() => Some(owner),
-        _ => None,
-    }
-}
-
 /// An open job as loaded from the store.
 pub struct OpenJob {
     /// What its user submitted.
--- a/crates/sched/src/cluster/mod.rs
+++ b/crates/sched/src/cluster/mod.rs
@@ -5,6 +5,7 @@
 mod active_tasks;
 mod job;
 mod job_table;
+mod location;
 mod machine;
 mod machine_inventory;
 mod quota;
@@ -14,9 +15,10 @@
 mod wait_estimates;
 mod zones;
 
-pub(crate) use job::{ActiveTask, GangPhase, Job, StartRecord, TaskLocation};
+pub(crate) use job::{GangPhase, Job, StartRecord};
 pub use job::{OpenJob, PriorRuns};
 pub(crate) use job_table::JobTable;
+pub(crate) use location::{ActiveTask, EndOfMachine, TaskLocation};
 pub(crate) use machine::{Machine, Rostered};
 pub(crate) use machine_inventory::{MachineInventory, MachineTypes};
 pub(crate) use unknown_machines::UnknownMachines;
--- a/crates/sched/src/cluster/zones.rs
+++ b/crates/sched/src/cluster/zones.rs
@@ -1,6 +1,6 @@
 //! Zone constraints of arrays.
 
-use super::{Cluster, Job, TaskLocation};
+use super::{Cluster, Job};
 use crate::capacity_index::MachineFit;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -11,11 +11,7 @@
     fn zones_in_use(&self, job: &Job) -> Option<BTreeMap<String, u32>> {
         let mut zones = BTreeMap::new();
         for active in job.active.values() {
-            let (TaskLocation::Assigned(_, name) | TaskLocation::OnMachine(name)) =
-                &active.location
-            else {
-                return None;
-            };
+            let name = active.location.charged_machine()?;
             let zone = self.machines.get(name)?.zone.clone();
             *zones.entry(zone).or_insert(0) += 1;
         }
--- a/crates/sched/src/leader/epoch.rs
+++ b/crates/sched/src/leader/epoch.rs
@@ -99,9 +99,9 @@
     fn mark_unresolved(&mut self, owner: &str) {
         let mut tasks: Vec<(String, u32)> = Vec::new();
         for (id, job) in self.cluster.jobs.iter() {
-            let assigned = job.active.iter().filter(|(_, active)| {
-                matches!(&active.location, TaskLocation::Assigned(to, _) if to == owner)
-            });
+            let assigned = job.active.iter();
+            let assigned =
+                assigned.filter(|(_, active)| active.location.unreported_owner() == Some(owner));
             tasks.extend(assigned.map(|(index, _)| (id.clone(), *index)));
         }
         if tasks.is_empty() {
--- a/crates/sched/src/leader/machine_status.rs
+++ b/crates/sched/src/leader/machine_status.rs
@@ -1,11 +1,11 @@
 //! Applies machine statuses from owners to the leader's view of the cluster.
 
-use super::{Action, ActiveTask, Leader, Machine, Rostered, TaskLocation};
+use super::{Action, ActiveTask, Leader, Machine, RequeueReason, Rostered, TaskLocation};
 use crate::Secs;
 use std::collections::BTreeSet;
-use wire::peers::{MachineStatus, TaskRef, ToLeader, ToOwner};
+use wire::peers::{MachineStatus, TaskRef, TaskStatus, ToLeader, ToOwner};
 use wire::store::RosterRecord;
-use wire::workers::TaskState;
+use wire::workers::{TaskState, Why};
 
 impl Leader {
     /// Handles a message from an owner.
@@ -40,11 +40,10 @@
             let job_state = self.cluster.jobs.get(job);
             let assigned = job_state.and_then(|state| state.active.get(&index));
             let is_assigned = |active: &ActiveTask| {
-                active.attempt == attempt
-                    && matches!(&active.location, TaskLocation::Assigned(to, _) if to == owner)
+                active.attempt == attempt && active.location.unreported_owner() == Some(owner)
             };
             if assigned.is_some_and(is_assigned) {
-                self.requeue_task(job, index);
+                self.requeue_task(job, index, RequeueReason::HandedBack);
             }
         }
     }
@@ -55,7 +54,7 @@
         }
         if !self.cluster.machines.contains_key(&status.name) {
             if self.autoscaler.is_released(&status.name) {
-                self.on_status_of_released(from, &status);
+                self.on_status_of_released(from, &status, now);
                 return;
             }
             if status.token != self.epochs.token() || status.lease_expired {
@@ -138,29 +137,41 @@
 
     /// Handles the status of a released machine. The machine no longer exists; tasks that its owner
     /// placed there before the owner learned of the release are not running anywhere, so they are
-    /// requeued.
-    fn on_status_of_released(&mut self, from: &str, status: &MachineStatus) {
+    /// requeued, unless they are done.
+    fn on_status_of_released(&mut self, from: &str, status: &MachineStatus, now: Secs) {
         if status.usable {
             let machine = status.name.clone();
             let usable = false;
             self.send(from, ToOwner::SetUsable { machine, usable });
         }
-        let live = status.tasks.iter();
-        let live = live.filter(|task| task.state != TaskState::Exited);
-        for task in live.map(|task| &task.task).chain(&status.pending) {
-            let is_here = |active: &ActiveTask| match &active.location {
-                TaskLocation::Assigned(owner, _) => owner == from,
-                TaskLocation::OnMachine(machine) => *machine == status.name,
-                TaskLocation::Unresolved(_) => false,
-            };
-            let job = self.cluster.jobs.get(&task.job);
-            let active = job.and_then(|job| job.active.get(&task.index));
-            if active.is_some_and(|active| active.attempt == task.attempt && is_here(active)) {
-                self.requeue_task(&task.job, task.index);
+        let is_done = |task: &&TaskStatus| task.why == Some(Why::Done);
+        let (done, ended): (Vec<_>, Vec<_>) = status.tasks.iter().partition(is_done);
+        for task in done {
+            self.complete_if_new(&task.task, now);
+        }
+        for task in ended
+            .into_iter()
+            .map(|task| &task.task)
+            .chain(&status.pending)
+        {
+            if self.was_on_released(from, &status.name, task) {
+                self.requeue_task(&task.job, task.index, RequeueReason::MachineReleased);
             }
         }
     }
 
+    /// Returns whether the task that an owner reports on a released machine is the attempt that the
+    /// leader tracks.
+    fn was_on_released(&self, from: &str, machine: &str, task: &TaskRef) -> bool {
+        let job = self.cluster.jobs.get(&task.job);
+        let active = job.and_then(|job| job.active.get(&task.index));
+        active.is_some_and(|active| {
+            let is_here = active.location.unreported_owner() == Some(from)
+                || active.location == TaskLocation::OnMachine(machine.into());
+            active.attempt == task.attempt && is_here
+        })
+    }
+
     fn apply_tasks(&mut self, status: &MachineStatus, now: Secs) {
         let name = status.name.as_str();
         let (exited, live): (Vec<_>, Vec<_>) = status
@@ -203,7 +214,7 @@
         for (id, index) in missing {
             let location = self.task_location(&id, index);
             if matches!(location, Some(TaskLocation::OnMachine(_))) {
-                self.requeue_task(&id, index);
+                self.requeue_task(&id, index, RequeueReason::Missing);
             }
         }
     }
@@ -233,6 +244,6 @@
         log::info!("event=machine_{event} machine={name}");
         machine.unreachable = status.unreachable;
     }
-    let has_exited = |task: &wire::peers::TaskStatus| task.state == TaskState::Exited;
+    let has_exited = |task: &TaskStatus| task.state == TaskState::Exited;
     machine.is_idle = status.pending.is_empty() && status.tasks.iter().all(has_exited);
 }
--- a/crates/sched/src/leader/machines.rs
+++ b/crates/sched/src/leader/machines.rs
@@ -1,6 +1,6 @@
 //! Roster membership, usability and removal of machines.
 
-use super::{Action, Leader, Machine, Rostered};
+use super::{Action, ActiveTask, EndOfMachine, Leader, Machine, RequeueReason, Rostered};
 use crate::Secs;
 use wire::peers::ToOwner;
 
@@ -43,18 +43,43 @@
         self.send(&owner, ToOwner::SetUsable { machine, usable });
     }
 
-    /// Removes a machine that certainly no longer exists, and requeues its tasks.
+    /// Removes a machine that certainly no longer exists. Requeues the tasks that were there; those
+    /// that were only expected there stay with their owner, which may have started them elsewhere.
     pub(crate) fn remove_machine(&mut self, name: &str) {
         let Some(machine) = self.cluster.machines.get(name) else {
             return;
         };
         let tasks: Vec<(String, u32)> = machine.tasks.keys().cloned().collect();
         for (id, index) in tasks {
-            self.requeue_task(&id, index);
+            self.release_task_from(name, &id, index);
         }
         self.cluster.machines.remove(name);
         self.actions.push(Action::UpdateRoster(name.into(), None));
         self.reconcile();
         self.pass_requested = true;
     }
+
+    /// Applies the end of the machine to which a task is charged.
+    fn release_task_from(&mut self, machine: &str, id: &str, index: u32) {
+        let job = self.cluster.jobs.get(id);
+        let Some(active) = job.and_then(|job| job.active.get(&index)) else {
+            return;
+        };
+        match active.location.after_end_of_machine() {
+            EndOfMachine::TaskEnded => {
+                self.requeue_task(id, index, RequeueReason::MachineReleased);
+            }
+            EndOfMachine::TaskMoves(location) => {
+                log::debug!(
+                    "event=prediction_dropped task={id}/{index} attempt={} machine={machine}",
+                    active.attempt
+                );
+                let moved = ActiveTask {
+                    location,
+                    ..active.clone()
+                };
+                self.cluster.set_active(id, index, moved);
+            }
+        }
+    }
 }
--- a/crates/sched/src/leader/mod.rs
+++ b/crates/sched/src/leader/mod.rs
@@ -33,10 +33,11 @@
 mod unresolved_tasks;
 
 pub(crate) use crate::cluster::{
-    ActiveTask, Cluster, GangPhase, Job, Machine, Rostered, StartRecord, TaskLocation,
+    ActiveTask, Cluster, EndOfMachine, GangPhase, Job, Machine, Rostered, StartRecord, TaskLocation,
 };
 pub use crate::cluster::{OpenJob, PriorRuns};
 pub use progress::tasks_per_chunk;
+pub(crate) use requeue::RequeueReason;
 pub use summary::{CpuUsage, Summary};
 pub(crate) use task_status::MAX_BACKOFF_S;
 
--- a/crates/sched/src/leader/queue/arrays.rs
+++ b/crates/sched/src/leader/queue/arrays.rs
@@ -206,9 +206,17 @@
         };
         let count = tasks.len() as u32;
         let requirements = assignment.requirements;
+        log::debug!(
+            "event=assigned job={} attempt={} owner={owner} predicted={machine} tasks={count}",
+            assignment.job,
+            assignment.attempt
+        );
         self.take_capacity(machine, requirements, count);
         for index in &tasks {
-            let location = TaskLocation::Assigned(owner.clone(), machine.to_string());
+            let location = TaskLocation::Assigned {
+                owner: owner.clone(),
+                predicted: Some(machine.to_string()),
+            };
             self.assign_task(assignment.job, *index, assignment.attempt, location, now);
         }
         assignment
--- a/crates/sched/src/leader/queue/backlog.rs
+++ b/crates/sched/src/leader/queue/backlog.rs
@@ -120,7 +120,10 @@
             }
             *cpus -= resources.cpus * tasks.len() as f64;
             for index in &tasks {
-                let any_machine = TaskLocation::Assigned(owner.clone(), String::new());
+                let any_machine = TaskLocation::Assigned {
+                    owner: owner.clone(),
+                    predicted: None,
+                };
                 self.assign_task(id, *index, attempt, any_machine, now);
             }
             let message = ToOwner::AssignBacklog {
--- a/crates/sched/src/leader/queue/reservations.rs
+++ b/crates/sched/src/leader/queue/reservations.rs
@@ -4,7 +4,7 @@
 
 use super::gangs::GangPlacement;
 use super::jitter_factor;
-use crate::leader::{Action, GangPhase, Leader, TaskLocation};
+use crate::leader::{Action, GangPhase, Leader, RequeueReason, TaskLocation};
 use crate::Secs;
 use std::collections::BTreeSet;
 use wire::peers::ToOwner;
@@ -100,13 +100,11 @@
                 let lost_tasks: Vec<u32> = job
                     .active
                     .iter()
-                    .filter(|(_, task)| {
-                        matches!(&task.location, TaskLocation::Assigned(owner, _) if owner == from)
-                    })
+                    .filter(|(_, task)| task.location.unreported_owner() == Some(from))
                     .map(|(index, _)| *index)
                     .collect();
                 for index in lost_tasks {
-                    self.requeue_task(id, index);
+                    self.requeue_task(id, index, RequeueReason::ReservationRefused);
                 }
             }
             GangPhase::Idle => {}
@@ -154,7 +152,10 @@
                 continue;
             };
             for index in placement.first_task..placement.first_task + placement.tasks {
-                let location = TaskLocation::Assigned(owner.clone(), placement.machine.clone());
+                let location = TaskLocation::Bound {
+                    owner: owner.clone(),
+                    machine: placement.machine.clone(),
+                };
                 self.assign_task(id, index, attempt, location, now);
             }
             owners.insert(owner);
--- a/crates/sched/src/leader/reconciliation.rs
+++ b/crates/sched/src/leader/reconciliation.rs
@@ -2,7 +2,7 @@
 //! have been started before the change are found running or requeued, once the state of every
 //! machine on which they may be running is known.
 
-use super::{GangPhase, Job, Leader, TaskLocation};
+use super::{GangPhase, Job, Leader, RequeueReason, TaskLocation};
 
 impl Leader {
     /// Resolves tasks and jobs that waited for machines to be reconciled.
@@ -22,7 +22,7 @@
         for (group, tasks) in self.unresolved.take_settled(is_settled) {
             for (id, index) in tasks {
                 if self.task_location(&id, index) == Some(&TaskLocation::Unresolved(group)) {
-                    self.requeue_task(&id, index);
+                    self.requeue_task(&id, index, RequeueReason::Resolved);
                 }
             }
         }
--- a/crates/sched/src/leader/requeue.rs
+++ b/crates/sched/src/leader/requeue.rs
@@ -2,13 +2,35 @@
 
 use super::{GangPhase, Leader};
 
+/// What shows that a task is certainly no longer running.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RequeueReason {
+    /// Its owner has not started it and will not.
+    HandedBack,
+    /// Its owner no longer holds the reservation that it was bound to.
+    ReservationRefused,
+    /// It exited without being done.
+    Exited,
+    /// A newer status of its machine lacks it, or the worker's lease has expired.
+    Missing,
+    /// The cloud has released the machine that it was on.
+    MachineReleased,
+    /// Its owner was lost, and none of that owner's machines has it.
+    Resolved,
+}
+
 impl Leader {
     /// Requeues a task that is certainly no longer running, unless it is done or its job is
     /// terminal. If the task belongs to a gang, the remaining tasks of the gang are stopped.
-    pub(crate) fn requeue_task(&mut self, id: &str, index: u32) {
-        if self.cluster.remove_active(id, index).is_none() {
+    pub(crate) fn requeue_task(&mut self, id: &str, index: u32, reason: RequeueReason) {
+        let Some(active) = self.cluster.remove_active(id, index) else {
             return;
-        }
+        };
+        log::debug!(
+            "event=task_requeued task={id}/{index} attempt={} location={} reason={reason:?}",
+            active.attempt,
+            active.location
+        );
         let Some(job) = self.cluster.jobs.get_mut(id) else {
             return;
         };
--- a/crates/sched/src/leader/summary.rs
+++ b/crates/sched/src/leader/summary.rs
@@ -95,7 +95,7 @@
             let locations: Vec<String> = job
                 .active
                 .iter()
-                .map(|(index, active)| format!("{index}@{:?}", active.location))
+                .map(|(index, active)| format!("{index}@{}", active.location))
                 .collect();
             format!(
                 "{id} {:?} tasks={} cpus={} team={} ready={} done={} uncertain={} phase={:?} backoff={:.1} active=[{}]",
--- a/crates/sched/src/leader/task_status.rs
+++ b/crates/sched/src/leader/task_status.rs
@@ -1,6 +1,6 @@
 //! Applies the task part of machine statuses: tasks that may be running on a machine, or have exited.
 
-use super::{ActiveTask, GangPhase, Job, Leader, TaskLocation};
+use super::{ActiveTask, GangPhase, Job, Leader, RequeueReason, TaskLocation};
 use crate::Secs;
 use wire::peers::{TaskRef, TaskStatus};
 use wire::workers::{TaskState, Why};
@@ -107,7 +107,7 @@
                 status.saved
             );
             self.back_off(machine, &task.job, why, now);
-            self.requeue_task(&task.job, task.index);
+            self.requeue_task(&task.job, task.index, RequeueReason::Exited);
         }
         self.clear_task(machine, task.clone());
     }
@@ -126,15 +126,21 @@
         if !is_durable && !job.pending_clears.contains(&entry) {
             job.pending_clears.push(entry);
         }
-        let is_new = !job.done.contains(task.index) || job.is_active(task);
-        if is_new {
-            self.complete_task(task, now);
-        }
+        self.complete_if_new(task, now);
         if is_durable {
             self.clear_task(machine, task.clone());
         }
     }
 
+    /// Marks a task as done unless this leader knows its completion already.
+    pub(super) fn complete_if_new(&mut self, task: &TaskRef, now: Secs) {
+        let job = self.cluster.jobs.get(&task.job);
+        let is_new = |job: &Job| !job.done.contains(task.index) || job.is_active(task);
+        if job.is_some_and(is_new) {
+            self.complete_task(task, now);
+        }
+    }
+
     /// Delays the next attempt of a job after one of its tasks failed or could not run on its machine.
     fn back_off(&mut self, machine: &str, id: &str, why: Why, now: Secs) {
         let base_s = self.cluster.config.heartbeat_s;
