Autoscaler: a machine whose release was requested gets no work until it is refused

Cause: for a machine that boots, the request was noted in the autoscaler only, and a request without answer was forgotten. The first heartbeat made a machine without either note.

Change: autoscaler/releases.rs keeps one state for each machine from the first request on (under way, unanswered, confirmed), and a machine that comes up takes it over. The program tells a refusal (400, 429, 503, no connection) from no answer. After a refusal the machine is used again, also one that was silent after a failover, which had stayed unusable; after no answer it is drained and its release requested again. Waiting work no longer counts on machines under release.

--- a/crates/ladderroute/src/provisioning.rs
+++ b/crates/ladderroute/src/provisioning.rs
@@ -2,7 +2,8 @@
 //! requests, all within the cloud's request rate.
 
 use crate::controller::Controller;
-use sched::leader::{Action, Leader};
+use http::client::{RequestError, Response};
+use sched::leader::{Action, Leader, ReleaseOutcome};
 use sched::Secs;
 use serde::de::DeserializeOwned;
 use std::rc::Rc;
@@ -216,13 +217,23 @@
     let timeout = response_timeout(controller);
     let path = "/machines/release";
     let response = controller.cloud.request("POST", path, &body, timeout).await;
-    let ok = response.is_ok_and(|response| response.status == 200);
-    log::info!("event=deprovision ok={ok} machines={names}");
+    let outcome = release_outcome(&response);
+    let ok = outcome == ReleaseOutcome::Released;
+    log::info!("event=deprovision ok={ok} outcome={outcome:?} machines={names}");
     with_leader(controller, |leader, _| {
-        leader.on_deprovision_result(&request.machines, ok)
+        leader.on_deprovision_result(&request.machines, outcome)
     });
 }
 
+/// Returns the outcome of a release request.
+fn release_outcome(response: &Result<Response, RequestError>) -> ReleaseOutcome {
+    match response.as_ref().map(|response| response.status) {
+        Ok(200) => ReleaseOutcome::Released,
+        Ok(400 | 429 | 503) | Err(RequestError::NotSent(_)) => ReleaseOutcome::Refused,
+        Ok(_) | Err(_) => ReleaseOutcome::Unknown,
+    }
+}
+
 /// Fetches and decodes the resource at a path of the cloud; `None` if the request fails.
 async fn fetch<T: DeserializeOwned>(controller: &Controller, path: &str) -> Option<T> {
     let timeout = response_timeout(controller);
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -6,7 +6,7 @@
 
 use sched::cancellation::CancellationGate;
 use sched::config::{SchedulerConfig, Team};
-use sched::leader::{Action, Leader, OpenJob, PriorRuns};
+use sched::leader::{Action, Leader, OpenJob, PriorRuns, ReleaseOutcome};
 use sched::owner::{HeartbeatResponse, JobLookup, Owner};
 use sched::placement::Resources;
 use sched::ranges::RangeSet;
--- a/crates/model/src/world/outcomes.rs
+++ b/crates/model/src/world/outcomes.rs
@@ -19,6 +19,14 @@
         self != Outcome::NotApplied
     }
 
+    /// Returns the outcome of a release request as the leader sees it.
+    fn of_release(self) -> ReleaseOutcome {
+        match self {
+            Outcome::Confirmed => ReleaseOutcome::Released,
+            Outcome::ResponseLost | Outcome::NotApplied => ReleaseOutcome::Unknown,
+        }
+    }
+
     pub(super) fn is_confirmed(self) -> bool {
         self == Outcome::Confirmed
     }
@@ -84,7 +92,7 @@
                 if outcome.took_effect() {
                     self.deprovision(&machines);
                 }
-                leader.on_deprovision_result(&machines, outcome.is_confirmed());
+                leader.on_deprovision_result(&machines, outcome.of_release());
             }
             Action::Send(..) | Action::ConfirmCancellations { .. } => {}
         }
--- a/crates/model/tests/released_machines.rs
+++ b/crates/model/tests/released_machines.rs
@@ -5,7 +5,7 @@
     roster_record, task_status, unlimited_teams,
 };
 use sched::config::SchedulerConfig;
-use sched::leader::{Action, Leader, OpenJob, PriorRuns};
+use sched::leader::{Action, Leader, OpenJob, PriorRuns, ReleaseOutcome};
 use std::rc::Rc;
 use wire::peers::{MachineStatus, TaskRef, ToLeader, ToOwner};
 use wire::users::{Job, Shape};
@@ -88,7 +88,7 @@
 
     fn release(&mut self, machine: &str) {
         self.leader
-            .on_deprovision_result(&[machine.to_string()], true);
+            .on_deprovision_result(&[machine.to_string()], ReleaseOutcome::Released);
     }
 
     fn used_cpus(&self) -> f64 {
--- a/crates/sched/src/autoscaler/incoming.rs
+++ b/crates/sched/src/autoscaler/incoming.rs
@@ -91,9 +91,12 @@
 }
 
 impl Autoscaler {
-    /// Returns the machines that are requested, booting, or not on the roster yet.
+    /// Returns the machines that are requested, booting, or not on the roster yet. Leaves out those
+    /// whose release was requested, since they get no work.
     pub(super) fn incoming(&self, cluster: &Cluster) -> Incoming {
-        let booting = self.booting.values().map(|b| (b.offer.clone(), 1));
+        let booting = self.booting.iter();
+        let booting = booting.filter(|(name, _)| !self.is_under_release(name));
+        let booting = booting.map(|(_, machine)| (machine.offer.clone(), 1));
         let requested = self
             .requested
             .values()
@@ -101,7 +104,7 @@
         let joining = cluster
             .machines
             .values()
-            .filter(|m| m.rostered != Rostered::Yes && m.lease_expired_at.is_none() && !m.draining)
+            .filter(|m| m.rostered != Rostered::Yes && m.may_join_roster())
             .map(|machine| (Offer::of_machine(machine), 1));
         let mut counts: BTreeMap<Offer, u32> = BTreeMap::new();
         for (offer, count) in booting.chain(requested).chain(joining) {
--- a/crates/sched/src/autoscaler/mod.rs
+++ b/crates/sched/src/autoscaler/mod.rs
@@ -11,6 +11,7 @@
 mod offer;
 mod plan;
 mod pricing;
+mod releases;
 mod retention;
 mod scale_in;
 mod scale_out;
@@ -19,6 +20,8 @@
 use crate::Secs;
 use arrivals::Arrivals;
 use offer::{BootingMachine, Offer, Refusal};
+pub use releases::ReleaseOutcome;
+use releases::Releases;
 use std::collections::{BTreeMap, BTreeSet};
 use wire::cloud::{Listed, ListedMachine, ProvisionRequest};
 use wire::users::Job as JobSpec;
@@ -68,10 +71,8 @@
     gang_zones: BTreeMap<String, String>,
     /// Machines kept for a gang that still lacks other machines; they are not released meanwhile.
     retained_for_gangs: BTreeSet<String>,
-    /// Machines whose release the cloud has confirmed.
-    released: BTreeSet<String>,
-    /// Machines whose release was requested but is not confirmed.
-    releasing: BTreeSet<String>,
+    /// Releases requested from the cloud.
+    releases: Releases,
     /// Number of the last provision request of this leader.
     last_request_number: u64,
     /// Time of the last review.
@@ -114,7 +115,23 @@
 
     /// Returns whether the cloud has confirmed the release of a machine.
     pub fn is_released(&self, name: &str) -> bool {
-        self.released.contains(name)
+        self.releases.is_confirmed(name)
+    }
+
+    /// Returns whether a request for the release of a machine is queued or under way.
+    pub fn is_release_requested(&self, name: &str) -> bool {
+        self.releases.is_requested(name)
+    }
+
+    /// Returns whether the release of a machine was requested, and may still take effect.
+    fn is_under_release(&self, name: &str) -> bool {
+        self.releases.is_requested(name) || self.releases.may_take_effect(name)
+    }
+
+    /// Returns whether a machine may be released at any time, because an earlier request for its
+    /// release got no answer.
+    pub fn may_be_released(&self, name: &str) -> bool {
+        self.releases.may_take_effect(name)
     }
 
     /// Returns whether a review is due: once per heartbeat interval, or per `MAX_REVIEW_INTERVAL_S`
@@ -145,7 +162,7 @@
         ScalingDecision {
             provision,
             drain: scale_in.drain,
-            deprovision: self.begin_release(scale_in.release),
+            deprovision: self.releases.request(scale_in.release),
         }
     }
 
@@ -173,22 +190,18 @@
             self.refused.insert(offer.clone(), refusal);
         }
         for machine in machines.unwrap_or_default() {
-            if !cluster.machines.contains_key(&machine) {
+            if !cluster.machines.contains_key(&machine) && !self.is_released(&machine) {
                 self.track_booting(machine, offer.clone(), now);
             }
         }
     }
 
-    /// Records that the cloud has released a machine.
-    pub fn release_confirmed(&mut self, name: &str) {
-        self.releasing.remove(name);
-        self.released.insert(name.to_string());
-        self.booting.remove(name);
-    }
-
-    /// Records that the cloud has not released a machine, so that the release is requested again.
-    pub fn release_failed(&mut self, name: &str) {
-        self.releasing.remove(name);
+    /// Records the outcome of a request for the release of a machine.
+    pub fn record_release_outcome(&mut self, name: &str, outcome: ReleaseOutcome) {
+        self.releases.record_outcome(name, outcome);
+        if outcome == ReleaseOutcome::Released {
+            self.booting.remove(name);
+        }
     }
 
     /// Processes a list of the cloud's machines: adopts those that the leader does not track yet,
@@ -210,7 +223,7 @@
                 self.adopt(cluster, listed, now);
             }
         }
-        self.begin_release(failed)
+        self.releases.request(failed)
     }
 
     /// Tracks a machine as booting that an earlier leader provisioned, or whose grant did not reach
--- a/crates/sched/src/autoscaler/scale_in.rs
+++ b/crates/sched/src/autoscaler/scale_in.rs
@@ -31,9 +31,6 @@
 /// timeouts.
 const GIVE_UP_HEARTBEATS: f64 = 1.5;
 
-/// Maximum number of machines in one release request (defined by the cloud's protocol).
-const MAX_MACHINES_PER_RELEASE: usize = 100;
-
 /// The machines that a review takes out of use.
 #[derive(Default)]
 pub(super) struct ScaleInPlan {
@@ -109,14 +106,6 @@
         plan
     }
 
-    /// Marks machines as being released. Leaves out those that already are, and returns the rest in
-    /// batches that each fit one release request.
-    pub(super) fn begin_release(&mut self, mut names: Vec<String>) -> Vec<Vec<String>> {
-        names.retain(|name| self.releasing.insert(name.clone()));
-        let batches = names.chunks(MAX_MACHINES_PER_RELEASE);
-        batches.map(<[String]>::to_vec).collect()
-    }
-
     /// Drains machines that are idle for too long, faulty or lost, and releases drained machines
     /// that are empty.
     fn review_machines(
@@ -149,7 +138,8 @@
         plan
     }
 
-    /// Returns the booting machines that have exceeded the maximum boot time.
+    /// Returns the booting machines that have exceeded the maximum boot time and whose release is not
+    /// under way.
     fn boot_timeouts(&self, cluster: &Cluster, now: Secs) -> Vec<String> {
         let max_boot_s = |kind: &str| {
             let machine_type = cluster.machine_types.get(kind);
@@ -158,6 +148,7 @@
         let late = self
             .booting
             .iter()
+            .filter(|(name, _)| !self.is_release_requested(name))
             .filter(|(_, machine)| now - machine.requested_at > max_boot_s(&machine.offer.kind));
         let names: Vec<String> = late.map(|(name, _)| name.clone()).collect();
         for name in &names {
--- a/crates/sched/src/cluster/machine.rs
+++ b/crates/sched/src/cluster/machine.rs
@@ -52,9 +52,10 @@
     /// Whether it runs tasks of terminal jobs that the leader no longer tracks; nothing is placed
     /// next to them.
     pub has_unknown_jobs: bool,
-    /// Whether it is being drained: it gets no new tasks and is released once it is empty.
+    /// Whether it is being drained: it gets no new tasks and is released once it is empty. That is
+    /// also the case after a request for its release that got no answer.
     pub draining: bool,
-    /// Whether its release to the cloud has been requested.
+    /// Whether a request for its release is queued or under way.
     pub releasing: bool,
     /// Attempt numbers of the tasks that may be running on it, by job id and task index.
     pub tasks: BTreeMap<(String, u32), u64>,
@@ -126,6 +127,11 @@
         }
     }
 
+    /// Returns whether it may be put on the roster: it is up, and its release was not requested.
+    pub fn may_join_roster(&self) -> bool {
+        self.lease_expired_at.is_none() && !self.draining && !self.releasing
+    }
+
     /// Returns whether its owner may place tasks on it: it is on the roster and neither draining
     /// nor being released.
     pub fn is_usable(&self) -> bool {
--- a/crates/sched/src/leader/machine_status.rs
+++ b/crates/sched/src/leader/machine_status.rs
@@ -79,6 +79,7 @@
             machine.reconciled = true;
             if std::mem::take(&mut machine.content_unknown) {
                 self.cluster.machines.mark_known(&status.name, now);
+                self.send_usable(&status.name);
             }
         }
         self.cluster.machines.mark_dirty(&status.name);
@@ -100,18 +101,20 @@
         );
         let mut machine = self.new_machine(&status.kind, &status.zone, status.spot, now);
         machine.owner = owner.to_string();
+        // It may have come up while its release was under way.
+        machine.releasing = self.autoscaler.is_release_requested(&status.name);
+        machine.draining = self.autoscaler.may_be_released(&status.name);
         self.cluster.machines.insert(&status.name, machine);
         self.autoscaler.record_boot(&status.name, now);
     }
 
-    /// Requests the write of a roster record for a machine that is up, unless the record exists or
-    /// is being written.
+    /// Requests the write of a roster record for a machine that is up and whose release was not
+    /// requested, unless the record exists or is being written.
     pub(crate) fn write_roster_record(&mut self, name: &str) {
         let Some(machine) = self.cluster.machines.get_mut(name) else {
             return;
         };
-        let is_up = machine.lease_expired_at.is_none() && !machine.releasing;
-        if machine.rostered != Rostered::No || !is_up {
+        if machine.rostered != Rostered::No || !machine.may_join_roster() {
             return;
         }
         machine.rostered = Rostered::Writing;
--- a/crates/sched/src/leader/mod.rs
+++ b/crates/sched/src/leader/mod.rs
@@ -32,6 +32,7 @@
 mod terminal_jobs;
 mod unresolved_tasks;
 
+pub use crate::autoscaler::ReleaseOutcome;
 pub(crate) use crate::cluster::{
     ActiveTask, Cluster, EndOfMachine, GangPhase, Job, Machine, Rostered, StartRecord, TaskLocation,
 };
--- a/crates/sched/src/leader/scaling.rs
+++ b/crates/sched/src/leader/scaling.rs
@@ -1,7 +1,7 @@
 //! Carries out the decisions of the autoscaler and passes the cloud's answers to it.
 
 use super::{Action, Leader};
-use crate::autoscaler::{EpochContext, ScalingDecision};
+use crate::autoscaler::{EpochContext, ReleaseOutcome, ScalingDecision};
 use crate::Secs;
 use wire::cloud::ListedMachine;
 
@@ -40,21 +40,34 @@
             .provision_answered(&self.cluster, name, machines, &mut self.rng, now);
     }
 
-    /// Handles the outcome of a release request; a failed request has to be repeated.
-    pub fn on_deprovision_result(&mut self, names: &[String], ok: bool) {
+    /// Handles the outcome of a release request. Unless the machines are gone, their release is
+    /// requested again if it is still wanted.
+    pub fn on_deprovision_result(&mut self, names: &[String], outcome: ReleaseOutcome) {
         for name in names {
-            if ok {
-                self.autoscaler.release_confirmed(name);
-                self.remove_machine(name);
-            } else {
-                self.autoscaler.release_failed(name);
-                if let Some(machine) = self.cluster.machines.get_mut(name) {
-                    machine.releasing = false;
-                }
+            self.autoscaler.record_release_outcome(name, outcome);
+            match outcome {
+                ReleaseOutcome::Released => self.remove_machine(name),
+                ReleaseOutcome::Refused | ReleaseOutcome::Unknown => self.keep_machine(name),
             }
         }
     }
 
+    /// Keeps a machine whose release was not confirmed. It may be used again only if no request for
+    /// its release may still take effect.
+    fn keep_machine(&mut self, name: &str) {
+        let may_be_released = self.autoscaler.may_be_released(name);
+        let Some(machine) = self.cluster.machines.get_mut(name) else {
+            return;
+        };
+        machine.releasing = false;
+        machine.draining |= may_be_released;
+        // A silent machine would be announced as usable and as unusable again with each request.
+        if !machine.content_unknown {
+            self.send_usable(name);
+        }
+        self.write_roster_record(name);
+    }
+
     /// Handles a list of the cloud's machines: adopts unknown machines and releases failed ones.
     pub fn on_machines_listed(&mut self, list: &[ListedMachine], now: Secs) {
         let releases = self
