Simulated world: late boots, late releases and slow links; startable tasks are checked

Two rules after every step: no task that the leader may start is on a machine (startable_while_running), and no task starts for a heartbeat sent after the owner must have heard of a release (started_under_release).

--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -31,6 +31,7 @@
 mod jobs;
 mod leadership;
 mod outcomes;
+mod releases;
 mod rules;
 mod scenario;
 mod store;
@@ -54,6 +55,7 @@
 use jobs::{JobReplica, JobState};
 use leadership::LeadingController;
 use outcomes::Outcome;
+use releases::Delays;
 use store::PendingWrite;
 pub use trace::Trace;
 use transit::{Connection, HeartbeatId, InTransit, Message};
@@ -117,6 +119,7 @@
     store_down_until: f64,
     /// The cloud executes no request until this time.
     cloud_down_until: f64,
+    delays: Delays,
     planned_outage: Option<PlannedOutage>,
     partition: Option<Partition>,
     /// The number of injected faults of each kind.
@@ -204,6 +207,7 @@
             machines_provisioned: 0,
             store_down_until: 0.0,
             cloud_down_until: 0.0,
+            delays: Delays::default(),
             planned_outage: None,
             partition: None,
             faults: BTreeMap::new(),
@@ -294,6 +298,7 @@
             self.store_outage(outage.duration_s);
         }
         self.run_reads();
+        self.run_late_releases();
         self.run_preemptions_and_checkpoints();
         self.run_workers();
         self.deliver();
@@ -302,6 +307,7 @@
         self.run_writes();
         self.report_cancellations();
         self.check_running_tasks();
+        self.check_startable_tasks();
     }
 
     /// Returns a description of the state of the leader, the owners and the workers.
--- a/crates/model/src/world/cloud.rs
+++ b/crates/model/src/world/cloud.rs
@@ -19,6 +19,7 @@
             let machine = format!("host-{:06}", self.machines_provisioned);
             let extra_boot_s = offer.map_or(0.0, |(_, boot_s)| (boot_s - 2.5).max(0.0));
             let up_at = self.now + 1.0 + self.rng.f64() * 3.0 + extra_boot_s;
+            let up_at = up_at + self.draw_boot_delay_s();
             let target = self.rng.usize(0..CONTROLLERS);
             let worker = Worker::booting(request, up_at, target);
             self.workers.insert(machine.clone(), worker);
--- a/crates/model/src/world/controllers.rs
+++ b/crates/model/src/world/controllers.rs
@@ -169,7 +169,7 @@
 
     /// Draws the transit time of a message between controllers.
     pub(super) fn draw_connection_delay(&mut self) -> f64 {
-        0.02 + self.rng.f64() * 0.15
+        0.02 + self.rng.f64() * 0.15 + self.extra_link_delay_s()
     }
 
     /// Returns whether a controller is partitioned from the store and the other controllers.
--- a/crates/model/src/world/defect.rs
+++ b/crates/model/src/world/defect.rs
@@ -36,6 +36,11 @@
     StartBlocked,
     /// Controllers do not treat the dependents of a cancelled job as cancelled.
     IgnoreCancelledDependencies,
+    /// The leader forgets that it has requested the release of a machine once the machine reports.
+    ForgetReleases,
+    /// As `ForgetReleases`, and the leader queues the tasks again that it expected on a machine once
+    /// the machine is released, although their owners may have started them elsewhere.
+    RequeueExpectedTasks,
     /// A new leader assumes that no earlier leader, nor any of its owners, still has authority.
     IgnoreEarlierAuthority,
     /// Controllers tell users of a cancellation as soon as they know of it, although others may still
--- a/crates/model/src/world/faults.rs
+++ b/crates/model/src/world/faults.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 
+/// The time by which a random late boot is later than usual: several times as long, for some machines
+/// longer than the leader waits.
+const LATE_BOOT_S: std::ops::Range<f64> = 4.0..16.0;
+
 /// A kind of fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Fault {
@@ -46,6 +50,12 @@
     LateWrite,
     /// The cloud executes no request.
     CloudDown,
+    /// Machines boot late.
+    LateBoots,
+    /// Releases of machines take effect late.
+    LateReleases,
+    /// Messages between controllers are slow.
+    SlowLinks,
 }
 
 impl Fault {
@@ -72,6 +82,9 @@
             175..=178 => Fault::LeaderFrozenBeforeResponse,
             179..=183 => Fault::LeaseRevoked,
             184..=188 => Fault::CloudDown,
+            189..=198 => Fault::LateBoots,
+            199..=208 => Fault::LateReleases,
+            209..=218 => Fault::SlowLinks,
             _ => return None,
         })
     }
@@ -116,6 +129,7 @@
         };
         self.inject_controller_fault(fault, target);
         self.inject_store_fault(fault, target);
+        self.inject_delay(fault, target.duration_share);
         self.inject_machine_fault(fault, target);
     }
 
@@ -168,6 +182,16 @@
         }
     }
 
+    fn inject_delay(&mut self, fault: Fault, share: f64) {
+        let duration_s = 5.0 + share * 15.0;
+        match fault {
+            Fault::LateBoots => self.late_boots(duration_s, LATE_BOOT_S),
+            Fault::LateReleases => self.late_releases(duration_s),
+            Fault::SlowLinks => self.slow_links(0.2 + share * 0.4, duration_s),
+            _ => {}
+        }
+    }
+
     fn inject_machine_fault(&mut self, fault: Fault, target: FaultTarget) {
         let (now, share) = (self.now, target.duration_share);
         let Some(worker) = self.workers.values_mut().nth(target.machine) else {
--- a/crates/model/src/world/leadership.rs
+++ b/crates/model/src/world/leadership.rs
@@ -85,9 +85,11 @@
                 self.answer_ping(leading, i, sent_at);
             }
             while let Some(message) = self.controllers[i].to_leader.receive(now) {
+                let received = message.clone();
                 leading
                     .leader
                     .on_owner_message(&controller_name(i), message, now);
+                self.damage_releases(&mut leading.leader, &received);
             }
         }
     }
@@ -107,11 +109,12 @@
         let Some(valid_s) = granted else {
             return;
         };
+        let link_delay_s = self.extra_link_delay_s();
         let controller = &mut self.controllers[from];
         if controller.has_epoch && controller.owner.token() == leading.leader.token() {
             controller.owner.authority.set_until(sent_at + valid_s);
             // The response must not overtake earlier messages.
-            let arrives_at = controller.to_owner.arrival(now + 0.02);
+            let arrives_at = controller.to_owner.arrival(now + 0.02 + link_delay_s);
             let leader_read_at = sent_at - (now - read_at);
             controller.leader_reads.send(arrives_at, leader_read_at);
         }
@@ -127,7 +130,9 @@
                 self.trace
                     .sent_to_leader(self.now, leading.controller, self.now, &message);
                 let from = controller_name(leading.controller);
+                let received = message.clone();
                 leading.leader.on_owner_message(&from, message, self.now);
+                self.damage_releases(&mut leading.leader, &received);
             }
             for action in leading.leader.take_actions() {
                 is_idle = false;
@@ -151,7 +156,14 @@
             Action::ConfirmCancellations { requester, jobs } => {
                 self.confirm_cancellations(leading.controller, &requester, jobs);
             }
+            Action::Deprovision(machines) if self.now < self.delays.releases_late_until => {
+                self.record_release_request(&machines);
+                self.send_late_release(leading.elected_revision, machines);
+            }
             action => {
+                if let Action::Deprovision(machines) = &action {
+                    self.record_release_request(machines);
+                }
                 let arrives_at = self.now + 0.02 + self.rng.f64() * 0.3;
                 let expected_version = self.expected_version(&action);
                 self.writes.push(PendingWrite {
@@ -194,6 +206,8 @@
     /// Ends the leadership. The store keeps the leader's key until the lease expires.
     pub(super) fn end_leadership(&mut self) {
         self.leading = None;
+        // A later leader does not know of the requests of this one.
+        self.delays.release_requests.clear();
         self.no_election_before = self.no_election_before.max(self.lease_end + 0.1);
         for controller in &mut self.controllers {
             controller.disconnect(self.now + 0.2);
--- a/crates/model/src/world/outcomes.rs
+++ b/crates/model/src/world/outcomes.rs
@@ -19,10 +19,12 @@
         self != Outcome::NotApplied
     }
 
-    /// Returns the outcome of a release request as the leader sees it.
-    fn of_release(self) -> ReleaseOutcome {
+    /// Returns the outcome of a release request as the leader sees it. During an outage the cloud
+    /// refuses requests.
+    fn of_release(self, cloud_is_down: bool) -> ReleaseOutcome {
         match self {
             Outcome::Confirmed => ReleaseOutcome::Released,
+            Outcome::NotApplied if cloud_is_down => ReleaseOutcome::Refused,
             Outcome::ResponseLost | Outcome::NotApplied => ReleaseOutcome::Unknown,
         }
     }
@@ -92,7 +94,8 @@
                 if outcome.took_effect() {
                     self.deprovision(&machines);
                 }
-                leader.on_deprovision_result(&machines, outcome.of_release());
+                let cloud_is_down = now < self.cloud_down_until;
+                self.report_release(leader, &machines, outcome.of_release(cloud_is_down));
             }
             Action::Send(..) | Action::ConfirmCancellations { .. } => {}
         }
--- a/crates/model/src/world/store.rs
+++ b/crates/model/src/world/store.rs
@@ -111,7 +111,7 @@
             }
             let write = self.writes.remove(i);
             let Some(mut leading) = self.leading.take() else {
-                self.reject_write(&write);
+                self.receive_from_earlier_leader(&write);
                 continue;
             };
             self.receive_write(&mut leading, write);
@@ -128,8 +128,10 @@
                 ..write
             });
         } else if leading.elected_revision != write.elected_revision {
-            // A write of an earlier leader fails its condition.
-            self.reject_write(&write);
+            self.receive_from_earlier_leader(&write);
+        } else if let (Action::Deprovision(machines), true) = (&write.action, write.is_late) {
+            let outcome = ReleaseOutcome::Unknown;
+            self.report_release(&mut leading.leader, machines, outcome);
         } else if write.is_late {
             self.apply_late(&leading.leader, write);
         } else {
@@ -137,6 +139,19 @@
         }
     }
 
+    /// Processes a request of a leader that no longer leads. A write fails its condition; the cloud
+    /// carries out releases whoever sent them.
+    fn receive_from_earlier_leader(&mut self, write: &PendingWrite) {
+        match &write.action {
+            Action::Deprovision(machines)
+                if !write.is_late && self.now >= self.cloud_down_until =>
+            {
+                self.deprovision(&machines.clone());
+            }
+            _ => self.reject_write(write),
+        }
+    }
+
     fn reject_write(&mut self, write: &PendingWrite) {
         self.trace
             .refused(self.now, write.elected_revision, &write.action);
--- a/crates/model/src/world/workers.rs
+++ b/crates/model/src/world/workers.rs
@@ -444,6 +444,7 @@
         self.tasks_started += 1;
         self.check_start(machine, &key.job, key.index);
         self.check_not_reported_cancelled(&key.job, heartbeat_sent_at);
+        self.check_not_under_release(machine, heartbeat_sent_at);
         let task = SimTask::starting(self.now, self.saved_s(&key.job, key.index));
         if let Some(worker) = self.workers.get_mut(machine) {
             worker.tasks.insert(key, task);
--- a/crates/model/tests/invariants.rs
+++ b/crates/model/tests/invariants.rs
@@ -249,7 +249,7 @@
             .into_iter()
             .for_each(|(fault, times)| *seen.entry(fault).or_default() += times);
     }
-    assert_eq!(seen.len(), 19, "kinds of faults that happened: {seen:?}");
+    assert_eq!(seen.len(), 22, "kinds of faults that happened: {seen:?}");
 }
 
 #[test]
--- a/crates/model/tests/trace.rs
+++ b/crates/model/tests/trace.rs
@@ -62,7 +62,7 @@
     let mut world = World::heterogeneous(seed);
     world.run_heterogeneous(15.0, 50, false);
     world.submit_bulk(&["small", "steady"]);
-    world.run_heterogeneous(60.0, 40, false);
+    world.run_heterogeneous(75.0, 40, false);
     world.run_heterogeneous(60.0, 0, false);
     world.submit_bulk(&["small", "costly"]);
     world.run_heterogeneous(90.0, 50, seed % 2 == 1);
--- a/crates/sched/src/leader/summary.rs
+++ b/crates/sched/src/leader/summary.rs
@@ -1,6 +1,7 @@
 //! Summaries of the leader's state for logs and test failures.
 
-use super::{Job, Leader, Machine};
+use super::{Job, Leader, Machine, TaskLocation};
+use wire::peers::TaskRef;
 
 /// CPU usage of the spot machines or of the on-demand machines.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -89,6 +90,37 @@
         }
     }
 
+    /// Returns the tasks that this leader expects on a machine and that no owner has reported, each
+    /// with the owner to which it was assigned; for tests.
+    pub fn expected_tasks(&self, machine: &str) -> Vec<(String, TaskRef)> {
+        let mut expected = Vec::new();
+        for (id, job) in self.cluster.jobs.iter() {
+            for (index, active) in &job.active {
+                let TaskLocation::Assigned { owner, predicted } = &active.location else {
+                    continue;
+                };
+                if predicted.as_deref() == Some(machine) {
+                    let task = TaskRef {
+                        job: id.clone(),
+                        index: *index,
+                        attempt: active.attempt,
+                    };
+                    expected.push((owner.clone(), task));
+                }
+            }
+        }
+        expected
+    }
+
+    /// Returns whether this leader may start a task, so that it must not be running anywhere; for
+    /// tests.
+    pub fn is_startable(&self, id: &str, index: u32) -> bool {
+        let job = self.cluster.jobs.get(id);
+        job.is_some_and(|job| {
+            !job.terminal && !job.awaits_reconciliation && job.ready_tasks.contains(index)
+        })
+    }
+
     /// Describes every job and machine in one line each, for test failures.
     pub fn describe_state(&self) -> String {
         let describe_job = |(id, job): (&String, &Job)| {
