--- a/crates/model/tests/late_releases.rs
+++ b/crates/model/tests/late_releases.rs
@@ -1,6 +1,9 @@
 //! Machines that boot late and are released meanwhile, while releases take effect late and links
 //! between controllers are slow.
 
+mod checks;
+
+use checks::assert_jobs_end_without_violations;
 use model::world::{config, config_without_deprovisioning, job, Defect, World};
 use sched::config::SchedulerConfig;
 use std::ops::Range;
@@ -117,19 +120,7 @@
     for seed in 0..SEEDS {
         let mut world = World::with_config(seed, Defect::None, config.clone());
         script(&mut world);
-        world.run_until_done(400.0);
-        assert!(
-            world.violations.is_empty(),
-            "violated rules with seed {seed}: {:?}\n{}",
-            world.violations,
-            world.describe_state()
-        );
-        assert_eq!(
-            world.open_jobs(),
-            Vec::<String>::new(),
-            "open jobs with seed {seed}\n{}",
-            world.describe_state()
-        );
+        assert_jobs_end_without_violations(&mut world, seed);
     }
 }
 
--- a/crates/model/tests/overlapping_faults.rs
+++ b/crates/model/tests/overlapping_faults.rs
@@ -2,6 +2,9 @@
 //! rule of the protocol or of the users is violated, and that every accepted job is done or
 //! cancelled in the end.
 
+mod checks;
+
+use checks::assert_jobs_end_without_violations;
 use model::world::{config, job, Defect, Fault, World};
 use sched::config::SchedulerConfig;
 use wire::users::{Job, Shape};
@@ -44,19 +47,7 @@
             world.cancellations > 0,
             "seed {seed}: no cancellation was confirmed"
         );
-        world.run_until_done(400.0);
-        assert!(
-            world.violations.is_empty(),
-            "violated rules with seed {seed}: {:?}\n{}",
-            world.violations,
-            world.describe_state()
-        );
-        assert_eq!(
-            world.open_jobs(),
-            Vec::<String>::new(),
-            "open jobs with seed {seed}\n{}",
-            world.describe_state()
-        );
+        assert_jobs_end_without_violations(&mut world, seed);
     }
 }
 
