--- /dev/null
+++ b/review/bed/src/cases.rs
@@ -0,0 +1,234 @@
+//! The cases. Each returns what broke the rule, or nothing if it held.
+
+use crate::machines::{Kind, Work};
+use crate::world::{Deployment, Event, Record, Site, StopFlag, World};
+use std::path::Path;
+use std::time::Duration;
+
+type Outcome = Result<Option<String>, String>;
+
+/// Where the version in production is built, below the repository's root.
+const PRODUCTION: &str = "target/production";
+/// Seconds after which the platform starts an ended process again, as the brief says.
+const BACK_S: f64 = 8.0;
+
+pub fn run(case: &str, folder: &Path, root: &Path, trouble: bool, stop: StopFlag) -> Outcome {
+    match case {
+        "upgrade-progress" => upgrade_progress(folder, root, trouble, stop),
+        "released-result" => released_result(folder, root, trouble, stop),
+        _ => Err(format!("no case {case}")),
+    }
+}
+
+/// Returns the `run` command of the deploy file in a folder.
+fn run_command(root: &Path) -> Result<String, String> {
+    let file = root.join("deploy/service.toml");
+    let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let line = text.lines().find_map(|line| line.strip_prefix("run = \""));
+    Ok(line.ok_or("the deploy file has no run")?.trim_end_matches('"').to_string())
+}
+
+/// Nominal boot time of a till-box.
+const TILL_BOX_BOOT_S: f64 = 15.0;
+/// "At times machines are up within a second or two."
+const UP_AT_ONCE_S: f64 = 2.0;
+
+/// Returns the machine type `till-box` of `lakeside-preorder`, whose machines are up after `up_s`.
+fn till_box(up_s: f64) -> Kind {
+    Kind {
+        name: "till-box",
+        cpus: 4.0,
+        memory_gb: 32.0,
+        price: 0.29,
+        boot_s: TILL_BOX_BOOT_S,
+        up_s,
+        zones: vec!["a"],
+    }
+}
+
+/// Returns the tasks that were started again after their worker was told to forget their result.
+fn run_again(world: &World) -> Vec<Event> {
+    let events = world.events();
+    let acknowledged = |event: &Event, before: &[Event]| {
+        let of_task = |record: Record| {
+            before.iter().any(|e| e.task == event.task && e.record == record)
+        };
+        of_task(Record::Done) && of_task(Record::Cleared)
+    };
+    let again = events.iter().enumerate().filter(|(i, event)| {
+        event.record == Record::Started && acknowledged(event, &events[..*i])
+    });
+    again.map(|(_, event)| event.clone()).collect()
+}
+
+/// The upgrade lays the progress of a large array out anew, and the next leader does not find it.
+fn upgrade_progress(folder: &Path, root: &Path, trouble: bool, stop: StopFlag) -> Outcome {
+    const LARGE: &str = "wk-000100";
+    const LARGE_TASKS: usize = 5000;
+    const DONE: usize = 10;
+    const SMALL_JOBS: usize = 14;
+    let site = Site {
+        members: 3,
+        kinds: vec![till_box(UP_AT_ONCE_S)],
+        team_cpus_max: 60.0,
+        next: Some((2.0, 4, 18.0)),
+    };
+    let (new, old) = (root.to_path_buf(), root.join(PRODUCTION));
+    let new_command = run_command(&new)?;
+    let old_command = if trouble { run_command(&old)? } else { String::new() };
+    let mut bed = Deployment::new(site, folder, stop);
+    let world = bed.world.clone();
+    for i in 0..3 {
+        if trouble {
+            bed.start(i, &old_command, &old);
+        } else {
+            bed.start(i, &new_command, &new);
+        }
+    }
+    for i in 0..3 {
+        bed.wait_ready(i, 10.0)?;
+    }
+    let long = 300.0;
+    let work = |run_s: Vec<f64>| Work { cpus: 1.0, memory_gb: 1.0, image_gb: 0.2, run_s };
+    let small = |n: usize| format!("wk-{:06}", 200 + n);
+    for n in 0..SMALL_JOBS {
+        world.submit(&small(n), &["till-box"], work(vec![0.5, long, long]))?;
+    }
+    // Something of each job is done, recorded, and forgotten by the workers; the rest runs on.
+    let cleared = |world: &World, task: &str| world.count(task, Record::Cleared) > 0;
+    bed.wait(30.0, "the first tasks of the small jobs are recorded", |world| {
+        (0..SMALL_JOBS).all(|n| {
+            cleared(world, &format!("{}/0", small(n)))
+                && world.count(&format!("{}/1", small(n)), Record::Started) > 0
+                && world.count(&format!("{}/2", small(n)), Record::Started) > 0
+        })
+    })?;
+    let large = (0..LARGE_TASKS).map(|i| if i < DONE { 0.5 } else { long });
+    world.submit(LARGE, &["till-box"], work(large.collect()))?;
+    bed.wait(30.0, "the first tasks of the large job are recorded", |world| {
+        (0..DONE).all(|i| cleared(world, &format!("{LARGE}/{i}")))
+    })?;
+    world.poll(LARGE);
+    note_progress(&world);
+    if trouble {
+        for i in 0..3 {
+            bed.kill(i);
+            bed.pause(BACK_S);
+            bed.start(i, &new_command, &new);
+            bed.pause(2.0);
+        }
+        for i in 0..3 {
+            bed.wait_ready(i, 10.0)?;
+        }
+    }
+    bed.wait(10.0, "there is a leader", |world| world.store.leader().is_some())?;
+    bed.pause(4.0);
+    // A task of each small job ends.
+    world.complete((0..SMALL_JOBS).map(|n| format!("{}/1", small(n))));
+    bed.wait(15.0, "the ends are recorded", |world| {
+        (0..SMALL_JOBS).all(|n| cleared(world, &format!("{}/1", small(n))))
+    })?;
+    world.poll(LARGE);
+    note_progress(&world);
+    if trouble {
+        for i in 0..3 {
+            bed.kill(i);
+        }
+        bed.pause(BACK_S);
+        for i in 0..3 {
+            bed.start(i, &new_command, &new);
+        }
+        for i in 0..3 {
+            bed.wait_ready(i, 10.0)?;
+        }
+        bed.pause(4.0);
+    }
+    // Some tasks of the large job end, so that others of it start.
+    let running = (DONE..LARGE_TASKS).map(|i| format!("{LARGE}/{i}"));
+    let running = running.filter(|task| world.count(task, Record::Started) > 0).take(DONE);
+    world.complete(running.collect::<Vec<_>>());
+    bed.pause(12.0);
+    world.poll(LARGE);
+    note_progress(&world);
+    let again = run_again(&world);
+    let names: Vec<&str> = again.iter().map(|event| event.task.as_str()).collect();
+    Ok((!again.is_empty()).then(|| {
+        format!("started again after their results were recorded: {}", names.join(" "))
+    }))
+}
+
+/// Writes what the state service holds of the progress of jobs into the record.
+fn note_progress(world: &World) {
+    for (key, value) in world.store.values("lr/progress/") {
+        let size = value.json().len();
+        let jobs = ["chunks", "sections"].iter().flat_map(|field| value.list(field));
+        let jobs: Vec<String> = jobs
+            .map(|entry| match entry {
+                crate::cbor::V::List(parts) => parts.first().map_or(String::new(), |p| p.json()),
+                _ => String::new(),
+            })
+            .collect();
+        world.note(&format!("store: {key} has {size} bytes: {}", jobs.join(" ")));
+    }
+}
+
+/// While writes lag, a machine with a result that is recorded nowhere is given back, and the leader ends.
+fn released_result(folder: &Path, root: &Path, trouble: bool, stop: StopFlag) -> Outcome {
+    const JOB: &str = "wk-000100";
+    const TASKS: usize = 4;
+    /// Within the 2 to 12 s of the protocol's further pages.
+    const LATE_BY: Duration = Duration::from_secs(11);
+    let site = Site {
+        members: 3,
+        kinds: vec![till_box(TILL_BOX_BOOT_S)],
+        team_cpus_max: 60.0,
+        next: None,
+    };
+    let command = run_command(root)?;
+    let mut bed = Deployment::new(site, folder, stop);
+    let world = bed.world.clone();
+    for i in 0..3 {
+        bed.start(i, &command, root);
+    }
+    for i in 0..3 {
+        bed.wait_ready(i, 10.0)?;
+    }
+    let work = Work { cpus: 4.0, memory_gb: 8.0, image_gb: 0.2, run_s: vec![300.0; TASKS] };
+    world.submit(JOB, &["till-box"], work)?;
+    let task = |i: usize| format!("{JOB}/{i}");
+    bed.wait(30.0, "all tasks run", |world| {
+        (0..TASKS).all(|i| world.count(&task(i), Record::Started) > 0)
+    })?;
+    bed.pause(3.0);
+    if trouble {
+        world.note("state service: transactions are carried out late from now on");
+        world.store.begin_late_writes(Duration::from_secs(20), LATE_BY);
+    }
+    world.complete([task(0)]);
+    bed.wait(10.0, "the first task is done", |world| world.count(&task(0), Record::Done) > 0)?;
+    let events = world.events();
+    let done = events.iter().find(|e| e.record == Record::Done).ok_or("nothing is done")?;
+    let machine = done.machine.clone();
+    let is_released = |world: &World| world.cloud.released().contains(&machine);
+    bed.wait(15.0, "the machine of the first task is given back", is_released)?;
+    let was_recorded = world.count(&task(0), Record::Cleared) > 0;
+    if trouble {
+        let leader = bed.leader().ok_or("no leader")?;
+        bed.kill(leader);
+        world.store.end_late_writes();
+        world.note("state service: transactions are carried out at once again");
+        bed.pause(BACK_S);
+        bed.start(leader, &command, root);
+    }
+    // Whether the task starts again is seen when the new leader knows what every machine runs.
+    let _ = bed.wait(65.0, "the first task starts again", |world| {
+        world.count(&task(0), Record::Started) > 1
+    });
+    world.poll(JOB);
+    let (late, outcomes) = world.store.late_writes();
+    world.note(&format!("state service: {late} late transactions, answered {outcomes:?}"));
+    let again = world.count(&task(0), Record::Started) > 1;
+    Ok((again && !was_recorded).then(|| {
+        format!("{} was done on {machine}, which was given back, and ran again", task(0))
+    }))
+}
