--- a/review/bed/src/cases.rs
+++ b/review/bed/src/cases.rs
@@ -1,14 +1,14 @@
 //! The cases. Each returns what broke the rule, or nothing if it held.
 
 use crate::machines::{Kind, Work};
-use crate::world::{Deployment, Event, Record, Site, StopFlag, World};
+use crate::world::{LAKESIDE_TIMES, Deployment, Event, Record, Site, StopFlag, World};
 use std::path::Path;
 use std::time::Duration;
 
 type Outcome = Result<Option<String>, String>;
 
 /// Where the version in production is built, below the repository's root.
-const PRODUCTION: &str = "target/production";
+pub const PRODUCTION: &str = "target/production";
 /// Seconds after which the platform starts an ended process again, as the brief says.
 const BACK_S: f64 = 8.0;
 
@@ -16,12 +16,13 @@
     match case {
         "upgrade-progress" => upgrade_progress(folder, root, trouble, stop),
         "released-result" => released_result(folder, root, trouble, stop),
+        "soak" => crate::soak::run(folder, root, trouble, stop),
         _ => Err(format!("no case {case}")),
     }
 }
 
 /// Returns the `run` command of the deploy file in a folder.
-fn run_command(root: &Path) -> Result<String, String> {
+pub fn run_command(root: &Path) -> Result<String, String> {
     let file = root.join("deploy/service.toml");
     let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
     let line = text.lines().find_map(|line| line.strip_prefix("run = \""));
@@ -34,7 +35,7 @@
 const UP_AT_ONCE_S: f64 = 2.0;
 
 /// Returns the machine type `till-box` of `lakeside-preorder`, whose machines are up after `up_s`.
-fn till_box(up_s: f64) -> Kind {
+pub fn till_box(up_s: f64) -> Kind {
     Kind {
         name: "till-box",
         cpus: 4.0,
@@ -71,6 +72,7 @@
         members: 3,
         kinds: vec![till_box(UP_AT_ONCE_S)],
         team_cpus_max: 60.0,
+        times: LAKESIDE_TIMES,
         next: Some((2.0, 4, 18.0)),
     };
     let (new, old) = (root.to_path_buf(), root.join(PRODUCTION));
@@ -182,6 +184,7 @@
         members: 3,
         kinds: vec![till_box(TILL_BOX_BOOT_S)],
         team_cpus_max: 60.0,
+        times: LAKESIDE_TIMES,
         next: None,
     };
     let command = run_command(root)?;
--- a/review/bed/src/machines.rs
+++ b/review/bed/src/machines.rs
@@ -284,6 +284,7 @@
             std::thread::sleep(Duration::from_millis(20));
         }
         for (name, task) in &self.tasks {
+            self.world.set_on(name, &self.name, false);
             let lost = matches!(task.standing, Standing::Exited("done"));
             let what = if lost { "result lost with the machine" } else { "gone with the machine" };
             self.world.note(&format!("worker {}: {name}: {what}", self.name));
@@ -295,6 +296,9 @@
         let now = Instant::now();
         if self.renewed.elapsed().as_secs_f64() > self.world.lease_s {
             self.world.note(&format!("worker {}: lease ended", self.name));
+            for name in self.tasks.keys() {
+                self.world.set_on(name, &self.name, false);
+            }
             self.tasks.clear();
             self.session += 1;
             self.renewed = now;
@@ -309,11 +313,13 @@
                 Standing::Fetching => {
                     task.standing = Standing::Running;
                     task.ends = now + Duration::from_secs_f64(task.run_s);
+                    self.world.set_on(name, &self.name, true);
                     self.world.record(Record::Started, name, task.attempt, &self.name);
                     self.changed = true;
                 }
                 Standing::Running => {
                     task.standing = Standing::Exited("done");
+                    self.world.set_on(name, &self.name, false);
                     self.world.record(Record::Done, name, task.attempt, &self.name);
                     self.changed = true;
                 }
@@ -347,7 +353,21 @@
         "baton" => self.baton, "recall_s" => V::Null, "tickets" => tasks.collect::<Vec<V>>()};
         let sent = Instant::now();
         let timeout = Duration::from_secs(4);
-        let answer = http::request(addr, "POST", "/agent/beat", &body.encode(), timeout);
+        let body = body.encode();
+        self.repeat_later(&body);
+        let contains = |set: &Mutex<std::collections::BTreeSet<String>>| {
+            set.lock().is_ok_and(|set| set.contains(&self.name))
+        };
+        if contains(&self.world.mute) {
+            std::thread::sleep(timeout);
+            self.node += 1;
+            return Some(1.0);
+        }
+        let mut answer = http::request(addr, "POST", "/agent/beat", &body, timeout);
+        if contains(&self.world.deaf) {
+            std::thread::sleep(timeout.saturating_sub(sent.elapsed()));
+            answer = None;
+        }
         if !self.is_alive() {
             return None;
         }
@@ -378,6 +398,22 @@
         }
     }
 
+    /// Sends a copy of some reports again, late and to any controller.
+    fn repeat_later(&mut self, body: &[u8]) {
+        let share = self.world.late_reports.lock().map_or(0.0, |share| *share);
+        if self.random() >= share {
+            return;
+        }
+        let after = Duration::from_secs_f64(2.0 + 20.0 * self.random());
+        let nodes = self.world.nodes();
+        let (_, addr) = nodes[(self.random() * nodes.len() as f64) as usize % nodes.len()].clone();
+        let body = body.to_vec();
+        std::thread::spawn(move || {
+            std::thread::sleep(after);
+            let _ = http::request(addr, "POST", "/agent/beat", &body, Duration::from_secs(4));
+        });
+    }
+
     fn carry_out(&mut self, answer: &V, sent: Instant) {
         let baton = answer.int("baton");
         if answer.get("baton").is_none() || baton < self.baton {
@@ -399,6 +435,7 @@
                     let task = self.tasks.get_mut(&name).filter(|t| t.attempt == attempt);
                     if let Some(task) = task.filter(|t| !matches!(t.standing, Standing::Exited(_))) {
                         task.standing = Standing::Exited("stopped");
+                        self.world.set_on(&name, &self.name, false);
                         self.world.record(Record::Stopped, &name, attempt, &self.name);
                         self.changed = true;
                     }
--- a/review/bed/src/main.rs
+++ b/review/bed/src/main.rs
@@ -5,6 +5,7 @@
 mod cbor;
 mod http;
 mod machines;
+mod soak;
 mod store;
 mod world;
 
@@ -13,7 +14,7 @@
 use std::time::Duration;
 
 /// A case ends itself before the limit of 120 s.
-const LIMIT: Duration = Duration::from_secs(117);
+const LIMIT: Duration = Duration::from_secs(115);
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
@@ -31,7 +32,13 @@
     });
     let outcome = result.recv_timeout(LIMIT);
     stop.stop();
-    let _ = runner.join();
+    if outcome.is_ok() {
+        let _ = runner.join();
+    } else {
+        // The runner ends its processes itself unless it hangs.
+        std::thread::sleep(Duration::from_secs(1));
+        world::kill_all();
+    }
     match outcome {
         Ok(Ok(None)) => {
             println!("the rule held");
--- a/review/bed/src/store.rs
+++ b/review/bed/src/store.rs
@@ -3,7 +3,7 @@
 use crate::cbor::V;
 use crate::http::{self, Answer};
 use crate::map;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -63,6 +63,8 @@
     late: Option<LateWrites>,
     late_count: u32,
     late_outcomes: Vec<u16>,
+    /// Controllers that are refused.
+    refused: BTreeSet<usize>,
 }
 
 /// The service.
@@ -92,6 +94,7 @@
                 late: None,
                 late_count: 0,
                 late_outcomes: Vec::new(),
+                refused: BTreeSet::new(),
             }),
             changed: Condvar::new(),
         });
@@ -147,10 +150,25 @@
         (state.late_count, state.late_outcomes.clone())
     }
 
-    /// Serves at an address of its own.
-    pub fn open(self: &Arc<Store>) -> SocketAddr {
+    /// Refuses a controller, or serves it again.
+    pub fn refuse(&self, controller: usize, refuse: bool) {
+        let mut state = self.lock();
+        if refuse {
+            state.refused.insert(controller);
+        } else {
+            state.refused.remove(&controller);
+        }
+    }
+
+    /// Serves a controller at an address of its own.
+    pub fn open(self: &Arc<Store>, controller: usize) -> SocketAddr {
         let store = self.clone();
-        http::serve(Arc::new(move |method, path, body| store.handle(method, path, body)))
+        http::serve(Arc::new(move |method, path, body| {
+            if store.lock().refused.contains(&controller) {
+                return status(503, "trouble");
+            }
+            store.handle(method, path, body)
+        }))
     }
 
     fn handle(self: &Arc<Store>, method: &str, path: &str, body: &[u8]) -> Answer {
--- a/review/bed/src/world.rs
+++ b/review/bed/src/world.rs
@@ -15,6 +15,16 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// Processes that are running.
+static RUNNING: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
+
+/// Kills the processes that are still running.
+pub fn kill_all() {
+    for pid in World::lock(&RUNNING).iter() {
+        let _ = Command::new("kill").arg("-KILL").arg(pid.to_string()).status();
+    }
+}
+
 /// Tells a case that its time is over.
 #[derive(Clone, Default)]
 pub struct StopFlag(Arc<AtomicBool>);
@@ -53,6 +63,8 @@
     pub members: usize,
     pub kinds: Vec<Kind>,
     pub team_cpus_max: f64,
+    /// Seconds between reports, of a worker's lease, and within which a cancellation is carried out.
+    pub times: (f64, f64, f64),
     /// Limits that the settings announce for later: `value_kb`, `txn_ops`, `write_rps`.
     pub next: Option<(f64, usize, f64)>,
 }
@@ -68,6 +80,15 @@
     works: Mutex<BTreeMap<String, Work>>,
     events: Mutex<Vec<Event>>,
     nodes: Mutex<Vec<(String, SocketAddr)>>,
+    /// Share of reports of which a copy arrives again later.
+    pub late_reports: Mutex<f64>,
+    /// Machines whose reports or whose answers are lost.
+    pub mute: Mutex<BTreeSet<String>>,
+    pub deaf: Mutex<BTreeSet<String>>,
+    /// Machines by the tasks that are on them.
+    on: Mutex<BTreeMap<String, BTreeSet<String>>>,
+    /// Broken rules that the workers saw.
+    pub broken: Mutex<Vec<String>>,
     /// Running tasks that complete now.
     completing: Mutex<BTreeSet<String>>,
 }
@@ -77,9 +98,8 @@
 const WRITE_RPS: f64 = 25.0;
 const VALUE_KB: f64 = 4.0;
 const TXN_OPS: usize = 12;
-const REPORT_S: f64 = 3.0;
-const LEASE_S: f64 = 45.0;
-const CANCEL_S: f64 = 75.0;
+/// Seconds between reports, of the lease, and of a cancellation, of `lakeside-preorder`.
+pub const LAKESIDE_TIMES: (f64, f64, f64) = (3.0, 45.0, 75.0);
 const LIST_LAG_S: f64 = 10.0;
 
 impl World {
@@ -98,6 +118,32 @@
         let _ = writeln!(record, "{:8.3} {text}", self.now_s());
     }
 
+    /// Notes a broken rule.
+    pub fn break_rule(&self, text: String) {
+        self.note(&format!("BROKEN {text}"));
+        World::lock(&self.broken).push(text);
+    }
+
+    /// Notes that a task is on a machine from now on, or no more.
+    pub fn set_on(&self, task: &str, machine: &str, is_on: bool) {
+        let mut on = World::lock(&self.on);
+        let machines = on.entry(task.into()).or_default();
+        if !is_on {
+            machines.remove(machine);
+            return;
+        }
+        if machines.iter().any(|other| other != machine) {
+            self.break_rule(format!("ran_twice: {task} starts on {machine} while on {machines:?}"));
+        }
+        machines.insert(machine.into());
+    }
+
+    /// Returns the tasks that are on machines.
+    pub fn tasks_on(&self) -> Vec<(String, BTreeSet<String>)> {
+        let on = World::lock(&self.on);
+        on.iter().filter(|(_, m)| !m.is_empty()).map(|(t, m)| (t.clone(), m.clone())).collect()
+    }
+
     pub fn record(&self, record: Record, task: &str, attempt: u64, machine: &str) {
         self.note(&format!("worker {machine}: {task} try {attempt}: {record:?}"));
         World::lock(&self.events).push(Event {
@@ -218,19 +264,24 @@
         let world = Arc::new(World {
             store,
             cloud,
-            report_s: REPORT_S,
-            lease_s: LEASE_S,
+            report_s: site.times.0,
+            lease_s: site.times.1,
             started: Instant::now(),
             record: Mutex::new(record),
             works: Mutex::default(),
             events: Mutex::default(),
             nodes: Mutex::new(nodes),
             completing: Mutex::default(),
+            late_reports: Mutex::new(0.0),
+            mute: Mutex::default(),
+            deaf: Mutex::default(),
+            on: Mutex::default(),
+            broken: Mutex::default(),
         });
         let dir = std::env::temp_dir().join(format!("bed-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("temporary folder");
         Deployment {
-            store_addrs: names.clone().map(|_| world.store.open()).collect(),
+            store_addrs: (0..site.members).map(|i| world.store.open(i)).collect(),
             cloud_addrs: names.map(|name| world.cloud.open(&world, &name)).collect(),
             processes: (0..site.members).map(|_| None).collect(),
             api: api.to_vec(),
@@ -254,13 +305,15 @@
             );
         }
         let team_cpus_max = self.site.team_cpus_max;
+        let guaranteed = team_cpus_max.min(60.0);
+        let (report_s, lease_s, cancel_s) = self.site.times;
         text += &format!(
             "[services]\ncloud = \"{}\"\nstate = \"{}\"\n[settings]\ninitial_size = {}\n\
-             [[settings.teams]]\nname = \"ops-desk\"\ncpus = 60.0\n\
+             [[settings.teams]]\nname = \"ops-desk\"\ncpus = {guaranteed:.1}\n\
              cpus_max = {team_cpus_max:.1}\ngpus = 0.0\ngpus_max = 0.0\n\
              [[settings.objectives]]\nkind = \"guarantee\"\nwithin_s = 10.0\nshare = 0.85\n\
-             [settings.workers]\nreport_s = {REPORT_S:.1}\nlease_s = {LEASE_S:.1}\n\
-             gang_wait_s = 30.0\ngang_peer_s = 6.0\ncancel_s = {CANCEL_S:.1}\n\
+             [settings.workers]\nreport_s = {report_s:.1}\nlease_s = {lease_s:.1}\n\
+             gang_wait_s = 30.0\ngang_peer_s = 6.0\ncancel_s = {cancel_s:.1}\n\
              [settings.state]\nrps = {RPS:.1}\nwrite_rps = {WRITE_RPS:.1}\n\
              value_kb = {VALUE_KB:.1}\ntxn_ops = {TXN_OPS}\n",
             self.cloud_addrs[i], self.store_addrs[i], self.site.members
@@ -298,6 +351,7 @@
             .stderr(log)
             .spawn()
             .expect("the program starts");
+        World::lock(&RUNNING).insert(child.id());
         self.world.note(&format!("rung-{i} starts"));
         self.processes[i] = Some(child);
     }
@@ -307,6 +361,7 @@
         if let Some(mut child) = self.processes[i].take() {
             let _ = child.kill();
             let _ = child.wait();
+            World::lock(&RUNNING).remove(&child.id());
             self.world.note(&format!("rung-{i} is killed"));
         }
     }
