--- a/review/bed/src/cases.rs
+++ b/review/bed/src/cases.rs
@@ -16,6 +16,7 @@
     match case {
         "upgrade-progress" => upgrade_progress(folder, root, trouble, stop),
         "released-result" => released_result(folder, root, trouble, stop),
+        "upgrade-sections" => upgrade_sections(folder, root, trouble, stop),
         "soak" => crate::soak::run(folder, root, trouble, stop),
         _ => Err(format!("no case {case}")),
     }
@@ -159,6 +160,78 @@
     }))
 }
 
+/// During an upgrade the new version records progress where the version in production does not look.
+fn upgrade_sections(folder: &Path, root: &Path, trouble: bool, stop: StopFlag) -> Outcome {
+    const JOB: &str = "wk-000100";
+    const TASKS: usize = 4180;
+    /// The tasks before this one are short; those from `FIRST` on are looked at.
+    const SHORT: usize = 4120;
+    const FIRST: usize = 4096;
+    let site = Site {
+        members: 3,
+        kinds: vec![till_box(UP_AT_ONCE_S)],
+        team_cpus_max: 60.0,
+        times: LAKESIDE_TIMES,
+        next: Some((2.0, 4, 18.0)),
+    };
+    let (new, old) = (root.to_path_buf(), root.join(PRODUCTION));
+    let new_command = run_command(&new)?;
+    let old_command = run_command(&old)?;
+    let mut bed = Deployment::new(site, folder, stop);
+    let world = bed.world.clone();
+    for i in 0..3 {
+        if trouble {
+            bed.start(i, &old_command, &old);
+        } else {
+            bed.start(i, &new_command, &new);
+        }
+    }
+    for i in 0..3 {
+        bed.wait_ready(i, 10.0)?;
+    }
+    if trouble {
+        // The first controller's turn.
+        bed.kill(0);
+        bed.pause(BACK_S);
+        bed.start(0, &new_command, &new);
+        bed.wait_ready(0, 10.0)?;
+        bed.pause(1.0);
+        // The second one's turn; the third one crashes, and comes back as it was.
+        bed.kill(1);
+        bed.kill(2);
+        bed.pause(BACK_S);
+        bed.start(1, &new_command, &new);
+        bed.start(2, &old_command, &old);
+        bed.wait_ready(1, 10.0)?;
+        bed.wait_ready(2, 10.0)?;
+    }
+    let leads = |world: &World| world.store.leader().is_some_and(|name| name == "rung-0" || !trouble);
+    bed.wait(10.0, "the first controller leads", leads)?;
+    let run_s = (0..TASKS).map(|i| if i < SHORT { 0.3 } else { 300.0 }).collect();
+    world.submit(JOB, &["till-box"], Work { cpus: 0.1, memory_gb: 0.1, image_gb: 0.2, run_s })?;
+    bed.wait(45.0, "the short tasks are done and recorded", |world| {
+        (FIRST..SHORT).all(|i| world.count(&format!("{JOB}/{i}"), Record::Cleared) > 0)
+    })?;
+    world.poll(JOB);
+    note_progress(&world);
+    if trouble {
+        bed.kill(0);
+        bed.kill(1);
+        bed.pause(BACK_S);
+        bed.start(0, &new_command, &new);
+        bed.start(1, &new_command, &new);
+    }
+    let _ = bed.wait(20.0, "a task starts again", |world| !run_again(world).is_empty());
+    bed.pause(3.0);
+    world.note(&format!("the leader is {:?}", world.store.leader()));
+    world.poll(JOB);
+    let again = run_again(&world);
+    let names: Vec<&str> = again.iter().map(|event| event.task.as_str()).collect();
+    Ok((!again.is_empty()).then(|| {
+        format!("started again after their results were recorded: {}", names.join(" "))
+    }))
+}
+
 /// Writes what the state service holds of the progress of jobs into the record.
 fn note_progress(world: &World) {
     for (key, value) in world.store.values("lr/progress/") {
