--- a/review/bed/src/cases.rs
+++ b/review/bed/src/cases.rs
@@ -17,6 +17,7 @@
         "upgrade-progress" => upgrade_progress(folder, root, trouble, stop),
         "released-result" => released_result(folder, root, trouble, stop),
         "upgrade-sections" => upgrade_sections(folder, root, trouble, stop),
+        "upgrade-cancel" => upgrade_cancel(folder, root, trouble, stop),
         "soak" => crate::soak::run(folder, root, trouble, stop),
         _ => Err(format!("no case {case}")),
     }
@@ -232,6 +233,91 @@
     }))
 }
 
+/// While both versions serve, a controller of the version in production is cut off and starts a task after
+/// the new version has told the user that its job is cancelled.
+fn upgrade_cancel(folder: &Path, root: &Path, trouble: bool, stop: StopFlag) -> Outcome {
+    const FIRST: &str = "wk-000100";
+    const SECOND: &str = "wk-000200";
+    let site = Site {
+        members: 3,
+        kinds: vec![till_box(UP_AT_ONCE_S)],
+        team_cpus_max: 60.0,
+        times: LAKESIDE_TIMES,
+        next: None,
+    };
+    let (new, old) = (root.to_path_buf(), root.join(PRODUCTION));
+    let (new_command, old_command) = (run_command(&new)?, run_command(&old)?);
+    let mut bed = Deployment::new(site, folder, stop);
+    let world = bed.world.clone();
+    for i in 0..3 {
+        if trouble {
+            bed.start(i, &old_command, &old);
+        } else {
+            bed.start(i, &new_command, &new);
+        }
+    }
+    for i in 0..3 {
+        bed.wait_ready(i, 10.0)?;
+    }
+    if trouble {
+        // The first controller's turn. The others crash, and come back as they were; so it leads.
+        bed.kill(0);
+        bed.pause(BACK_S);
+        bed.start(0, &new_command, &new);
+        bed.wait_ready(0, 10.0)?;
+        bed.pause(1.0);
+        bed.kill(1);
+        bed.kill(2);
+        bed.pause(BACK_S);
+        for i in 1..3 {
+            bed.start(i, &old_command, &old);
+            bed.wait_ready(i, 10.0)?;
+        }
+    }
+    let leads = |world: &World| world.store.leader().is_some_and(|name| name == "rung-0" || !trouble);
+    bed.wait(10.0, "the first controller leads", leads)?;
+    bed.pause(3.0);
+    let work = |run_s: Vec<f64>| Work { cpus: 1.0, memory_gb: 1.0, image_gb: 0.2, run_s };
+    world.submit(FIRST, &["till-box"], work(vec![300.0, 300.0]))?;
+    bed.wait(30.0, "the first job runs", |world| {
+        (0..2).all(|i| world.count(&format!("{FIRST}/{i}"), Record::Started) > 0)
+    })?;
+    bed.pause(4.0);
+    let machine = world.events().first().map(|e| e.machine.clone()).ok_or("no machine")?;
+    let owner = || -> Option<usize> {
+        let answered = world.answered_by.lock().ok()?;
+        answered.get(&machine)?.strip_prefix("rung-")?.parse().ok()
+    };
+    // A report has just been answered when a task has just ended; the next one is due in 2 s at the least.
+    world.complete([format!("{FIRST}/0")]);
+    bed.wait(5.0, "a task ends", |world| world.count(&format!("{FIRST}/0"), Record::Cleared) > 0)?;
+    bed.pause(0.7);
+    let owner = owner().ok_or("no controller answers the machine")?;
+    let leader = bed.leader().ok_or("no leader")?;
+    world.note(&format!("rung-{owner} answers {machine}; rung-{leader} leads"));
+    world.submit(SECOND, &["till-box"], work(vec![300.0]))?;
+    bed.pause(0.6);
+    if trouble {
+        bed.cut_off(owner, true);
+    }
+    let told_s = world.cancel(SECOND, leader).ok_or("the cancellation is not confirmed")?;
+    bed.pause(0.3);
+    // The machine has something to report, so that it does so at once.
+    world.complete([format!("{FIRST}/1")]);
+    bed.pause(8.0);
+    if trouble {
+        bed.cut_off(owner, false);
+    }
+    bed.pause(3.0);
+    let late = world.launches(&format!("{SECOND}/0")).into_iter().filter(|sent_s| *sent_s > told_s);
+    let late: Vec<f64> = late.collect();
+    world.note(&format!("told at {told_s:.3}; launched for later reports: {late:?}"));
+    Ok((!late.is_empty()).then(|| {
+        let after_s = late[0] - told_s;
+        format!("{SECOND}/0 was launched for a report of {after_s:.2} s after the user was told aborted")
+    }))
+}
+
 /// Writes what the state service holds of the progress of jobs into the record.
 fn note_progress(world: &World) {
     for (key, value) in world.store.values("lr/progress/") {
--- a/review/bed/src/machines.rs
+++ b/review/bed/src/machines.rs
@@ -332,7 +332,7 @@
     /// not the usual one.
     fn report(&mut self) -> Option<f64> {
         let nodes = self.world.nodes();
-        let (_, addr) = nodes[self.node % nodes.len()].clone();
+        let (member, addr) = nodes[self.node % nodes.len()].clone();
         self.tick += 1;
         let tasks = self.tasks.iter().map(|(name, task)| {
             let (standing, cause) = match task.standing {
@@ -352,6 +352,7 @@
         "loaners" => self.machine.spot, "shift" => self.session, "tick" => self.tick,
         "baton" => self.baton, "recall_s" => V::Null, "tickets" => tasks.collect::<Vec<V>>()};
         let sent = Instant::now();
+        let sent_s = self.world.now_s();
         let timeout = Duration::from_secs(4);
         let body = body.encode();
         self.repeat_later(&body);
@@ -374,7 +375,10 @@
         match answer {
             Some((200, body)) => {
                 let body = V::decode(&body).unwrap_or(V::Null);
-                self.carry_out(&body, sent);
+                if let Ok(mut answered) = self.world.answered_by.lock() {
+                    answered.insert(self.name.clone(), member.clone());
+                }
+                self.carry_out(&body, sent, sent_s, &member);
                 None
             }
             Some((421, body)) => {
@@ -414,7 +418,7 @@
         });
     }
 
-    fn carry_out(&mut self, answer: &V, sent: Instant) {
+    fn carry_out(&mut self, answer: &V, sent: Instant, sent_s: f64, member: &str) {
         let baton = answer.int("baton");
         if answer.get("baton").is_none() || baton < self.baton {
             return;
@@ -430,7 +434,12 @@
         for order in answer.list("orders") {
             let (name, attempt) = (order.text("ticket"), order.int("try"));
             match order.text("verb").as_str() {
-                "launch" => self.launch(&name, attempt),
+                "launch" => {
+                    if self.tasks.get(&name).is_none_or(|task| task.attempt != attempt) {
+                        self.world.launched(&name, sent_s, member, &self.name);
+                    }
+                    self.launch(&name, attempt);
+                }
                 "halt" => {
                     let task = self.tasks.get_mut(&name).filter(|t| t.attempt == attempt);
                     if let Some(task) = task.filter(|t| !matches!(t.standing, Standing::Exited(_))) {
--- a/review/bed/src/main.rs
+++ b/review/bed/src/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod cbor;
 mod http;
+mod links;
 mod machines;
 mod soak;
 mod store;
--- a/review/bed/src/store.rs
+++ b/review/bed/src/store.rs
@@ -65,6 +65,8 @@
     late_outcomes: Vec<u16>,
     /// Controllers that are refused.
     refused: BTreeSet<usize>,
+    /// Controllers that get no answer.
+    cut: BTreeSet<usize>,
 }
 
 /// The service.
@@ -95,6 +97,7 @@
                 late_count: 0,
                 late_outcomes: Vec::new(),
                 refused: BTreeSet::new(),
+                cut: BTreeSet::new(),
             }),
             changed: Condvar::new(),
         });
@@ -150,6 +153,20 @@
         (state.late_count, state.late_outcomes.clone())
     }
 
+    /// Cuts a controller off: its requests don't arrive, and open ones get no answer; or ends that.
+    pub fn cut(&self, controller: usize, is_cut: bool) {
+        let mut state = self.lock();
+        if is_cut {
+            state.cut.insert(controller);
+        } else {
+            state.cut.remove(&controller);
+        }
+    }
+
+    fn is_cut(&self, controller: usize) -> bool {
+        self.lock().cut.contains(&controller)
+    }
+
     /// Refuses a controller, or serves it again.
     pub fn refuse(&self, controller: usize, refuse: bool) {
         let mut state = self.lock();
@@ -167,7 +184,14 @@
             if store.lock().refused.contains(&controller) {
                 return status(503, "trouble");
             }
-            store.handle(method, path, body)
+            if store.is_cut(controller) {
+                return Answer::Never;
+            }
+            let answer = store.handle(method, path, body);
+            if store.is_cut(controller) {
+                return Answer::Never;
+            }
+            answer
         }))
     }
 
--- a/review/bed/src/world.rs
+++ b/review/bed/src/world.rs
@@ -2,13 +2,14 @@
 
 use crate::cbor::V;
 use crate::http;
+use crate::links;
 use crate::machines::{Cloud, Kind, Work};
 use crate::map;
 use crate::store::Store;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -79,6 +80,9 @@
     record: Mutex<File>,
     works: Mutex<BTreeMap<String, Work>>,
     events: Mutex<Vec<Event>>,
+    launches: Mutex<Vec<(String, f64)>>,
+    /// The controller that answered each machine last.
+    pub answered_by: Mutex<BTreeMap<String, String>>,
     nodes: Mutex<Vec<(String, SocketAddr)>>,
     /// Share of reports of which a copy arrives again later.
     pub late_reports: Mutex<f64>,
@@ -165,6 +169,37 @@
         events.iter().filter(|e| e.task == task && e.record == record).count()
     }
 
+    /// Notes an order to start a task, with the report that it answers.
+    pub fn launched(&self, task: &str, sent_s: f64, member: &str, machine: &str) {
+        self.note(&format!("worker {machine}: launch {task}, by {member} for the report of {sent_s:.3}"));
+        World::lock(&self.launches).push((task.into(), sent_s));
+    }
+
+    /// Returns when the reports were sent for which a task was launched.
+    pub fn launches(&self, task: &str) -> Vec<f64> {
+        let launches = World::lock(&self.launches);
+        launches.iter().filter(|(t, _)| t == task).map(|(_, sent_s)| *sent_s).collect()
+    }
+
+    /// Cancels a job at a controller until it says that it is cancelled. Returns when that was.
+    pub fn cancel(&self, id: &str, node: usize) -> Option<f64> {
+        let path = format!("/v2/runs/{id}/cancel");
+        for _ in 0..5 {
+            let (member, addr) = self.nodes()[node].clone();
+            let answer = http::request(addr, "POST", &path, &[], Duration::from_secs(5));
+            let told_s = self.now_s();
+            if let Some((status, body)) = answer {
+                let standing = V::decode(&body)?.text("standing");
+                self.note(&format!("user: cancels {id}: {status} {standing} by {member}"));
+                if status == 200 {
+                    return (standing == "aborted").then_some(told_s);
+                }
+            }
+            std::thread::sleep(Duration::from_secs(1));
+        }
+        None
+    }
+
     /// Lets running tasks complete their work now.
     pub fn complete(&self, tasks: impl IntoIterator<Item = String>) {
         World::lock(&self.completing).extend(tasks);
@@ -241,6 +276,10 @@
     back: Vec<SocketAddr>,
     processes: Vec<Option<Child>>,
     stop: StopFlag,
+    /// Controllers that are cut off from the others.
+    cut: links::Cut,
+    /// Addresses at which a controller reaches another one.
+    ways: BTreeMap<(usize, usize), SocketAddr>,
 }
 
 
@@ -250,10 +289,13 @@
         let store = Store::new(RPS, WRITE_RPS, VALUE_KB, TXN_OPS);
         let cloud = Cloud::new(site.kinds.clone(), LIST_LAG_S);
         let addresses = |count: usize| -> Vec<SocketAddr> {
+            // A loopback address of this run's own: ports that are free now stay free until the controllers
+            // take them, whatever else uses 127.0.0.1.
+            let (high, low) = (std::process::id() / 250, std::process::id() % 250);
+            let ip = Ipv4Addr::new(127, (high % 250) as u8 + 1, low as u8 + 1, 1);
             // All are held until all are chosen, so that no two are the same.
-            let held: Vec<TcpListener> = (0..count)
-                .map(|_| TcpListener::bind("127.0.0.1:0").expect("bind"))
-                .collect();
+            let held: Vec<TcpListener> =
+                (0..count).map(|_| TcpListener::bind((ip, 0)).expect("bind")).collect();
             held.iter().map(|l| l.local_addr().expect("address")).collect()
         };
         let all = addresses(2 * site.members);
@@ -270,6 +312,8 @@
             record: Mutex::new(record),
             works: Mutex::default(),
             events: Mutex::default(),
+            launches: Mutex::default(),
+            answered_by: Mutex::default(),
             nodes: Mutex::new(nodes),
             completing: Mutex::default(),
             late_reports: Mutex::new(0.0),
@@ -280,7 +324,13 @@
         });
         let dir = std::env::temp_dir().join(format!("bed-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("temporary folder");
+        let cut = links::Cut::default();
+        let pairs = (0..site.members).flat_map(|from| (0..site.members).map(move |to| (from, to)));
+        let ways = pairs.filter(|(from, to)| from != to);
+        let ways = ways.map(|(from, to)| ((from, to), links::open(from, to, back[to], &cut)));
         Deployment {
+            ways: ways.collect(),
+            cut,
             store_addrs: (0..site.members).map(|i| world.store.open(i)).collect(),
             cloud_addrs: names.map(|name| world.cloud.open(&world, &name)).collect(),
             processes: (0..site.members).map(|_| None).collect(),
@@ -301,7 +351,7 @@
         for other in (0..self.site.members).filter(|other| *other != i) {
             text += &format!(
                 "[[known]]\nmember = \"rung-{other}\"\ndomain = \"a\"\nendpoint = \"{}\"\n",
-                self.back[other]
+                self.ways[&(i, other)]
             );
         }
         let team_cpus_max = self.site.team_cpus_max;
@@ -374,6 +424,20 @@
         }
     }
 
+    /// Cuts a controller off from the state service and from the other controllers, not from workers and
+    /// users; or ends that.
+    pub fn cut_off(&self, i: usize, is_cut: bool) {
+        self.world.store.cut(i, is_cut);
+        let mut cut = World::lock(&self.cut);
+        if is_cut {
+            cut.insert(i);
+        } else {
+            cut.remove(&i);
+        }
+        let what = if is_cut { "is cut off from" } else { "reaches again" };
+        self.world.note(&format!("rung-{i} {what} the state service and the other controllers"));
+    }
+
     /// Returns the number of the leader.
     pub fn leader(&self) -> Option<usize> {
         let name = self.world.store.leader()?;
