--- a/review/bed/src/cases.rs
+++ b/review/bed/src/cases.rs
@@ -1,7 +1,7 @@
 //! The cases. Each returns what broke the rule, or nothing if it held.
 
 use crate::machines::{Kind, Work};
-use crate::world::{LAKESIDE_TIMES, Deployment, Event, Record, Site, StopFlag, World};
+use crate::world::{Deployment, Event, Record, Site, StopFlag, World, LAKESIDE_TIMES};
 use std::path::Path;
 use std::time::Duration;
 
@@ -28,7 +28,10 @@
     let file = root.join("deploy/service.toml");
     let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
     let line = text.lines().find_map(|line| line.strip_prefix("run = \""));
-    Ok(line.ok_or("the deploy file has no run")?.trim_end_matches('"').to_string())
+    Ok(line
+        .ok_or("the deploy file has no run")?
+        .trim_end_matches('"')
+        .to_string())
 }
 
 /// Nominal boot time of a till-box.
@@ -54,13 +57,16 @@
     let events = world.events();
     let acknowledged = |event: &Event, before: &[Event]| {
         let of_task = |record: Record| {
-            before.iter().any(|e| e.task == event.task && e.record == record)
+            before
+                .iter()
+                .any(|e| e.task == event.task && e.record == record)
         };
         of_task(Record::Done) && of_task(Record::Cleared)
     };
-    let again = events.iter().enumerate().filter(|(i, event)| {
-        event.record == Record::Started && acknowledged(event, &events[..*i])
-    });
+    let again = events
+        .iter()
+        .enumerate()
+        .filter(|(i, event)| event.record == Record::Started && acknowledged(event, &events[..*i]));
     again.map(|(_, event)| event.clone()).collect()
 }
 
@@ -79,7 +85,11 @@
     };
     let (new, old) = (root.to_path_buf(), root.join(PRODUCTION));
     let new_command = run_command(&new)?;
-    let old_command = if trouble { run_command(&old)? } else { String::new() };
+    let old_command = if trouble {
+        run_command(&old)?
+    } else {
+        String::new()
+    };
     let mut bed = Deployment::new(site, folder, stop);
     let world = bed.world.clone();
     for i in 0..3 {
@@ -93,25 +103,36 @@
         bed.wait_ready(i, 10.0)?;
     }
     let long = 300.0;
-    let work = |run_s: Vec<f64>| Work { cpus: 1.0, memory_gb: 1.0, image_gb: 0.2, run_s };
+    let work = |run_s: Vec<f64>| Work {
+        cpus: 1.0,
+        memory_gb: 1.0,
+        image_gb: 0.2,
+        run_s,
+    };
     let small = |n: usize| format!("wk-{:06}", 200 + n);
     for n in 0..SMALL_JOBS {
         world.submit(&small(n), &["till-box"], work(vec![0.5, long, long]))?;
     }
     // Something of each job is done, recorded, and forgotten by the workers; the rest runs on.
     let cleared = |world: &World, task: &str| world.count(task, Record::Cleared) > 0;
-    bed.wait(30.0, "the first tasks of the small jobs are recorded", |world| {
-        (0..SMALL_JOBS).all(|n| {
-            cleared(world, &format!("{}/0", small(n)))
-                && world.count(&format!("{}/1", small(n)), Record::Started) > 0
-                && world.count(&format!("{}/2", small(n)), Record::Started) > 0
-        })
-    })?;
+    bed.wait(
+        30.0,
+        "the first tasks of the small jobs are recorded",
+        |world| {
+            (0..SMALL_JOBS).all(|n| {
+                cleared(world, &format!("{}/0", small(n)))
+                    && world.count(&format!("{}/1", small(n)), Record::Started) > 0
+                    && world.count(&format!("{}/2", small(n)), Record::Started) > 0
+            })
+        },
+    )?;
     let large = (0..LARGE_TASKS).map(|i| if i < DONE { 0.5 } else { long });
     world.submit(LARGE, &["till-box"], work(large.collect()))?;
-    bed.wait(30.0, "the first tasks of the large job are recorded", |world| {
-        (0..DONE).all(|i| cleared(world, &format!("{LARGE}/{i}")))
-    })?;
+    bed.wait(
+        30.0,
+        "the first tasks of the large job are recorded",
+        |world| (0..DONE).all(|i| cleared(world, &format!("{LARGE}/{i}"))),
+    )?;
     world.poll(LARGE);
     note_progress(&world);
     if trouble {
@@ -125,7 +146,9 @@
             bed.wait_ready(i, 10.0)?;
         }
     }
-    bed.wait(10.0, "there is a leader", |world| world.store.leader().is_some())?;
+    bed.wait(10.0, "there is a leader", |world| {
+        world.store.leader().is_some()
+    })?;
     bed.pause(4.0);
     // A task of each small job ends.
     world.complete((0..SMALL_JOBS).map(|n| format!("{}/1", small(n))));
@@ -149,7 +172,9 @@
     }
     // Some tasks of the large job end, so that others of it start.
     let running = (DONE..LARGE_TASKS).map(|i| format!("{LARGE}/{i}"));
-    let running = running.filter(|task| world.count(task, Record::Started) > 0).take(DONE);
+    let running = running
+        .filter(|task| world.count(task, Record::Started) > 0)
+        .take(DONE);
     world.complete(running.collect::<Vec<_>>());
     bed.pause(12.0);
     world.poll(LARGE);
@@ -157,7 +182,10 @@
     let again = run_again(&world);
     let names: Vec<&str> = again.iter().map(|event| event.task.as_str()).collect();
     Ok((!again.is_empty()).then(|| {
-        format!("started again after their results were recorded: {}", names.join(" "))
+        format!(
+            "started again after their results were recorded: {}",
+            names.join(" ")
+        )
     }))
 }
 
@@ -206,10 +234,26 @@
         bed.wait_ready(1, 10.0)?;
         bed.wait_ready(2, 10.0)?;
     }
-    let leads = |world: &World| world.store.leader().is_some_and(|name| name == "rung-0" || !trouble);
+    let leads = |world: &World| {
+        world
+            .store
+            .leader()
+            .is_some_and(|name| name == "rung-0" || !trouble)
+    };
     bed.wait(10.0, "the first controller leads", leads)?;
-    let run_s = (0..TASKS).map(|i| if i < SHORT { 0.3 } else { 300.0 }).collect();
-    world.submit(JOB, &["till-box"], Work { cpus: 0.1, memory_gb: 0.1, image_gb: 0.2, run_s })?;
+    let run_s = (0..TASKS)
+        .map(|i| if i < SHORT { 0.3 } else { 300.0 })
+        .collect();
+    world.submit(
+        JOB,
+        &["till-box"],
+        Work {
+            cpus: 0.1,
+            memory_gb: 0.1,
+            image_gb: 0.2,
+            run_s,
+        },
+    )?;
     bed.wait(45.0, "the short tasks are done and recorded", |world| {
         (FIRST..SHORT).all(|i| world.count(&format!("{JOB}/{i}"), Record::Cleared) > 0)
     })?;
@@ -222,14 +266,19 @@
         bed.start(0, &new_command, &new);
         bed.start(1, &new_command, &new);
     }
-    let _ = bed.wait(20.0, "a task starts again", |world| !run_again(world).is_empty());
+    let _ = bed.wait(20.0, "a task starts again", |world| {
+        !run_again(world).is_empty()
+    });
     bed.pause(3.0);
     world.note(&format!("the leader is {:?}", world.store.leader()));
     world.poll(JOB);
     let again = run_again(&world);
     let names: Vec<&str> = again.iter().map(|event| event.task.as_str()).collect();
     Ok((!again.is_empty()).then(|| {
-        format!("started again after their results were recorded: {}", names.join(" "))
+        format!(
+            "started again after their results were recorded: {}",
+            names.join(" ")
+        )
     }))
 }
 
@@ -274,33 +323,53 @@
             bed.wait_ready(i, 10.0)?;
         }
     }
-    let leads = |world: &World| world.store.leader().is_some_and(|name| name == "rung-0" || !trouble);
+    let leads = |world: &World| {
+        world
+            .store
+            .leader()
+            .is_some_and(|name| name == "rung-0" || !trouble)
+    };
     bed.wait(10.0, "the first controller leads", leads)?;
     bed.pause(3.0);
-    let work = |run_s: Vec<f64>| Work { cpus: 1.0, memory_gb: 1.0, image_gb: 0.2, run_s };
+    let work = |run_s: Vec<f64>| Work {
+        cpus: 1.0,
+        memory_gb: 1.0,
+        image_gb: 0.2,
+        run_s,
+    };
     world.submit(FIRST, &["till-box"], work(vec![300.0, 300.0]))?;
     bed.wait(30.0, "the first job runs", |world| {
         (0..2).all(|i| world.count(&format!("{FIRST}/{i}"), Record::Started) > 0)
     })?;
     bed.pause(4.0);
-    let machine = world.events().first().map(|e| e.machine.clone()).ok_or("no machine")?;
+    let machine = world
+        .events()
+        .first()
+        .map(|e| e.machine.clone())
+        .ok_or("no machine")?;
     let owner = || -> Option<usize> {
         let answered = world.answered_by.lock().ok()?;
         answered.get(&machine)?.strip_prefix("rung-")?.parse().ok()
     };
     // A report has just been answered when a task has just ended; the next one is due in 2 s at the least.
     world.complete([format!("{FIRST}/0")]);
-    bed.wait(5.0, "a task ends", |world| world.count(&format!("{FIRST}/0"), Record::Cleared) > 0)?;
+    bed.wait(5.0, "a task ends", |world| {
+        world.count(&format!("{FIRST}/0"), Record::Cleared) > 0
+    })?;
     bed.pause(0.7);
     let owner = owner().ok_or("no controller answers the machine")?;
     let leader = bed.leader().ok_or("no leader")?;
-    world.note(&format!("rung-{owner} answers {machine}; rung-{leader} leads"));
+    world.note(&format!(
+        "rung-{owner} answers {machine}; rung-{leader} leads"
+    ));
     world.submit(SECOND, &["till-box"], work(vec![300.0]))?;
     bed.pause(0.6);
     if trouble {
         bed.cut_off(owner, true);
     }
-    let told_s = world.cancel(SECOND, leader).ok_or("the cancellation is not confirmed")?;
+    let told_s = world
+        .cancel(SECOND, leader)
+        .ok_or("the cancellation is not confirmed")?;
     bed.pause(0.3);
     // The machine has something to report, so that it does so at once.
     world.complete([format!("{FIRST}/1")]);
@@ -309,9 +378,14 @@
         bed.cut_off(owner, false);
     }
     bed.pause(3.0);
-    let late = world.launches(&format!("{SECOND}/0")).into_iter().filter(|sent_s| *sent_s > told_s);
+    let late = world
+        .launches(&format!("{SECOND}/0"))
+        .into_iter()
+        .filter(|sent_s| *sent_s > told_s);
     let late: Vec<f64> = late.collect();
-    world.note(&format!("told at {told_s:.3}; launched for later reports: {late:?}"));
+    world.note(&format!(
+        "told at {told_s:.3}; launched for later reports: {late:?}"
+    ));
     Ok((!late.is_empty()).then(|| {
         let after_s = late[0] - told_s;
         format!("{SECOND}/0 was launched for a report of {after_s:.2} s after the user was told aborted")
@@ -322,14 +396,19 @@
 fn note_progress(world: &World) {
     for (key, value) in world.store.values("lr/progress/") {
         let size = value.json().len();
-        let jobs = ["chunks", "sections"].iter().flat_map(|field| value.list(field));
+        let jobs = ["chunks", "sections"]
+            .iter()
+            .flat_map(|field| value.list(field));
         let jobs: Vec<String> = jobs
             .map(|entry| match entry {
                 crate::cbor::V::List(parts) => parts.first().map_or(String::new(), |p| p.json()),
                 _ => String::new(),
             })
             .collect();
-        world.note(&format!("store: {key} has {size} bytes: {}", jobs.join(" ")));
+        world.note(&format!(
+            "store: {key} has {size} bytes: {}",
+            jobs.join(" ")
+        ));
     }
 }
 
@@ -355,7 +434,12 @@
     for i in 0..3 {
         bed.wait_ready(i, 10.0)?;
     }
-    let work = Work { cpus: 4.0, memory_gb: 8.0, image_gb: 0.2, run_s: vec![300.0; TASKS] };
+    let work = Work {
+        cpus: 4.0,
+        memory_gb: 8.0,
+        image_gb: 0.2,
+        run_s: vec![300.0; TASKS],
+    };
     world.submit(JOB, &["till-box"], work)?;
     let task = |i: usize| format!("{JOB}/{i}");
     bed.wait(30.0, "all tasks run", |world| {
@@ -364,15 +448,26 @@
     bed.pause(3.0);
     if trouble {
         world.note("state service: transactions are carried out late from now on");
-        world.store.begin_late_writes(Duration::from_secs(20), LATE_BY);
+        world
+            .store
+            .begin_late_writes(Duration::from_secs(20), LATE_BY);
     }
     world.complete([task(0)]);
-    bed.wait(10.0, "the first task is done", |world| world.count(&task(0), Record::Done) > 0)?;
+    bed.wait(10.0, "the first task is done", |world| {
+        world.count(&task(0), Record::Done) > 0
+    })?;
     let events = world.events();
-    let done = events.iter().find(|e| e.record == Record::Done).ok_or("nothing is done")?;
+    let done = events
+        .iter()
+        .find(|e| e.record == Record::Done)
+        .ok_or("nothing is done")?;
     let machine = done.machine.clone();
     let is_released = |world: &World| world.cloud.released().contains(&machine);
-    bed.wait(15.0, "the machine of the first task is given back", is_released)?;
+    bed.wait(
+        15.0,
+        "the machine of the first task is given back",
+        is_released,
+    )?;
     let was_recorded = world.count(&task(0), Record::Cleared) > 0;
     if trouble {
         let leader = bed.leader().ok_or("no leader")?;
@@ -388,9 +483,14 @@
     });
     world.poll(JOB);
     let (late, outcomes) = world.store.late_writes();
-    world.note(&format!("state service: {late} late transactions, answered {outcomes:?}"));
+    world.note(&format!(
+        "state service: {late} late transactions, answered {outcomes:?}"
+    ));
     let again = world.count(&task(0), Record::Started) > 1;
     Ok((again && !was_recorded).then(|| {
-        format!("{} was done on {machine}, which was given back, and ran again", task(0))
+        format!(
+            "{} was done on {machine}, which was given back, and ran again",
+            task(0)
+        )
     }))
 }
--- a/review/bed/src/cbor.rs
+++ b/review/bed/src/cbor.rs
@@ -36,14 +36,6 @@
         }
     }
 
-    pub fn num(&self, key: &str) -> f64 {
-        match self.get(key) {
-            Some(V::Int(n)) => *n as f64,
-            Some(V::Float(n)) => *n,
-            _ => 0.0,
-        }
-    }
-
     pub fn bool(&self, key: &str) -> bool {
         self.get(key) == Some(&V::Bool(true))
     }
--- a/review/bed/src/http.rs
+++ b/review/bed/src/http.rs
@@ -49,7 +49,10 @@
         let (method, path) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
         match handler(method, path, &body) {
             Answer::Now(status, body) => {
-                let head = format!("HTTP/1.1 {status} S\r\nContent-Length: {}\r\n\r\n", body.len());
+                let head = format!(
+                    "HTTP/1.1 {status} S\r\nContent-Length: {}\r\n\r\n",
+                    body.len()
+                );
                 stream.write_all(&[head.as_bytes(), &body].concat())?;
             }
             Answer::Never => {
@@ -113,9 +116,11 @@
     );
     stream.write_all(&[head.as_bytes(), body].concat()).ok()?;
     let mut received = Vec::new();
-    let mut step = |stream: &mut TcpStream, received: &mut Vec<u8>| -> Option<()> {
+    let step = |stream: &mut TcpStream, received: &mut Vec<u8>| -> Option<()> {
         let left = deadline.checked_duration_since(Instant::now())?;
-        stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).ok()?;
+        stream
+            .set_read_timeout(Some(left.max(Duration::from_millis(1))))
+            .ok()?;
         read_some(stream, received).ok()?.then_some(())
     };
     let end = loop {
--- a/review/bed/src/links.rs
+++ b/review/bed/src/links.rs
@@ -20,9 +20,12 @@
             let cut = cut.clone();
             std::thread::spawn(move || {
                 hold(&cut, from, to);
-                let Ok(server) = TcpStream::connect(target) else { return };
+                let Ok(server) = TcpStream::connect(target) else {
+                    return;
+                };
                 let _ = (client.set_nodelay(true), server.set_nodelay(true));
-                let (Ok(client_in), Ok(server_in)) = (client.try_clone(), server.try_clone()) else {
+                let (Ok(client_in), Ok(server_in)) = (client.try_clone(), server.try_clone())
+                else {
                     return;
                 };
                 let back = cut.clone();
@@ -36,7 +39,9 @@
 
 fn hold(cut: &Cut, from: usize, to: usize) {
     loop {
-        let is_cut = cut.lock().is_ok_and(|cut| cut.contains(&from) || cut.contains(&to));
+        let is_cut = cut
+            .lock()
+            .is_ok_and(|cut| cut.contains(&from) || cut.contains(&to));
         if !is_cut {
             return;
         }
--- a/review/bed/src/machines.rs
+++ b/review/bed/src/machines.rs
@@ -78,7 +78,11 @@
 
     /// Returns the machines that were released.
     pub fn released(&self) -> Vec<String> {
-        self.lock().released.iter().map(|(name, _)| name.clone()).collect()
+        self.lock()
+            .released
+            .iter()
+            .map(|(name, _)| name.clone())
+            .collect()
     }
 
     /// Ends all workers.
@@ -135,10 +139,15 @@
 
     fn list(&self, query: &str) -> V {
         let field = |name: &str| {
-            query.split('&').find_map(|f| f.strip_prefix(name)?.strip_prefix('='))
+            query
+                .split('&')
+                .find_map(|f| f.strip_prefix(name)?.strip_prefix('='))
         };
         let since = field("since").unwrap_or("");
-        let most: usize = field("most").and_then(|m| m.parse().ok()).unwrap_or(500).min(500);
+        let most: usize = field("most")
+            .and_then(|m| m.parse().ok())
+            .unwrap_or(500)
+            .min(500);
         let state = self.lock();
         let listed = state.machines.iter().filter(|(name, machine)| {
             name.as_str() > since && machine.created.elapsed().as_secs_f64() >= self.list_lag_s
@@ -167,7 +176,11 @@
             let rungs: Vec<V> = rungs.iter().map(|r| V::from(r.as_str())).collect();
             return (200, map! {"rungs" => rungs});
         }
-        let Some(kind) = self.kinds.iter().find(|kind| kind.name == body.text("chassis")) else {
+        let Some(kind) = self
+            .kinds
+            .iter()
+            .find(|kind| kind.name == body.text("chassis"))
+        else {
             return (400, map! {"error" => "malformed"});
         };
         let mut rungs = Vec::new();
@@ -189,7 +202,10 @@
             });
             rungs.push(rung);
         }
-        world.note(&format!("cloud: {member} hires {name}: {}", rungs.join(" ")));
+        world.note(&format!(
+            "cloud: {member} hires {name}: {}",
+            rungs.join(" ")
+        ));
         state.hires.insert(name, rungs.clone());
         let rungs: Vec<V> = rungs.into_iter().map(V::from).collect();
         (200, map! {"rungs" => rungs})
@@ -242,7 +258,9 @@
 
 impl Worker {
     fn new(world: Arc<World>, name: String, machine: Machine) -> Worker {
-        let rng = name.bytes().fold(7u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b)));
+        let rng = name
+            .bytes()
+            .fold(7u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b)));
         Worker {
             node: rng as usize,
             world,
@@ -260,7 +278,10 @@
     }
 
     fn random(&mut self) -> f64 {
-        self.rng = self.rng.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        self.rng = self
+            .rng
+            .wrapping_mul(6364136223846793005)
+            .wrapping_add(1442695040888963407);
         (self.rng >> 33) as f64 / (1u64 << 31) as f64
     }
 
@@ -286,8 +307,13 @@
         for (name, task) in &self.tasks {
             self.world.set_on(name, &self.name, false);
             let lost = matches!(task.standing, Standing::Exited("done"));
-            let what = if lost { "result lost with the machine" } else { "gone with the machine" };
-            self.world.note(&format!("worker {}: {name}: {what}", self.name));
+            let what = if lost {
+                "result lost with the machine"
+            } else {
+                "gone with the machine"
+            };
+            self.world
+                .note(&format!("worker {}: {name}: {what}", self.name));
         }
     }
 
@@ -295,7 +321,8 @@
     fn advance(&mut self) {
         let now = Instant::now();
         if self.renewed.elapsed().as_secs_f64() > self.world.lease_s {
-            self.world.note(&format!("worker {}: lease ended", self.name));
+            self.world
+                .note(&format!("worker {}: lease ended", self.name));
             for name in self.tasks.keys() {
                 self.world.set_on(name, &self.name, false);
             }
@@ -314,13 +341,15 @@
                     task.standing = Standing::Running;
                     task.ends = now + Duration::from_secs_f64(task.run_s);
                     self.world.set_on(name, &self.name, true);
-                    self.world.record(Record::Started, name, task.attempt, &self.name);
+                    self.world
+                        .record(Record::Started, name, task.attempt, &self.name);
                     self.changed = true;
                 }
                 Standing::Running => {
                     task.standing = Standing::Exited("done");
                     self.world.set_on(name, &self.name, false);
-                    self.world.record(Record::Done, name, task.attempt, &self.name);
+                    self.world
+                        .record(Record::Done, name, task.attempt, &self.name);
                     self.changed = true;
                 }
                 Standing::Exited(_) => {}
@@ -340,8 +369,11 @@
                 Standing::Running => ("running", None),
                 Standing::Exited(cause) => ("exited", Some(cause)),
             };
-            let shown = map! {"ticket" => name.clone(), "try" => task.attempt, "standing" => standing};
-            let V::Map(mut fields) = shown else { return shown };
+            let shown =
+                map! {"ticket" => name.clone(), "try" => task.attempt, "standing" => standing};
+            let V::Map(mut fields) = shown else {
+                return shown;
+            };
             if let Some(cause) = cause {
                 fields.push(("cause".into(), cause.into()));
             }
@@ -435,17 +467,23 @@
             let (name, attempt) = (order.text("ticket"), order.int("try"));
             match order.text("verb").as_str() {
                 "launch" => {
-                    if self.tasks.get(&name).is_none_or(|task| task.attempt != attempt) {
+                    if self
+                        .tasks
+                        .get(&name)
+                        .is_none_or(|task| task.attempt != attempt)
+                    {
                         self.world.launched(&name, sent_s, member, &self.name);
                     }
                     self.launch(&name, attempt);
                 }
                 "halt" => {
                     let task = self.tasks.get_mut(&name).filter(|t| t.attempt == attempt);
-                    if let Some(task) = task.filter(|t| !matches!(t.standing, Standing::Exited(_))) {
+                    if let Some(task) = task.filter(|t| !matches!(t.standing, Standing::Exited(_)))
+                    {
                         task.standing = Standing::Exited("stopped");
                         self.world.set_on(&name, &self.name, false);
-                        self.world.record(Record::Stopped, &name, attempt, &self.name);
+                        self.world
+                            .record(Record::Stopped, &name, attempt, &self.name);
                         self.changed = true;
                     }
                 }
@@ -455,7 +493,8 @@
                     });
                     if exited {
                         self.tasks.remove(&name);
-                        self.world.record(Record::Cleared, &name, attempt, &self.name);
+                        self.world
+                            .record(Record::Cleared, &name, attempt, &self.name);
                         self.changed = true;
                     }
                 }
@@ -488,15 +527,33 @@
             self.tasks.insert(name.into(), refused("no_such"));
             return;
         };
-        let index: usize = name.rsplit('/').next().and_then(|i| i.parse().ok()).unwrap_or(0);
-        let used: f64 = self.tasks.values().filter(|t| live(t)).map(|t| t.cpus).sum();
-        let memory: f64 = self.tasks.values().filter(|t| live(t)).map(|t| t.memory_gb).sum();
+        let index: usize = name
+            .rsplit('/')
+            .next()
+            .and_then(|i| i.parse().ok())
+            .unwrap_or(0);
+        let used: f64 = self
+            .tasks
+            .values()
+            .filter(|t| live(t))
+            .map(|t| t.cpus)
+            .sum();
+        let memory: f64 = self
+            .tasks
+            .values()
+            .filter(|t| live(t))
+            .map(|t| t.memory_gb)
+            .sum();
         let kind = &self.machine.kind;
         if used + work.cpus > kind.cpus + 1e-6 || memory + work.memory_gb > kind.memory_gb + 1e-6 {
             self.tasks.insert(name.into(), refused("full"));
             return;
         }
-        let run_s = if kept { 0.0 } else { work.run_s.get(index).copied().unwrap_or(1.0) };
+        let run_s = if kept {
+            0.0
+        } else {
+            work.run_s.get(index).copied().unwrap_or(1.0)
+        };
         let task = Task {
             attempt,
             standing: Standing::Fetching,
--- a/review/bed/src/soak.rs
+++ b/review/bed/src/soak.rs
@@ -2,8 +2,8 @@
 //! not a case; it looks for some. `SEED` chooses the day.
 
 use crate::cases::{run_command, till_box, PRODUCTION};
-use crate::http;
 use crate::cbor::V;
+use crate::http;
 use crate::machines::Work;
 use crate::world::{Deployment, Record, Site, StopFlag, World};
 use std::collections::BTreeMap;
@@ -20,7 +20,10 @@
 
 impl Rng {
     fn f64(&mut self) -> f64 {
-        self.0 = self.0.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        self.0 = self
+            .0
+            .wrapping_mul(6364136223846793005)
+            .wrapping_add(1442695040888963407);
         (self.0 >> 33) as f64 / (1u64 << 31) as f64
     }
     fn below(&mut self, n: usize) -> usize {
@@ -39,8 +42,16 @@
 
 type Jobs = Arc<Mutex<BTreeMap<String, Told>>>;
 
-pub fn run(folder: &Path, root: &Path, trouble: bool, stop: StopFlag) -> Result<Option<String>, String> {
-    let seed = std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1u64);
+pub fn run(
+    folder: &Path,
+    root: &Path,
+    trouble: bool,
+    stop: StopFlag,
+) -> Result<Option<String>, String> {
+    let seed = std::env::var("SEED")
+        .ok()
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(1u64);
     let mut rng = Rng(seed.wrapping_mul(0x9e3779b97f4a7c15) | 1);
     let site = Site {
         members: 3,
@@ -118,7 +129,11 @@
                 next = now + 0.5 + 5.0 * rng.f64();
                 let leader = bed.leader();
                 let any = rng.below(3);
-                let i = if rng.f64() < 0.6 { leader.unwrap_or(any) } else { any };
+                let i = if rng.f64() < 0.6 {
+                    leader.unwrap_or(any)
+                } else {
+                    any
+                };
                 let free = !down.contains_key(&i) && !stopped.contains_key(&i);
                 match rng.below(9) {
                     0 | 1 if free => {
@@ -138,11 +153,17 @@
                         let span = 1.0 + 5.0 * rng.f64();
                         world.note(&format!("late writes for {span:.1} s"));
                         let delay = Duration::from_secs_f64(2.0 + 8.0 * rng.f64());
-                        world.store.begin_late_writes(Duration::from_secs_f64(span), delay);
+                        world
+                            .store
+                            .begin_late_writes(Duration::from_secs_f64(span), delay);
                     }
                     5 => *world.late_reports.lock().unwrap() = 0.3 * rng.f64(),
                     6 | 7 => {
-                        let set = if rng.f64() < 0.5 { &world.mute } else { &world.deaf };
+                        let set = if rng.f64() < 0.5 {
+                            &world.mute
+                        } else {
+                            &world.deaf
+                        };
                         let mut set = set.lock().unwrap();
                         set.clear();
                         for n in 1..40 {
@@ -192,10 +213,21 @@
             count += 1;
             let id = format!("wk-{:06}", n * 100_000 + count);
             let tasks = 1 + rng.below(4);
-            let run_s = (0..tasks).map(|_| 0.2 + 12.0 * rng.f64() * rng.f64()).collect();
-            let work = Work { cpus: 1.0, memory_gb: 1.0, image_gb: 0.1, run_s };
+            let run_s = (0..tasks)
+                .map(|_| 0.2 + 12.0 * rng.f64() * rng.f64())
+                .collect();
+            let work = Work {
+                cpus: 1.0,
+                memory_gb: 1.0,
+                image_gb: 0.1,
+                run_s,
+            };
             if world.submit(&id, &["till-box"], work).is_ok() {
-                let told = Told { tasks, standing: "queued".into(), ..Told::default() };
+                let told = Told {
+                    tasks,
+                    standing: "queued".into(),
+                    ..Told::default()
+                };
                 jobs.lock().unwrap().insert(id.clone(), told);
                 open.push(id);
             }
@@ -225,7 +257,10 @@
                 || before.standing == "aborted" && standing != "aborted"
                 || standing == "aborted" && !jobs.lock().unwrap()[&id].asked_to_cancel
             {
-                world.break_rule(format!("went_back: {id} {} then {standing} by {member}", before.standing));
+                world.break_rule(format!(
+                    "went_back: {id} {} then {standing} by {member}",
+                    before.standing
+                ));
             }
             if standing == "done" {
                 let missing = (0..before.tasks)
@@ -264,7 +299,10 @@
         }
         let cancelled = |task: &str| {
             let job = task.rsplit_once('/').map_or("", |(job, _)| job);
-            jobs.lock().unwrap().get(job).and_then(|told| told.cancelled_at)
+            jobs.lock()
+                .unwrap()
+                .get(job)
+                .and_then(|told| told.cancelled_at)
         };
         for (task, machines) in on {
             if cancelled(&task).is_some_and(|at| world.now_s() - at > CANCEL_S) {
@@ -277,13 +315,20 @@
                 continue;
             }
             if cancelled(&event.task).is_some_and(|at| event.at_s > at + 4.5) {
-                world.break_rule(format!("started {:.1} after its cancellation: {}", event.at_s, event.task));
+                world.break_rule(format!(
+                    "started {:.1} after its cancellation: {}",
+                    event.at_s, event.task
+                ));
             }
             let acknowledged = |record| {
-                events[..i].iter().any(|e| e.task == event.task && e.record == record)
+                events[..i]
+                    .iter()
+                    .any(|e| e.task == event.task && e.record == record)
             };
             if acknowledged(Record::Done) && acknowledged(Record::Cleared) {
-                let done = events[..i].iter().find(|e| e.task == event.task && e.record == Record::Done);
+                let done = events[..i]
+                    .iter()
+                    .find(|e| e.task == event.task && e.record == Record::Done);
                 let attempt = done.map_or(0, |e| e.attempt);
                 let cleared = events[..i].iter().any(|e| {
                     e.task == event.task && e.record == Record::Cleared && e.attempt == attempt
--- a/review/bed/src/store.rs
+++ b/review/bed/src/store.rs
@@ -122,7 +122,9 @@
     pub fn values(&self, prefix: &str) -> Vec<(String, V)> {
         let state = self.lock();
         let found = state.keys.iter().filter(|(key, _)| key.starts_with(prefix));
-        found.map(|(key, entry)| (key.clone(), entry.value.clone())).collect()
+        found
+            .map(|(key, entry)| (key.clone(), entry.value.clone()))
+            .collect()
     }
 
     /// Returns the name of the leader.
@@ -140,13 +142,6 @@
         self.lock().late = None;
     }
 
-    /// Lowers the limits, without notice.
-    pub fn lower_limits(&self, value_kb: f64, txn_ops: usize, write_rps: f64) {
-        let mut state = self.lock();
-        (state.value_kb, state.txn_ops) = (value_kb, txn_ops);
-        state.writes.rate = write_rps;
-    }
-
     /// Returns how many transactions were late, and the statuses of those carried out so far.
     pub fn late_writes(&self) -> (u32, Vec<u16>) {
         let state = self.lock();
@@ -201,7 +196,9 @@
         }
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
         let field = |name: &str| {
-            let found = query.split('&').find_map(|f| f.strip_prefix(name)?.strip_prefix('='));
+            let found = query
+                .split('&')
+                .find_map(|f| f.strip_prefix(name)?.strip_prefix('='));
             found.unwrap_or("").to_string()
         };
         match (method, path) {
@@ -219,9 +216,7 @@
                 now(200, map! {"permit" => id})
             }
             ("GET", "/store") => self.page(&field("prefix"), &field("since"), &field("most")),
-            ("GET", "/follow") => {
-                self.follow(&field("prefix"), &field("since"), &field("wait_ms"))
-            }
+            ("GET", "/follow") => self.follow(&field("prefix"), &field("since"), &field("wait_ms")),
             _ => self.handle_named(method, path),
         }
     }
@@ -260,9 +255,16 @@
             .keys
             .iter()
             .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > since);
-        let items: Vec<V> = rest.by_ref().take(most).map(|(key, entry)| item(key, entry)).collect();
+        let items: Vec<V> = rest
+            .by_ref()
+            .take(most)
+            .map(|(key, entry)| item(key, entry))
+            .collect();
         let more = rest.next().is_some();
-        now(200, map! {"items" => items, "more" => more, "ledger_rev" => state.revision})
+        now(
+            200,
+            map! {"items" => items, "more" => more, "ledger_rev" => state.revision},
+        )
     }
 
     fn follow(&self, prefix: &str, since: &str, wait_ms: &str) -> Answer {
@@ -274,7 +276,10 @@
             if state.changes.len() == KEPT_CHANGES && since + 1 < state.changes[0].0 {
                 return status(410, "too old");
             }
-            let newer = state.changes.iter().filter(|(n, key, _)| *n > since && key.starts_with(prefix));
+            let newer = state
+                .changes
+                .iter()
+                .filter(|(n, key, _)| *n > since && key.starts_with(prefix));
             let news: Vec<V> = newer.map(|(_, _, change)| change.clone()).collect();
             let left = deadline.saturating_duration_since(Instant::now());
             if !news.is_empty() || left.is_zero() {
@@ -347,10 +352,15 @@
             return (400, map! {"error" => "no such lease"});
         }
         let stamp = |key: &str| self.keys.get(key).map_or(0, |entry| entry.stamp);
-        let failed = conditions.iter().filter(|c| stamp(&c.text("k")) != c.int("stamp"));
+        let failed = conditions
+            .iter()
+            .filter(|c| stamp(&c.text("k")) != c.int("stamp"));
         let failed: Vec<V> = failed.map(|c| V::Text(c.text("k"))).collect();
         if !failed.is_empty() {
-            return (409, map! {"failed" => failed, "ledger_rev" => self.revision});
+            return (
+                409,
+                map! {"failed" => failed, "ledger_rev" => self.revision},
+            );
         }
         if !writes.is_empty() {
             self.revision += 1;
@@ -361,12 +371,18 @@
                 let value = write.get("v").cloned().unwrap_or(V::Null);
                 let permit = write.get("permit").map(|_| write.int("permit"));
                 let stamp = self.revision;
-                let change =
-                    map! {"write" => key.clone(), "v" => V::Null, "stamp" => stamp};
+                let change = map! {"write" => key.clone(), "v" => V::Null, "stamp" => stamp};
                 let V::Map(mut fields) = change else { continue };
                 fields[1].1 = value.clone();
                 self.log(stamp, &key, V::Map(fields));
-                self.keys.insert(key, Entry { value, stamp, permit });
+                self.keys.insert(
+                    key,
+                    Entry {
+                        value,
+                        stamp,
+                        permit,
+                    },
+                );
             } else {
                 let key = write.text("drop");
                 self.drop_key(&key);
@@ -383,7 +399,10 @@
     }
 
     fn drop_attached(&mut self, id: u64) {
-        let attached = self.keys.iter().filter(|(_, entry)| entry.permit == Some(id));
+        let attached = self
+            .keys
+            .iter()
+            .filter(|(_, entry)| entry.permit == Some(id));
         let attached: Vec<String> = attached.map(|(key, _)| key.clone()).collect();
         if !attached.is_empty() {
             self.revision += 1;
@@ -401,7 +420,9 @@
 
 fn item(key: &str, entry: &Entry) -> V {
     let fields = map! {"k" => key, "v" => V::Null, "stamp" => entry.stamp};
-    let V::Map(mut fields) = fields else { return fields };
+    let V::Map(mut fields) = fields else {
+        return fields;
+    };
     fields[1].1 = entry.value.clone();
     if let Some(permit) = entry.permit {
         fields.push(("permit".into(), permit.into()));
--- a/review/bed/src/world.rs
+++ b/review/bed/src/world.rs
@@ -22,7 +22,10 @@
 /// Kills the processes that are still running.
 pub fn kill_all() {
     for pid in World::lock(&RUNNING).iter() {
-        let _ = Command::new("kill").arg("-KILL").arg(pid.to_string()).status();
+        let _ = Command::new("kill")
+            .arg("-KILL")
+            .arg(pid.to_string())
+            .status();
     }
 }
 
@@ -137,7 +140,9 @@
             return;
         }
         if machines.iter().any(|other| other != machine) {
-            self.break_rule(format!("ran_twice: {task} starts on {machine} while on {machines:?}"));
+            self.break_rule(format!(
+                "ran_twice: {task} starts on {machine} while on {machines:?}"
+            ));
         }
         machines.insert(machine.into());
     }
@@ -145,11 +150,16 @@
     /// Returns the tasks that are on machines.
     pub fn tasks_on(&self) -> Vec<(String, BTreeSet<String>)> {
         let on = World::lock(&self.on);
-        on.iter().filter(|(_, m)| !m.is_empty()).map(|(t, m)| (t.clone(), m.clone())).collect()
+        on.iter()
+            .filter(|(_, m)| !m.is_empty())
+            .map(|(t, m)| (t.clone(), m.clone()))
+            .collect()
     }
 
     pub fn record(&self, record: Record, task: &str, attempt: u64, machine: &str) {
-        self.note(&format!("worker {machine}: {task} try {attempt}: {record:?}"));
+        self.note(&format!(
+            "worker {machine}: {task} try {attempt}: {record:?}"
+        ));
         World::lock(&self.events).push(Event {
             at_s: self.now_s(),
             record,
@@ -166,19 +176,28 @@
     /// Returns how often something was recorded of a task.
     pub fn count(&self, task: &str, record: Record) -> usize {
         let events = World::lock(&self.events);
-        events.iter().filter(|e| e.task == task && e.record == record).count()
+        events
+            .iter()
+            .filter(|e| e.task == task && e.record == record)
+            .count()
     }
 
     /// Notes an order to start a task, with the report that it answers.
     pub fn launched(&self, task: &str, sent_s: f64, member: &str, machine: &str) {
-        self.note(&format!("worker {machine}: launch {task}, by {member} for the report of {sent_s:.3}"));
+        self.note(&format!(
+            "worker {machine}: launch {task}, by {member} for the report of {sent_s:.3}"
+        ));
         World::lock(&self.launches).push((task.into(), sent_s));
     }
 
     /// Returns when the reports were sent for which a task was launched.
     pub fn launches(&self, task: &str) -> Vec<f64> {
         let launches = World::lock(&self.launches);
-        launches.iter().filter(|(t, _)| t == task).map(|(_, sent_s)| *sent_s).collect()
+        launches
+            .iter()
+            .filter(|(t, _)| t == task)
+            .map(|(_, sent_s)| *sent_s)
+            .collect()
     }
 
     /// Cancels a job at a controller until it says that it is cancelled. Returns when that was.
@@ -190,7 +209,9 @@
             let told_s = self.now_s();
             if let Some((status, body)) = answer {
                 let standing = V::decode(&body)?.text("standing");
-                self.note(&format!("user: cancels {id}: {status} {standing} by {member}"));
+                self.note(&format!(
+                    "user: cancels {id}: {status} {standing} by {member}"
+                ));
                 if status == 200 {
                     return (standing == "aborted").then_some(told_s);
                 }
@@ -238,7 +259,9 @@
             let timeout = Duration::from_secs(5);
             let answer = http::request(*addr, "POST", "/v2/runs", &body.encode(), timeout);
             if let Some((status @ (200 | 201), _)) = answer {
-                self.note(&format!("user: {id} with {tasks} tasks: {status} by {member}"));
+                self.note(&format!(
+                    "user: {id} with {tasks} tasks: {status} by {member}"
+                ));
                 return Ok(());
             }
             if let Some((status @ (400 | 422), body)) = answer {
@@ -257,7 +280,9 @@
             if let Some((200, body)) = answer {
                 let body = V::decode(&body)?;
                 let (standing, done) = (body.text("standing"), body.int("done"));
-                self.note(&format!("user: {id} is {standing}, {done} done, says {member}"));
+                self.note(&format!(
+                    "user: {id} is {standing}, {done} done, says {member}"
+                ));
                 return Some((standing, done));
             }
         }
@@ -282,7 +307,6 @@
     ways: BTreeMap<(usize, usize), SocketAddr>,
 }
 
-
 impl Deployment {
     /// Prepares a deployment; `folder` is that of the case.
     pub fn new(site: Site, folder: &Path, stop: StopFlag) -> Deployment {
@@ -294,9 +318,12 @@
             let (high, low) = (std::process::id() / 250, std::process::id() % 250);
             let ip = Ipv4Addr::new(127, (high % 250) as u8 + 1, low as u8 + 1, 1);
             // All are held until all are chosen, so that no two are the same.
-            let held: Vec<TcpListener> =
-                (0..count).map(|_| TcpListener::bind((ip, 0)).expect("bind")).collect();
-            held.iter().map(|l| l.local_addr().expect("address")).collect()
+            let held: Vec<TcpListener> = (0..count)
+                .map(|_| TcpListener::bind((ip, 0)).expect("bind"))
+                .collect();
+            held.iter()
+                .map(|l| l.local_addr().expect("address"))
+                .collect()
         };
         let all = addresses(2 * site.members);
         let (api, back) = all.split_at(site.members);
@@ -419,7 +446,10 @@
     /// Sends a controller a signal, such as STOP or CONT.
     pub fn signal(&self, i: usize, signal: &str) {
         if let Some(child) = &self.processes[i] {
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+            let _ = Command::new("kill")
+                .arg(format!("-{signal}"))
+                .arg(child.id().to_string())
+                .status();
             self.world.note(&format!("rung-{i} gets SIG{signal}"));
         }
     }
@@ -434,8 +464,14 @@
         } else {
             cut.remove(&i);
         }
-        let what = if is_cut { "is cut off from" } else { "reaches again" };
-        self.world.note(&format!("rung-{i} {what} the state service and the other controllers"));
+        let what = if is_cut {
+            "is cut off from"
+        } else {
+            "reaches again"
+        };
+        self.world.note(&format!(
+            "rung-{i} {what} the state service and the other controllers"
+        ));
     }
 
     /// Returns the number of the leader.
@@ -474,11 +510,6 @@
     pub fn pause(&self, seconds: f64) {
         let _ = self.wait(seconds, "a pause", |_| false);
     }
-
-    /// Returns the lines that the controllers logged.
-    pub fn logs(&self, i: usize) -> String {
-        std::fs::read_to_string(self.dir.join(format!("rung-{i}.log"))).unwrap_or_default()
-    }
 }
 
 impl Drop for Deployment {
