--- a/review/bed/src/world.rs
+++ b/review/bed/src/world.rs
@@ -19,6 +19,16 @@
 /// Processes that are running.
 static RUNNING: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
 
+/// Writes the processes that are running into the file that `PIDS` names, for the script that ends them if
+/// it is itself ended half-way.
+fn list_running() {
+    if let Some(file) = std::env::var_os("PIDS") {
+        let running = World::lock(&RUNNING);
+        let lines: Vec<String> = running.iter().map(|pid| format!("{pid}\n")).collect();
+        let _ = std::fs::write(file, lines.concat());
+    }
+}
+
 /// Kills the processes that are still running.
 pub fn kill_all() {
     for pid in World::lock(&RUNNING).iter() {
@@ -429,6 +439,7 @@
             .spawn()
             .expect("the program starts");
         World::lock(&RUNNING).insert(child.id());
+        list_running();
         self.world.note(&format!("rung-{i} starts"));
         self.processes[i] = Some(child);
     }
@@ -439,6 +450,7 @@
             let _ = child.kill();
             let _ = child.wait();
             World::lock(&RUNNING).remove(&child.id());
+            list_running();
             self.world.note(&format!("rung-{i} is killed"));
         }
     }
